--- /dev/null
+++ b/config/check.go
@@ -0,0 +1,210 @@
+package config
+
+import (
+	"fmt"
+	"net/netip"
+	"regexp"
+	"sort"
+	"strings"
+)
+
+// Problem is one thing that is wrong with a deployment.
+type Problem struct {
+	place  string
+	reason string
+}
+
+// Place returns the path of the faulty field, such as
+// "services.booking.upstreams.booking-1.slots".
+func (p Problem) Place() string { return p.place }
+
+// Reason returns what is wrong there, as a clause without a full stop.
+func (p Problem) Reason() string { return p.reason }
+
+func (p Problem) Error() string { return p.place + ": " + p.reason }
+
+// Problems gathers everything that is wrong with a deployment, in the order of
+// the places.
+type Problems []Problem
+
+func (ps Problems) Error() string {
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Check reports everything that is wrong with the deployment as [Problems], or
+// nil when nothing is.
+func (d Deployment) Check() error {
+	c := checker{services: newUnique(), ids: newUnique(), upstreams: newUnique()}
+	c.deployment(d)
+	if len(c.problems) == 0 {
+		return nil
+	}
+	sort.SliceStable(c.problems, func(i, j int) bool {
+		return c.problems[i].place < c.problems[j].place
+	})
+	return c.problems
+}
+
+var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
+
+// unique remembers which place took a value first.
+type unique map[string]string
+
+func newUnique() unique { return unique{} }
+
+// checker walks a deployment and gathers problems.
+type checker struct {
+	problems  Problems
+	domains   map[string]bool
+	services  unique
+	ids       unique
+	upstreams unique
+}
+
+func (c *checker) add(place, format string, args ...any) {
+	c.problems = append(c.problems, Problem{place: place, reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *checker) name(place, s string) {
+	if !kebab.MatchString(s) {
+		c.add(place, "name %q is not in kebab case", s)
+	}
+}
+
+// once reports a value that another place already has.
+func (c *checker) once(u unique, place, value string) {
+	if first, ok := u[value]; ok {
+		c.add(place, "%s is taken by %s", value, first)
+		return
+	}
+	u[value] = place
+}
+
+func (c *checker) address(place, s string) {
+	ap, err := netip.ParseAddrPort(s)
+	if err != nil {
+		c.add(place, "%q is not an IP address with a port", s)
+		return
+	}
+	if ap.Port() == 0 {
+		c.add(place, "port 0 is not allowed")
+	}
+}
+
+func (c *checker) between(place string, n, low, high int) {
+	if n < low || n > high {
+		c.add(place, "%d is not between %d and %d", n, low, high)
+	}
+}
+
+func (c *checker) deployment(d Deployment) {
+	c.name("name", d.Name)
+	if d.Revision == 0 {
+		c.add("revision", "0 is not allowed")
+	}
+	c.tokenKeys(d.TokenKeys)
+	c.domainList(d.Domains)
+	if len(d.Services) == 0 {
+		c.add("services", "a deployment needs at least one service")
+	}
+	for _, s := range d.Services {
+		c.service("services."+s.Name, s)
+	}
+}
+
+func (c *checker) tokenKeys(keys []TokenKey) {
+	if len(keys) < 1 || len(keys) > 2 {
+		c.add("token-keys", "%d keys are given, 1 or 2 are allowed", len(keys))
+	}
+	phases := newUnique()
+	for i, k := range keys {
+		place := fmt.Sprintf("token-keys.%d", i)
+		c.name(place+".name", k.Name)
+		c.between(place+".phase", int(k.Phase), 0, MaxPhase)
+		c.once(phases, place+".phase", fmt.Sprintf("phase %d", k.Phase))
+	}
+}
+
+func (c *checker) domainList(domains []Domain) {
+	c.domains = make(map[string]bool, len(domains))
+	if len(domains) == 0 {
+		c.add("domains", "a deployment needs at least one failure domain")
+	}
+	for _, d := range domains {
+		place := "domains." + d.Name
+		c.name(place, d.Name)
+		if c.domains[d.Name] {
+			c.add(place, "the failure domain is given twice")
+		}
+		c.domains[d.Name] = true
+		if d.State != "" && d.State != StateIn && d.State != StateOut {
+			c.add(place+".state", "%q is neither %q nor %q", d.State, StateIn, StateOut)
+		}
+	}
+}
+
+func (c *checker) service(place string, s Service) {
+	c.name(place, s.Name)
+	c.once(c.services, place+".name", "name "+s.Name)
+	c.once(c.services, place+".address", "address "+s.Address)
+	c.once(c.ids, place+".id", fmt.Sprintf("service id %d", s.ID))
+	if s.ID == 0 {
+		c.add(place+".id", "0 is not allowed")
+	}
+	c.address(place+".address", s.Address)
+	c.between(place+".priority", s.Priority, 1, maxPriority)
+	c.between(place+".drain-seconds", s.DrainSeconds, 0, maxSeconds)
+	c.between(place+".ramp-seconds", s.RampSeconds, 0, maxSeconds)
+	for i, r := range s.Routes {
+		c.route(fmt.Sprintf("%s.routes.%d", place, i), r)
+	}
+	if len(s.Upstreams) == 0 {
+		c.add(place+".upstreams", "a service needs at least one upstream")
+	}
+	for _, u := range s.Upstreams {
+		c.upstream(place+".upstreams."+u.Name, u)
+	}
+}
+
+func (c *checker) route(place string, r Route) {
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		c.add(place+".path-prefix", "%q does not start with a slash", r.PathPrefix)
+	}
+	c.between(place+".priority", r.Priority, 1, maxPriority)
+}
+
+func (c *checker) upstream(place string, u Upstream) {
+	c.name(place, u.Name)
+	c.once(c.upstreams, place+".name", "name "+u.Name)
+	c.once(c.upstreams, place+".agent", "address "+u.Agent)
+	c.once(c.ids, place+".id", fmt.Sprintf("upstream id %d", u.ID))
+	if u.ID == 0 {
+		c.add(place+".id", "0 is not allowed")
+	}
+	c.address(place+".agent", u.Agent)
+	c.between(place+".slots", u.Slots, 1, maxSlots)
+	if !c.domains[u.Domain] {
+		c.add(place+".domain", "failure domain %q is not declared", u.Domain)
+	}
+	if u.State != "" && u.State != StateIn && u.State != StateLeaving {
+		c.add(place+".state", "%q is neither %q nor %q", u.State, StateIn, StateLeaving)
+	}
+	if u.Weight < 0 || u.Weight > maxWeight {
+		c.add(place+".weight", "%g is not between 0 and %d", u.Weight, maxWeight)
+	}
+}
+
+const (
+	// maxPriority is the largest number of a priority, the least urgent one.
+	maxPriority = 9
+	// maxSeconds bounds the drain and ramp times.
+	maxSeconds = 24 * 60 * 60
+	// maxSlots bounds the requests that one upstream runs at the same time.
+	maxSlots = 100_000
+	// maxWeight bounds an upstream's weight.
+	maxWeight = 100
+)
