operate: read the settings of a process from one TOML file

Ruled out: one decode of the whole file; the decoder stops at the first wrong type, so the rest stays hidden. Each key is decoded alone instead. Change: package gdsettings with Balancer, Agent, Load, Problems and a Key that never prints. The test found that %d showed the key's bytes; Format mends it.

--- /dev/null
+++ b/internal/operate/gdsettings/load_test.go
@@ -0,0 +1,87 @@
+package gdsettings_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+)
+
+// part returns one file of an archive in testdata: parts start with lines of
+// the form "-- NAME --".
+func part(archive, name string) string {
+	_, rest, _ := strings.Cut("\n"+archive, "\n-- "+name+" --\n")
+	body, _, _ := strings.Cut(rest, "\n-- ")
+	return strings.TrimSuffix(body, "\n") + "\n"
+}
+
+// unpack writes the archive's settings beside a right key and certificate.
+func unpack(t *testing.T, archive string) string {
+	dir := t.TempDir()
+	write := func(name, data string) {
+		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(data), 0o600))
+	}
+	write("settings.toml", part(archive, "settings.toml"))
+	write("fleet.key", strings.Repeat("ab", gdsettings.KeySize)+"\n")
+	write("short.key", "abcd\n")
+	write("cert.pem", "")
+	return dir
+}
+
+func TestLoadGathersProblems(t *testing.T) {
+	archives, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, archives)
+	for _, path := range archives {
+		t.Run(filepath.Base(path), func(t *testing.T) {
+			data, err := os.ReadFile(path)
+			require.NoError(t, err)
+			dir := unpack(t, string(data))
+			settings := filepath.Join(dir, "settings.toml")
+			if strings.HasPrefix(filepath.Base(path), "agent") {
+				_, err = gdsettings.Load[gdsettings.Agent](settings)
+			} else {
+				_, err = gdsettings.Load[gdsettings.Balancer](settings)
+			}
+			got := "ok"
+			if err != nil {
+				got = strings.ReplaceAll(err.Error(), dir+string(filepath.Separator), "")
+			}
+			require.Equal(t, part(string(data), "problems"), got+"\n")
+		})
+	}
+}
+
+func TestLoadFillsDefaults(t *testing.T) {
+	data, err := os.ReadFile("testdata/agent-right.txt")
+	require.NoError(t, err)
+	dir := unpack(t, string(data))
+	s, err := gdsettings.Load[gdsettings.Agent](filepath.Join(dir, "settings.toml"))
+	require.NoError(t, err)
+	require.Equal(t, gdsettings.DefaultMaxFlows, s.MaxFlows)
+	require.Equal(t, gdsettings.LevelInfo, s.LogLevel)
+	require.Equal(t, "127.0.0.1:7001", s.NodeAddress.String())
+	require.Equal(t, filepath.Join(dir, "fleet.key"), s.FleetKeyFile)
+}
+
+func TestKeyIsNeverPrinted(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "fleet.key")
+	require.NoError(t, os.WriteFile(path, []byte(strings.Repeat("ab", gdsettings.KeySize)), 0o600))
+	k, err := gdsettings.ReadKey(path)
+	require.NoError(t, err)
+	require.Equal(t, bytes.Repeat([]byte{0xab}, gdsettings.KeySize), k.Bytes())
+	inJSON, err := json.Marshal(struct{ Key gdsettings.Key }{k})
+	require.NoError(t, err)
+	for _, verb := range []string{"%v", "%+v", "%#v", "%s", "%x", "%d", "%q"} {
+		require.NotContains(t, fmt.Sprintf(verb, k), "abab", verb)
+		require.NotContains(t, fmt.Sprintf(verb, k), "171 171", verb)
+	}
+	require.NotContains(t, string(inJSON), "171")
+}
