operate: numbered log events with a catalogue, and the page of it

Ruled out: numbers given by order of declaration; a removed event would renumber the rest. Conclusion: page and code can't drift apart.

--- /dev/null
+++ b/internal/operate/gdlog/gdlog_test.go
@@ -0,0 +1,83 @@
+package gdlog_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+)
+
+func TestCatalogueIsThePage(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/EVENTS.md")
+	require.NoError(t, err)
+	var rows strings.Builder
+	last := 0
+	for _, e := range gdlog.Catalogue() {
+		require.Greater(t, e.Number(), last, "numbers grow and are given once")
+		last = e.Number()
+		fmt.Fprintf(&rows, "| %d | %s | %s | %s |\n", e.Number(), e.Level(), e.Text(), e.Advice())
+	}
+	var inPage strings.Builder
+	for line := range strings.Lines(string(page)) {
+		if len(line) > 2 && line[0] == '|' && line[2] >= '0' && line[2] <= '9' {
+			inPage.WriteString(line)
+		}
+	}
+	require.Equal(t, rows.String(), inPage.String())
+}
+
+func TestEventsBecomeLines(t *testing.T) {
+	var out bytes.Buffer
+	log := gdlog.New(&out, gdlog.Info).With("process", "entry-1")
+	log.Event(gdlog.ConfigurationInForce, "version", "12-ab")
+	log.Event(gdlog.FlowClosed)
+	log.Failure(gdlog.PlatformUnreachable, errors.New("read index: refused"), "failures", 3)
+	log.Failure(gdlog.PeerUnreachable, errors.New("dial"))
+	type line struct {
+		Level, Text, Process, Version, Error string
+		Event, Failures                      int
+	}
+	var got []line
+	dec := json.NewDecoder(&out)
+	for dec.More() {
+		var l line
+		require.NoError(t, dec.Decode(&l))
+		got = append(got, l)
+	}
+	require.Equal(t, []line{
+		{Level: "info", Text: "configuration in force", Process: "entry-1", Version: "12-ab", Event: 200},
+		{Level: "error", Text: "platform unreachable", Process: "entry-1", Error: "read index: refused", Event: 300, Failures: 3},
+		{Level: "info", Text: "peer unreachable", Process: "entry-1", Error: "dial", Event: 303},
+	}, got)
+	gdlog.Logger{}.Event(gdlog.ProcessStarted)
+}
+
+func TestRateLimitCountsWhatItHoldsBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := gdlog.RateLimit[int]{Interval: gdlog.DropInterval}
+	n, due := r.Add(now, 1)
+	require.Equal(t, uint64(1), n)
+	require.True(t, due)
+	for range 4 {
+		_, due = r.Add(now.Add(time.Second), 1)
+		require.False(t, due)
+	}
+	n, due = r.Add(now.Add(gdlog.DropInterval), 1)
+	require.Equal(t, uint64(5), n)
+	require.True(t, due)
+	reported := 0
+	for key := range 100_000 {
+		if _, due = r.Add(now, key); due {
+			reported++
+		}
+	}
+	require.Less(t, reported, 256)
+}
