--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -62,10 +62,11 @@
 	// Counters counts decisions.
 	Counters gdnode.Counters
 
-	incarnation uint32
+	incarnation atomic.Uint32
 	node        *net.UDPConn
 	flows       flows
 	stopping    atomic.Bool
+	inProgress  atomic.Int64
 	proxy       *proxy
 }
 
@@ -107,7 +108,7 @@
 	if _, err := rand.Read(b[:]); err != nil {
 		return errors.Wrap(err, "choose an incarnation")
 	}
-	a.incarnation = binary.BigEndian.Uint32(b[:])
+	a.incarnation.Store(binary.BigEndian.Uint32(b[:]))
 	node, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.NodeAddress))
 	if err != nil {
 		return errors.Wrap(err, "open the node address")
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	conn := newCallerConn(a.node, sealer, 2*a.MaxFlows, uint64(a.incarnation))
+	conn := newCallerConn(a.node, sealer, 2*a.MaxFlows, uint64(a.incarnation.Load()))
 	conn.counters = &a.Counters
 	conn.service = a.service
 	var reset quic.StatelessResetKey
@@ -219,7 +220,7 @@
 func (a *Agent) drain() {
 	a.stopping.Store(true)
 	limit := time.Now().Add(a.drainTime())
-	for a.proxy.inProgress.Load() > 0 && time.Now().Before(limit) {
+	for a.inProgress.Load() > 0 && time.Now().Before(limit) {
 		time.Sleep(watchInterval / 10)
 	}
 	a.flows.closeAll(CodeStopping, "agent stopping")
@@ -237,6 +238,26 @@
 	return u.Service().Drain()
 }
 
+// Incarnation returns the number that tells this process from earlier ones in
+// its place. It is random for each run.
+func (a *Agent) Incarnation() uint32 { return a.incarnation.Load() }
+
+// State is the part of the dump that only agents have.
+type State struct {
+	Flows      int  `json:"flows"`
+	InProgress int  `json:"requests-in-progress"`
+	Stopping   bool `json:"stopping"`
+}
+
+// State returns the agent's state for the dump.
+func (a *Agent) State() State {
+	return State{
+		Flows:      a.flows.count(),
+		InProgress: int(a.inProgress.Load()),
+		Stopping:   a.stopping.Load(),
+	}
+}
+
 // tokens issues route tokens as connection IDs.
 type tokens struct {
 	a       *Agent
@@ -259,7 +280,7 @@
 		return quic.ConnectionID{}, errors.New("issue a route token: no configuration in force")
 	}
 	t.serial++
-	cid := gdtoken.NewSealer(ring).Seal(gdtoken.New(service, t.a.Upstream, t.a.incarnation, t.serial))
+	cid := gdtoken.NewSealer(ring).Seal(gdtoken.New(service, t.a.Upstream, t.a.incarnation.Load(), t.serial))
 	return quic.ConnectionIDFromBytes(cid[:]), nil
 }
 
--- a/internal/process/gdagent/proxy.go
+++ b/internal/process/gdagent/proxy.go
@@ -7,7 +7,6 @@
 	"net/url"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 )
 
@@ -37,9 +36,8 @@
 
 // proxy sends requests to the upstream and streams the answers back.
 type proxy struct {
-	target     *url.URL
-	transport  *http.Transport
-	inProgress atomic.Int64
+	target    *url.URL
+	transport *http.Transport
 }
 
 func newProxy(target *url.URL) *proxy {
@@ -52,8 +50,8 @@
 
 // serve handles one request of a caller.
 func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
-	a.proxy.inProgress.Add(1)
-	defer a.proxy.inProgress.Add(-1)
+	a.inProgress.Add(1)
+	defer a.inProgress.Add(-1)
 	ctx, cancel := withTimeout(r)
 	defer cancel()
 	a.proxy.forward(ctx, w, r)
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -174,3 +175,21 @@
 		<-c.done
 	}
 }
+
+// State is the part of the dump that only balancers have.
+type State struct {
+	// Services are the addresses on which callers are served.
+	Services []string `json:"services"`
+}
+
+// State returns the balancer's state for the dump.
+func (b *Balancer) State() State {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var st State
+	for _, c := range b.callers {
+		st.Services = append(st.Services, c.addr.String())
+	}
+	slices.Sort(st.Services)
+	return st
+}
--- a/internal/wire/gdkey/key.go
+++ b/internal/wire/gdkey/key.go
@@ -36,6 +36,11 @@
 		// The cause is left out because it quotes a part of the key.
 		return Fleet{}, errors.New("fleet key: not hexadecimal")
 	}
+	return New(b)
+}
+
+// New returns the fleet key with the given bytes, Size of them.
+func New(b []byte) (Fleet, error) {
 	if len(b) != Size {
 		return Fleet{}, errors.Errorf("fleet key: %d bytes, want %d", len(b), Size)
 	}
