Add the rig's stand-ins and gdrig up, thin

Cause: the path needs a platform, upstreams, a fabric and callers on one machine. Built and linted; not yet run against the product's processes. Conclusion: tests against a plain HTTP/3 server come next.

--- a/cmd/gdrig/main.go
+++ b/cmd/gdrig/main.go
@@ -1,5 +1,28 @@
 // Command gdrig runs godwitdrift on one machine against stand-ins of the
-// platform, the fabric, the upstreams and the callers.
+// platform, the fabric, the upstreams and the callers. It is test equipment and
+// no part of the product.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := &cli.Command{
+		Name:     "gdrig",
+		Usage:    "run godwitdrift on one machine against stand-ins",
+		Commands: []*cli.Command{upCommand()},
+	}
+	if err := root.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, "gdrig:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/cmd/gdrig/up.go
@@ -0,0 +1,82 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdrigup"
+)
+
+const upHelp = `Starts the platform, the fabric and the upstreams as stand-ins, and each
+balancer and agent as a process, then prints one line for each service:
+
+   SERVICE NAME ADDRESS CA-FILE
+
+It runs until interrupted and removes its temporary directory at the end.
+
+Example:
+   gdrig up --deployment examples/rejilla-norte`
+
+func upCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "up",
+		Usage:       "start a deployment and keep it running",
+		Description: upHelp,
+		Flags:       rigFlags(),
+		Action:      up,
+	}
+}
+
+// rigFlags are the flags of each command that starts a rig.
+func rigFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringFlag{Name: "deployment", Usage: "directory with deployment.toml and rig.toml", Required: true},
+		&cli.StringFlag{Name: "binary", Usage: "godwitdrift program (default: beside gdrig)"},
+		&cli.StringFlag{Name: "log-level", Usage: "log level of the processes", Value: "info"},
+		&cli.Uint64Flag{Name: "seed", Usage: "seed of the stand-ins and the load (default: of rig.toml)"},
+	}
+}
+
+// newRig returns the rig that the flags ask for, not started.
+func newRig(cmd *cli.Command) (*gdrigup.Rig, error) {
+	spec, err := gdrigup.ReadSpec(cmd.String("deployment"))
+	if err != nil {
+		return nil, err
+	}
+	if cmd.IsSet("seed") {
+		spec.Settings.Seed = cmd.Uint64("seed")
+	}
+	binary := cmd.String("binary")
+	if binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return nil, errors.Wrap(err, "find own program")
+		}
+		binary = filepath.Join(filepath.Dir(self), "godwitdrift")
+	}
+	return &gdrigup.Rig{Spec: spec, Binary: binary, LogLevel: cmd.String("log-level"), Progress: progress}, nil
+}
+
+// progress prints one step for a person.
+func progress(words string) { fmt.Fprintln(os.Stderr, "gdrig:", words) }
+
+func up(ctx context.Context, cmd *cli.Command) error {
+	rig, err := newRig(cmd)
+	if err != nil {
+		return err
+	}
+	if err := rig.Start(ctx); err != nil {
+		return err
+	}
+	defer rig.Stop()
+	for _, s := range rig.Services() {
+		fmt.Println("SERVICE", s.Name, s.Addr, rig.CAFile())
+	}
+	<-ctx.Done()
+	return nil
+}
--- /dev/null
+++ b/examples/rejilla-norte/main.go
@@ -0,0 +1,69 @@
+// Command rejilla-norte prints the configuration of Rejilla Norte
+// Restauraciones: the booking service with its dealers' feeds, and the gallery.
+//
+//	go run ./examples/rejilla-norte > examples/rejilla-norte/deployment.toml
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"godwitdrift.example/godwitdrift/config"
+)
+
+// slots is the number of requests that each upstream runs at the same time.
+const slots = 3
+
+// domains are the failure domains in Bizkaia.
+var domains = []string{"bilbao", "getxo", "durango", "gernika"}
+
+func main() {
+	if err := config.Print(os.Stdout, deployment()); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func deployment() config.Deployment {
+	d := config.Deployment{
+		Name:      "rejilla-norte",
+		Revision:  1,
+		TokenKeys: []config.TokenKey{{Phase: 0, Name: "2026-12"}},
+	}
+	for _, name := range domains {
+		d.Domains = append(d.Domains, config.Domain{Name: name})
+	}
+	d.Services = []config.Service{
+		{
+			Name: "booking", ID: 1, Address: "192.0.2.10:443", Priority: 1,
+			Routes: []config.Route{
+				{PathPrefix: "/repairs", Priority: 1, AtMostOnce: true},
+				{PathPrefix: "/feed", Priority: 1},
+			},
+			RampSeconds: 10,
+			Upstreams:   upstreams("booking", 100, 7),
+		},
+		{
+			Name: "gallery", ID: 2, Address: "192.0.2.11:443", Priority: 2,
+			RampSeconds: 10,
+			Upstreams:   upstreams("gallery", 200, 4),
+		},
+	}
+	return d
+}
+
+// upstreams returns n upstreams spread over the failure domains.
+func upstreams(service string, id uint32, n int) []config.Upstream {
+	all := make([]config.Upstream, n)
+	for i := range all {
+		k := uint32(i + 1)
+		all[i] = config.Upstream{
+			Name:   fmt.Sprintf("%s-%d", service, k),
+			ID:     id + k,
+			Domain: domains[i%len(domains)],
+			Agent:  fmt.Sprintf("192.0.2.%d:7000", id+k-50),
+			Slots:  slots,
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/rig/gdload/load.go
@@ -0,0 +1,141 @@
+package gdload
+
+import (
+	"context"
+	"crypto/x509"
+	"net/netip"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
+)
+
+// CodeDomainOut is the QUIC application error code with which an agent closes
+// the flows of a failure domain that is taken out.
+const CodeDomainOut = 0x6764
+
+// The agent's header that states the outcome of a refused request.
+const (
+	HeaderOutcome  = "Godwitdrift-Outcome"
+	OutcomeNotRun  = "not-run"
+	OutcomeUnknown = "unknown"
+)
+
+const (
+	defaultInterval = 50 * time.Millisecond
+	defaultTimeout  = 5 * time.Second
+	defaultBody     = 600 // bytes
+	defaultOnce     = "/unlock"
+)
+
+// Target is one service with the flows that go to it.
+type Target struct {
+	// Service is the name that each answer must carry.
+	Service string
+	// Addr is the service address.
+	Addr netip.AddrPort
+	// Upstreams are the names over which the imbalance is taken. Empty means
+	// those that answered.
+	Upstreams []string
+	// Echo, Feeds and Once are the numbers of flows of each kind.
+	Echo, Feeds, Once int
+	// OncePath is the path of at-most-once requests; empty means "/unlock".
+	OncePath string
+}
+
+// Load is the load tool. Set its exported fields before Run.
+type Load struct {
+	// Targets are the services under load.
+	Targets []Target
+	// Roots are the certificate authorities that callers trust.
+	Roots *x509.CertPool
+	// Record is the upstream stand-ins' record, or nil when it is out of reach.
+	Record *gdupstreamsim.Record
+	// Interval is the mean time between two requests of a flow; 0 means 50 ms.
+	Interval time.Duration
+	// Timeout bounds one request; 0 means 5 s.
+	Timeout time.Duration
+	// Body is the size of a request's body; 0 means 600 bytes.
+	Body int
+	// Seed seeds the bodies and the intervals.
+	Seed uint64
+
+	tally tally
+}
+
+// LoadRoots reads the certificate authorities from a PEM file.
+func LoadRoots(file string) (*x509.CertPool, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read certificate authorities")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return nil, errors.Errorf("%s holds no certificate", file)
+	}
+	return pool, nil
+}
+
+// Run keeps all flows going until ctx ends, then closes them.
+func (l *Load) Run(ctx context.Context) error {
+	l.defaults()
+	var wg sync.WaitGroup
+	var n uint64
+	for _, t := range l.Targets {
+		for _, k := range t.kinds() {
+			n++
+			f := newFlow(l, t, k, n)
+			wg.Go(func() { f.run(ctx) })
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
+// Result returns what was counted so far.
+func (l *Load) Result() Result {
+	return l.tally.result(l.Targets, l.Record)
+}
+
+func (l *Load) defaults() {
+	if l.Interval == 0 {
+		l.Interval = defaultInterval
+	}
+	if l.Timeout == 0 {
+		l.Timeout = defaultTimeout
+	}
+	if l.Body == 0 {
+		l.Body = defaultBody
+	}
+	for i := range l.Targets {
+		if l.Targets[i].OncePath == "" {
+			l.Targets[i].OncePath = defaultOnce
+		}
+	}
+}
+
+// kind is what a flow does.
+type kind string
+
+const (
+	kindEcho kind = "echo"
+	kindFeed kind = "feed"
+	kindOnce kind = "once"
+)
+
+// kinds lists the kind of each flow of the target.
+func (t Target) kinds() []kind {
+	var all []kind
+	for _, k := range []struct {
+		kind kind
+		n    int
+	}{{kindEcho, t.Echo}, {kindFeed, t.Feeds}, {kindOnce, t.Once}} {
+		for range k.n {
+			all = append(all, k.kind)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/rig/gdload/request.go
@@ -0,0 +1,210 @@
+package gdload
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
+)
+
+// requests sends one request after the other until ctx or the connection ends.
+func (f *flow) requests(ctx context.Context, c *conn, one func(context.Context, *conn) error) error {
+	for ctx.Err() == nil {
+		if err := one(ctx, c); err != nil {
+			return err
+		}
+		f.pause(ctx, f.load.Interval)
+		if c.dead() {
+			return context.Cause(c.quic.Context())
+		}
+	}
+	return errOwnWish
+}
+
+func (f *flow) echo(ctx context.Context, c *conn) error {
+	_, err := f.request(ctx, c, "/", "")
+	return err
+}
+
+// once sends an at-most-once request, and repeats it under the same key while
+// its outcome is unknown.
+func (f *flow) once(ctx context.Context, c *conn) error {
+	key := fmt.Sprintf("%s-key-%d", f.name, f.sent)
+	for range maxOnceAttempts {
+		o, err := f.request(ctx, c, f.target.OncePath, key)
+		if err != nil || o != Unknown {
+			return err
+		}
+		f.pause(ctx, f.load.Interval)
+	}
+	return nil
+}
+
+// request sends one request and counts its outcome. An error means that the
+// connection has ended.
+func (f *flow) request(ctx context.Context, c *conn, path, key string) (Outcome, error) {
+	f.sent++
+	id := fmt.Sprintf("%s-%d", f.name, f.sent)
+	body := f.body()
+	began := time.Now()
+	a, err := f.send(ctx, c, path, id, key, body)
+	end := time.Now()
+	o := f.judge(a, err, id, body, end.Sub(began))
+	f.load.tally.sample(Sample{
+		Service: f.target.Service, Kind: string(f.kind), Latency: end.Sub(began), Outcome: o,
+	}, end)
+	if err != nil && c.dead() {
+		return o, errors.Wrap(err, "request "+id)
+	}
+	return o, nil
+}
+
+// answer is an answer that was read to its end.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (f *flow) send(ctx context.Context, c *conn, path, id, key string, body []byte) (answer, error) {
+	// The run's end must not cut a request in progress, only its timeout may.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.load.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(path), bytes.NewReader(body))
+	if err != nil {
+		return answer{}, err
+	}
+	req.Header.Set(gdupstreamsim.HeaderRequestID, id)
+	if key != "" {
+		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, key)
+	}
+	res, err := c.http.RoundTrip(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer res.Body.Close()
+	got, err := io.ReadAll(res.Body)
+	return answer{status: res.StatusCode, header: res.Header, body: got}, err
+}
+
+// judge counts the outcome of one request.
+func (f *flow) judge(a answer, err error, id string, body []byte, d time.Duration) Outcome {
+	t := &f.load.tally
+	switch {
+	case err != nil:
+		t.change(func(r *Result) { r.Unknown++ })
+		return Unknown
+	case a.status != http.StatusOK && a.header.Get(HeaderOutcome) == OutcomeNotRun:
+		t.notRun(id)
+		return Refused
+	case a.status != http.StatusOK:
+		t.change(func(r *Result) { r.Unknown++ })
+		return Unknown
+	case a.header.Get(gdupstreamsim.HeaderService) != f.target.Service:
+		t.fault(id+": answered by "+a.header.Get(gdupstreamsim.HeaderService), func(r *Result) { r.Misrouted++ })
+		return Wrong
+	case !f.own(a, id, body):
+		t.fault(id+": wrong answer to "+a.header.Get(gdupstreamsim.HeaderRequestID), func(r *Result) { r.Wrong++ })
+		return Wrong
+	}
+	t.answered(a.header.Get(gdupstreamsim.HeaderUpstream), d)
+	return Answered
+}
+
+// own reports whether the answer is whole and belongs to the request. A repeated
+// at-most-once request may get the answer of its first attempt.
+func (f *flow) own(a answer, id string, body []byte) bool {
+	got := a.header.Get(gdupstreamsim.HeaderRequestID)
+	if f.kind == kindOnce {
+		return strings.HasPrefix(got, f.name+"-") && len(a.body) == len(body)
+	}
+	return got == id && bytes.Equal(a.body, body)
+}
+
+func (f *flow) body() []byte {
+	b := make([]byte, f.load.Body)
+	for i := range b {
+		b[i] = 'a' + byte(f.rng.IntN(26))
+	}
+	return b
+}
+
+func (f *flow) url(path string) string { return "https://" + f.target.Addr.String() + path }
+
+// feed holds a streamed answer and checks that no line is missing.
+func (f *flow) feed(ctx context.Context, c *conn) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(feedSilence, func() { cancel(errors.New("the feed went silent")) })
+	defer silence.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url("/feed"), nil)
+	if err != nil {
+		return err
+	}
+	f.sent++
+	req.Header.Set(gdupstreamsim.HeaderRequestID, fmt.Sprintf("%s-%d", f.name, f.sent))
+	res, err := c.http.RoundTrip(req)
+	if err != nil {
+		return f.feedEnd(ctx, err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return f.feedRefused(ctx, res)
+	}
+	if got := res.Header.Get(gdupstreamsim.HeaderService); got != f.target.Service {
+		f.load.tally.fault(f.name+": feed from "+got, func(r *Result) { r.Misrouted++ })
+	}
+	err = f.lines(res, silence)
+	return f.feedEnd(ctx, err)
+}
+
+// feedRefused counts a feed that was not opened; its flow was not broken.
+func (f *flow) feedRefused(ctx context.Context, res *http.Response) error {
+	f.load.tally.change(func(r *Result) {
+		if res.Header.Get(HeaderOutcome) == OutcomeNotRun {
+			r.RefusedNotRun++
+			return
+		}
+		r.Unknown++
+	})
+	f.pause(ctx, reconnectPause)
+	return errOwnWish
+}
+
+// feedEnd gives the reason for a feed's end: the silence before the error that
+// it brought about.
+func (f *flow) feedEnd(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return errors.Wrap(err, "feed")
+}
+
+// lines reads the feed's numbered lines and returns why it ended.
+func (f *flow) lines(res *http.Response, silence *time.Timer) error {
+	upstream := res.Header.Get(gdupstreamsim.HeaderUpstream)
+	in := bufio.NewReader(res.Body)
+	for n := 0; ; n++ {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return err // a part of a line is no wrong line
+		}
+		silence.Reset(feedSilence)
+		want := upstream + " " + strconv.Itoa(n) + "\n"
+		if line != want {
+			words := fmt.Sprintf("%s: feed line %q, want %q", f.name, line, want)
+			f.load.tally.fault(words, func(r *Result) { r.Wrong++ })
+			return errors.New("the feed lost a line")
+		}
+		f.load.tally.change(func(r *Result) { r.FeedLines++ })
+	}
+}
--- /dev/null
+++ b/internal/rig/gdload/tally.go
@@ -0,0 +1,167 @@
+package gdload
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
+)
+
+const (
+	// maxLatency is the largest latency that the histogram tells apart, in
+	// microseconds.
+	maxLatency = 60_000_000
+	// latencyDigits is the number of significant digits of a latency.
+	latencyDigits = 3
+)
+
+// Result is what a load run counted.
+type Result struct {
+	Answered      int     `json:"answered"`
+	Wrong         int     `json:"wrong"`
+	Misrouted     int     `json:"misrouted"`
+	BrokenFlows   int     `json:"broken-flows"`
+	GivenUp       int     `json:"given-up"`
+	RefusedNotRun int     `json:"refused-not-run"`
+	Doubled       int     `json:"doubled"`
+	Unknown       int     `json:"unknown"`
+	P50           float64 `json:"p50-ms"`
+	P99           float64 `json:"p99-ms"`
+	Imbalance     float64 `json:"imbalance"`
+
+	// FailedConnects is the number of connections that were never established.
+	FailedConnects int `json:"-"`
+	// Connects is the number of connections that were established.
+	Connects int `json:"-"`
+	// FeedLines is the number of lines that all feeds got.
+	FeedLines int `json:"-"`
+	// Faults are the first faults in words.
+	Faults []string `json:"-"`
+}
+
+// Failed reports whether the run broke a promise.
+func (r Result) Failed() bool {
+	return r.Wrong+r.Misrouted+r.Doubled+r.BrokenFlows > 0
+}
+
+// maxFaults bounds the faults that are kept in words.
+const maxFaults = 20
+
+// tally counts outcomes. Its zero value is ready for use.
+type tally struct {
+	mu       sync.Mutex
+	sum      Result
+	latency  *hdrhistogram.Histogram
+	upstream map[string]int
+	samples  []Sample
+	start    time.Time
+	refused  []string // request ids that were refused as not run
+}
+
+// Sample is one finished request, for plots.
+type Sample struct {
+	At      time.Duration
+	Service string
+	Kind    string
+	Latency time.Duration
+	Outcome Outcome
+}
+
+// Outcome is how a request ended.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	Answered Outcome = "answered"
+	Refused  Outcome = "refused"
+	Unknown  Outcome = "unknown"
+	Wrong    Outcome = "wrong"
+)
+
+func (t *tally) change(f func(r *Result)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(&t.sum)
+}
+
+// fault counts by f and keeps the words.
+func (t *tally) fault(words string, f func(r *Result)) {
+	t.change(func(r *Result) {
+		f(r)
+		if len(r.Faults) < maxFaults {
+			r.Faults = append(r.Faults, words)
+		}
+	})
+}
+
+func (t *tally) answered(upstream string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.latency == nil {
+		t.latency = hdrhistogram.New(1, maxLatency, latencyDigits)
+		t.upstream = make(map[string]int)
+	}
+	t.sum.Answered++
+	t.upstream[upstream]++
+	_ = t.latency.RecordValue(min(d.Microseconds(), maxLatency))
+}
+
+func (t *tally) notRun(id string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum.RefusedNotRun++
+	t.refused = append(t.refused, id)
+}
+
+func (t *tally) sample(s Sample, end time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.start.IsZero() {
+		t.start = end
+	}
+	s.At = end.Sub(t.start)
+	t.samples = append(t.samples, s)
+}
+
+func (t *tally) result(targets []Target, rec *gdupstreamsim.Record) Result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.sum
+	if t.latency != nil {
+		r.P50 = milliseconds(t.latency.ValueAtQuantile(50))
+		r.P99 = milliseconds(t.latency.ValueAtQuantile(99))
+	}
+	for _, target := range targets {
+		r.Imbalance = max(r.Imbalance, t.imbalance(target))
+	}
+	if rec == nil {
+		return r
+	}
+	r.Doubled = rec.Doubled()
+	for _, id := range t.refused {
+		if rec.StartsOfRequest(id) > 0 {
+			r.Wrong++
+			r.Faults = append(r.Faults, "request "+id+" ran although it was refused as not run")
+		}
+	}
+	return r
+}
+
+// imbalance is the largest share of the target's upstreams over the mean share.
+func (t *tally) imbalance(target Target) float64 {
+	sum, most := 0, 0
+	for _, name := range target.Upstreams {
+		sum += t.upstream[name]
+		most = max(most, t.upstream[name])
+	}
+	if sum == 0 {
+		return 0
+	}
+	ratio := float64(most) * float64(len(target.Upstreams)) / float64(sum)
+	return math.Round(ratio*1000) / 1000
+}
+
+func milliseconds(us int64) float64 { return float64(us) / 1000 }
