--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	tools/test-race.sh
 
 bench:
-	$(GO) test -run '^TestBound' -bench . -benchtime 200ms $(GOPKGS)
+	$(GO) test -run '^$$' -bench . -benchtime 1s $(GOPKGS)
 
 demo: build
 	bin/gdrig demo --deployment examples/rejilla-norte
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -60,7 +60,7 @@
 	b.node = node
 	b.callers = make(map[gdconf.ServiceID]*callerSocket)
 	var wg sync.WaitGroup
-	wg.Go(b.readAgents)
+	wg.Go(newAnswerer(b).run)
 	b.watchServices(ctx)
 	b.closeAll()
 	wg.Wait()
--- a/internal/process/gdbalancer/forward.go
+++ b/internal/process/gdbalancer/forward.go
@@ -8,6 +8,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdroute"
 	"godwitdrift.example/godwitdrift/internal/core/gdtoken"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
+	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
 	"godwitdrift.example/godwitdrift/internal/wire/gdenvelope"
 	"godwitdrift.example/godwitdrift/internal/wire/gdquic"
 )
@@ -22,8 +23,8 @@
 	tokens  *gdtoken.Opener
 	sealer  *gdenvelope.Sealer
 	self    netip.AddrPort
-	in      gdnode.Buffer
-	out     gdnode.Buffer
+	in      *gdbatch.Reader
+	out     *gdbatch.Writer
 }
 
 func newReader(b *Balancer, c *callerSocket, s gdconf.ServiceID) (*reader, error) {
@@ -33,6 +34,8 @@
 	}
 	return &reader{
 		b: b, socket: c, service: s, sealer: sealer,
+		in:      gdbatch.NewReader(c.conn, gdenvelope.MaxPayload+1),
+		out:     gdbatch.NewWriter(b.node, gdenvelope.MaxSize),
 		watcher: gdnode.Watcher{Fleet: b.Fleet, Config: b.Config},
 		self:    b.node.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort(),
 	}, nil
@@ -42,20 +45,25 @@
 func (r *reader) run() {
 	defer close(r.socket.done)
 	for {
-		n, caller, err := r.socket.conn.ReadFromUDPAddrPort(r.in[:])
+		n, err := r.in.Read()
 		if err != nil {
 			if isClosed(err) {
 				return
 			}
 			continue
 		}
-		r.forward(time.Now(), caller, r.in[:n])
+		now := time.Now()
+		r.look(now)
+		for i := range n {
+			datagram, caller := r.in.At(i)
+			r.forward(now, caller, datagram)
+		}
+		r.b.Counters.SendErrors(r.out.Flush())
 	}
 }
 
 // forward sends one datagram on its way or drops it.
 func (r *reader) forward(now time.Time, caller netip.AddrPort, datagram []byte) {
-	r.look(now)
 	p, ok := r.packet(caller, datagram)
 	if !ok {
 		r.b.Counters.NoHeader()
@@ -100,7 +108,7 @@
 }
 
 func (r *reader) send(caller netip.AddrPort, to *gdconf.Upstream, datagram []byte) {
-	wire, err := r.sealer.Seal(r.out[:0], gdenvelope.Envelope{
+	wire, err := r.sealer.Seal(r.out.Buffer(), gdenvelope.Envelope{
 		Kind:     gdenvelope.ToAgent,
 		Version:  r.core.View().Version(),
 		Service:  r.service,
@@ -112,7 +120,5 @@
 		r.b.Counters.Unfit(err)
 		return
 	}
-	if _, err := r.b.node.WriteToUDPAddrPort(wire, to.Agent()); err != nil {
-		r.b.Counters.SendError()
-	}
+	r.out.Queue(wire, to.Agent())
 }
--- a/internal/process/gdnode/node.go
+++ b/internal/process/gdnode/node.go
@@ -131,6 +131,9 @@
 // SendError counts a datagram that the host did not take.
 func (c *Counters) SendError() { c.sendError.Add(1) }
 
+// SendErrors counts n datagrams that the host did not take.
+func (c *Counters) SendErrors(n int) { c.sendError.Add(uint64(n)) }
+
 // RingFull counts a datagram that was dropped at a full ring.
 func (c *Counters) RingFull() { c.ringFull.Add(1) }
 
