Add the admission core and the choice of peers

Cause: an upstream must never be loaded beyond what it bears, a refusal must be final and at once, and relays and retries must stay within a tenth of the work. Ruled out: relays of a leaving upstream's established flows on the shared budget, because a leaving upstream starts nothing and so earns nothing, and one of seven is more than a tenth; they are bounded by the peers' reported room.

--- /dev/null
+++ b/internal/core/gdadmit/core.go
@@ -0,0 +1,210 @@
+package gdadmit
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+)
+
+const (
+	// DefaultQueue is the bound of the waiting queue.
+	DefaultQueue = 32
+	// DefaultStreams is the number of open streams that one upstream bears.
+	DefaultStreams = 2000
+	// DefaultMaxWait is the longest time that a request waits for its start.
+	DefaultMaxWait = time.Second
+	// DefaultRamp is the time over which a cold upstream gets its full load.
+	DefaultRamp = config.DefaultRampSeconds * time.Second
+)
+
+// Load is what an agent tells its peers about its upstream.
+type Load = gdspread.Load
+
+// Core guards one upstream with the limiter in use.
+type Core = Guard[*AIMD]
+
+// Guard guards one upstream with any limiter. The exported fields are set before
+// use. It is not safe for concurrent use.
+//
+// Invariants: no more requests hold a slot than the limit allowed when the last
+// one started, nor more than Slots; each request that arrives gets exactly one
+// action, unless it is cancelled first; a cancelled request is never started.
+type Guard[L Limiter] struct {
+	// Slots is the number of requests that the upstream runs at the same time.
+	Slots int
+	// Limit is the policy that bounds the running requests within the slots.
+	Limit L
+	// Queue bounds the waiting requests. Zero means DefaultQueue.
+	Queue int
+	// Streams bounds the open streams, whose headers have come. Zero means
+	// DefaultStreams.
+	Streams int
+	// MaxWait is the longest time that a request waits. Zero means DefaultMaxWait.
+	MaxWait time.Duration
+	// Ramp is the time over which a cold upstream gets its full load. Zero means
+	// DefaultRamp.
+	Ramp time.Duration
+	// Rand is the random source of the spread of retry times.
+	Rand *rand.Rand
+	// Spread chooses among peers. Nil means that nothing is relayed.
+	Spread *gdspread.Core
+
+	ready    bool
+	mode     Mode
+	healthy  bool
+	last     time.Time
+	lastGood time.Time
+	waiting  queue[job]
+	running  []job
+	streams  map[uint64]struct{}
+	service  average
+	actions  []Action
+}
+
+// Arrive decides on a request, or lets it wait. The actions may also concern
+// waiting requests that give way to it.
+func (c *Guard[L]) Arrive(now time.Time, r Request) []Action {
+	c.enter(now)
+	j := job{Request: r, startBy: lastStart(now, r, c.maxWait())}
+	if reason, ok := c.closed(now, j); ok {
+		c.giveUp(now, j, reason)
+		return c.leave(now)
+	}
+	if c.waiting.len() >= c.queueBound() && !c.startsAtOnce(now) && !c.evictFor(now, j) {
+		c.giveUp(now, j, ReasonQueueFull)
+		return c.leave(now)
+	}
+	c.waiting.push(j)
+	return c.leave(now)
+}
+
+// closed reports why no request of this kind is taken at present.
+func (c *Guard[L]) closed(now time.Time, j job) (Reason, bool) {
+	switch {
+	case j.expired(now):
+		return ReasonExpired, true
+	case c.mode == ModeLeaving:
+		return ReasonLeaving, true
+	case c.mode == ModeStopping:
+		return ReasonStopping, true
+	case c.mode == ModeOut:
+		return ReasonOut, true
+	case j.Stream() && len(c.streams) >= c.streamBound():
+		return ReasonStreams, true
+	}
+	return 0, false
+}
+
+// startsAtOnce reports whether a slot is free and nothing waits for it.
+func (c *Guard[L]) startsAtOnce(now time.Time) bool {
+	return c.waiting.len() == 0 && len(c.running) < c.limit(now)
+}
+
+// evictFor makes room for a more urgent request and reports whether it could.
+func (c *Guard[L]) evictFor(now time.Time, j job) bool {
+	if c.waiting.len() == 0 || !j.before(c.waiting.last()) {
+		return false
+	}
+	c.giveUp(now, c.waiting.remove(c.waiting.len()-1), ReasonEvicted)
+	return true
+}
+
+// Header notes that the response header of a started request has come, which
+// gives its latency before its end. A stream gives its slot back and counts as
+// an open stream until Finish. The call may be left out for other requests.
+func (c *Guard[L]) Header(now time.Time, id uint64) []Action {
+	c.enter(now)
+	i := c.find(id)
+	if i < 0 {
+		return c.leave(now)
+	}
+	j := &c.running[i]
+	c.observe(now, *j, NewOutcome(OutcomeOK, now.Sub(j.started), true))
+	j.answered = true
+	if j.Stream() {
+		c.service.add(now.Sub(j.started))
+		c.streams[id] = struct{}{}
+		c.free(i)
+	}
+	return c.leave(now)
+}
+
+// Finish notes the end of a started request, also of one that was cancelled.
+func (c *Guard[L]) Finish(now time.Time, id uint64, o Outcome) []Action {
+	c.enter(now)
+	delete(c.streams, id)
+	if i := c.find(id); i >= 0 {
+		j := c.free(i)
+		c.occupied(now, j, o)
+		c.observe(now, j, o)
+	}
+	return c.leave(now)
+}
+
+// Cancel notes that the caller gave a request up. A waiting request is forgotten
+// and gets no action. A running one keeps its slot until Finish, because the
+// upstream may still work on it.
+func (c *Guard[L]) Cancel(now time.Time, id uint64) []Action {
+	c.enter(now)
+	for i, j := range c.waiting.items {
+		if j.id == id {
+			c.waiting.remove(i)
+			break
+		}
+	}
+	return c.leave(now)
+}
+
+// Tick decides again because time has passed. It is called at NextTick.
+func (c *Guard[L]) Tick(now time.Time) []Action {
+	c.enter(now)
+	c.judgeLate(now)
+	return c.leave(now)
+}
+
+// Load returns the load to tell the peers at now.
+func (c *Guard[L]) Load(now time.Time) Load {
+	c.enter(now)
+	limit := 0
+	if c.mode == ModeServing {
+		limit = c.limit(now)
+	}
+	return gdspread.NewLoad(len(c.running), c.waiting.len(), limit)
+}
+
+// OpenStreams returns the number of open streams.
+func (c *Guard[L]) OpenStreams() int { return len(c.streams) }
+
+// PeerLoad notes the load that a peer reported.
+func (c *Guard[L]) PeerLoad(now time.Time, id gdconf.UpstreamID, l Load) {
+	if c.Spread != nil {
+		c.Spread.PeerLoad(now, id, l)
+	}
+}
+
+// SetSlots changes the upstream's slots. Running requests are not touched.
+func (c *Guard[L]) SetSlots(now time.Time, slots int) []Action {
+	c.enter(now)
+	c.Slots = slots
+	c.Limit.Init(now, slots, c.ramp())
+	return c.leave(now)
+}
+
+func (c *Guard[L]) find(id uint64) int {
+	for i, j := range c.running {
+		if j.id == id {
+			return i
+		}
+	}
+	return -1
+}
+
+// free gives back the slot of the running job at index i.
+func (c *Guard[L]) free(i int) job {
+	j := c.running[i]
+	c.running = append(c.running[:i], c.running[i+1:]...)
+	return j
+}
--- /dev/null
+++ b/internal/core/gdadmit/decide.go
@@ -0,0 +1,167 @@
+package gdadmit
+
+import (
+	"time"
+)
+
+const (
+	// TickWaiting is the time between two ticks while requests wait.
+	TickWaiting = 20 * time.Millisecond
+	// TickRunning is the time between two ticks while requests run.
+	TickRunning = 100 * time.Millisecond
+	// stallGap is the time without an event, while requests run, from which this
+	// process must have been paused.
+	stallGap = time.Second
+	// minRetryAfter and maxRetryAfter bound the time to come back of a refusal,
+	// before its random spread.
+	minRetryAfter = 50 * time.Millisecond
+	maxRetryAfter = 30 * time.Second
+)
+
+// NextTick returns the time of the next Tick, or zero when none is needed.
+func (c *Guard[L]) NextTick() time.Time {
+	switch {
+	case c.waiting.len() > 0:
+		return c.last.Add(TickWaiting)
+	case len(c.running) > 0:
+		return c.last.Add(TickRunning)
+	}
+	return time.Time{}
+}
+
+// enter begins an event. After a stall of this process the times of running
+// requests say nothing about the upstream.
+func (c *Guard[L]) enter(now time.Time) {
+	if !c.ready {
+		c.ready = true
+		c.streams = make(map[uint64]struct{})
+		c.Limit.Init(now, c.Slots, c.ramp())
+	}
+	if len(c.running) > 0 && now.Sub(c.last) > stallGap {
+		for i := range c.running {
+			c.running[i].stalled = true
+		}
+	}
+	c.last = now
+}
+
+// leave ends an event: it fills free slots, gives up what waits in vain and
+// hands the actions over.
+func (c *Guard[L]) leave(now time.Time) []Action {
+	c.dispatch(now)
+	c.sweep(now)
+	out := c.actions
+	c.actions = nil
+	return out
+}
+
+// dispatch starts waiting requests in order while slots are free. An idle
+// upstream is always tried, whatever the estimates say, so that a wrong estimate
+// can be corrected.
+func (c *Guard[L]) dispatch(now time.Time) {
+	for c.waiting.len() > 0 && len(c.running) < c.limit(now) {
+		j := c.waiting.remove(0)
+		if reason, late := c.late(now, j, now); late && (len(c.running) > 0 || j.expired(now)) {
+			c.giveUp(now, j, reason)
+			continue
+		}
+		c.start(now, j)
+	}
+}
+
+// sweep gives up the waiting requests whose estimated start comes too late.
+func (c *Guard[L]) sweep(now time.Time) {
+	for i := 0; i < c.waiting.len(); {
+		reason, late := c.late(now, c.waiting.items[i], now.Add(c.wait(now, i)))
+		if !late {
+			i++
+			continue
+		}
+		c.giveUp(now, c.waiting.remove(i), reason)
+	}
+}
+
+// late reports why a start at the given moment is of no use.
+func (c *Guard[L]) late(now time.Time, j job, start time.Time) (Reason, bool) {
+	if j.expired(now) {
+		return ReasonExpired, true
+	}
+	return ReasonDeadline, !j.inTime(start, c.service.value)
+}
+
+func (c *Guard[L]) start(now time.Time, j job) {
+	j.started = now
+	j.saturated = len(c.running)+1 >= c.limit(now)
+	c.running = append(c.running, j)
+	if c.Spread != nil {
+		c.Spread.Admitted(now)
+	}
+	c.actions = append(c.actions, Action{kind: KindStart, id: j.id})
+}
+
+// giveUp relays the request to a peer with room or refuses it at once.
+func (c *Guard[L]) giveUp(now time.Time, j job, reason Reason) {
+	a := Action{kind: KindRefuse, id: j.id, reason: reason}
+	if peer, ok := c.relay(now, j.Request, reason); ok {
+		a.kind = KindRelay
+		a.peer = peer
+	} else {
+		a.retryAfter = c.retryAfter(now, reason)
+	}
+	c.actions = append(c.actions, a)
+}
+
+// wait estimates the time until the waiting request at index i starts.
+func (c *Guard[L]) wait(now time.Time, i int) time.Duration {
+	limit := c.limit(now)
+	if limit == 0 {
+		return c.Limit.Resume().Sub(now) + time.Duration(i)*c.service.value
+	}
+	ahead := max(len(c.running)-limit, 0) + i
+	return c.firstFree(now) + time.Duration(ahead)*c.service.value/time.Duration(limit)
+}
+
+// firstFree estimates the time until the first running request ends. One that is
+// overdue is expected to take as long again as it is overdue.
+func (c *Guard[L]) firstFree(now time.Time) time.Duration {
+	var first time.Duration
+	for i, j := range c.running {
+		left := (c.service.value - now.Sub(j.started)).Abs()
+		if i == 0 || left < first {
+			first = left
+		}
+	}
+	return first
+}
+
+// retryAfter returns the time after which a refused caller should come back,
+// spread so that callers who were refused together do not return together.
+func (c *Guard[L]) retryAfter(now time.Time, reason Reason) time.Duration {
+	d := time.Duration(minRetryAfter)
+	switch reason {
+	case ReasonLeaving, ReasonStopping, ReasonOut, ReasonStreams:
+		// Another upstream may take the request at once.
+	default:
+		d = max(d, c.wait(now, c.waiting.len())+c.service.value)
+	}
+	d = min(d, maxRetryAfter)
+	return d + time.Duration(c.Rand.Int64N(int64(d)/2+1))
+}
+
+func (c *Guard[L]) limit(now time.Time) int { return min(c.Limit.Limit(now), c.Slots) }
+
+func (c *Guard[L]) ramp() time.Duration { return orDefault(c.Ramp, DefaultRamp) }
+
+func (c *Guard[L]) maxWait() time.Duration { return orDefault(c.MaxWait, DefaultMaxWait) }
+
+func (c *Guard[L]) queueBound() int { return orDefault(c.Queue, DefaultQueue) }
+
+func (c *Guard[L]) streamBound() int { return orDefault(c.Streams, DefaultStreams) }
+
+// orDefault returns x, or the fallback when x is zero.
+func orDefault[T int | time.Duration](x, fallback T) T {
+	if x == 0 {
+		return fallback
+	}
+	return x
+}
--- /dev/null
+++ b/internal/core/gdspread/doc.go
@@ -0,0 +1,31 @@
+// Package gdspread chooses the peer that takes over a request, keeps the budget
+// that relays and retries share, and ramps the weight of a returning upstream.
+//
+// The agents of one service tell each other their [Load]. A [Core] keeps the
+// last load of each peer and picks the better of two random peers with room. A
+// load that is older than [Core.Fresh] is not believed, and each choice is
+// charged to the peer until it reports again, so that a burst of relays does not
+// land on the one peer that last reported room.
+//
+// The package is a decision core: it takes the present time and the random
+// source as arguments and does no input or output.
+//
+// # Usage
+//
+//	s := &gdspread.Core{Rand: r}
+//	s.SetPeers(ids)
+//	s.PeerLoad(now, id, gdspread.NewLoad(1, 0, 3)) // for each report
+//	s.Admitted(now)                                // for each started request
+//	if peer, ok := s.Relay(now, hops); ok {
+//		// pass the request on to peer with hops+1
+//	}
+//
+// # Budget
+//
+// Every started request earns a tenth of a token and every relay or retry costs
+// a whole one. A small floor is earned by time, so that an upstream without work
+// can still pass a request on. Requests that a leaving upstream passes on take
+// [Core.Move] instead and cost nothing: they were never offered to the leaving
+// upstream, so they add no load to the service, and the room that the peers
+// report bounds them.
+package gdspread
--- /dev/null
+++ b/internal/core/gdspread/load.go
@@ -0,0 +1,34 @@
+package gdspread
+
+// Load is what an agent tells its peers about its upstream.
+type Load struct {
+	inFlight int
+	queued   int
+	limit    int
+}
+
+// NewLoad returns a load: the requests that run, those that wait, and the number
+// that may run at the same time. A limit of 0 says that the upstream takes no
+// work.
+func NewLoad(inFlight, queued, limit int) Load {
+	return Load{inFlight: inFlight, queued: queued, limit: limit}
+}
+
+// InFlight returns the number of requests that run at the upstream.
+func (l Load) InFlight() int { return l.inFlight }
+
+// Queued returns the number of requests that wait at the agent.
+func (l Load) Queued() int { return l.queued }
+
+// Limit returns the number of requests that may run at the same time.
+func (l Load) Limit() int { return l.limit }
+
+// Room returns the number of requests that would start at once; it is negative
+// when requests wait.
+func (l Load) Room() int { return l.limit - l.inFlight - l.queued }
+
+// less reports whether l is less loaded than m, relative to their limits. Both
+// limits are above 0.
+func (l Load) less(m Load) bool {
+	return (l.inFlight+l.queued)*m.limit < (m.inFlight+m.queued)*l.limit
+}
--- /dev/null
+++ b/internal/core/gdspread/spread.go
@@ -0,0 +1,145 @@
+package gdspread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+const (
+	// DefaultFresh is the age up to which a peer's load is believed.
+	DefaultFresh = 500 * time.Millisecond
+	// DefaultHops is the number of times that one request may be relayed.
+	DefaultHops = 1
+)
+
+// Core knows the loads of a service's other upstreams and chooses among them.
+// The exported fields are set before use. It is not safe for concurrent use.
+type Core struct {
+	// Rand is the random source of the choices.
+	Rand *rand.Rand
+	// Fresh is the age up to which a peer's load is believed. Zero means
+	// DefaultFresh.
+	Fresh time.Duration
+	// Hops is the number of times that one request may be relayed. Zero means
+	// DefaultHops.
+	Hops int
+
+	budget Budget
+	peers  []peer
+}
+
+// peer is the last that is known of one peer.
+type peer struct {
+	id   gdconf.UpstreamID
+	load Load
+	at   time.Time
+}
+
+// SetPeers replaces the set of peers. Loads of peers that stay are kept.
+func (c *Core) SetPeers(ids []gdconf.UpstreamID) {
+	next := make([]peer, 0, len(ids))
+	for _, id := range ids {
+		p := peer{id: id}
+		if i := c.index(id); i >= 0 {
+			p = c.peers[i]
+		}
+		next = append(next, p)
+	}
+	c.peers = next
+}
+
+// PeerLoad notes the load that a peer reported. A report from an upstream that
+// is no peer is ignored.
+func (c *Core) PeerLoad(now time.Time, id gdconf.UpstreamID, l Load) {
+	if i := c.index(id); i >= 0 {
+		c.peers[i].load = l
+		c.peers[i].at = now
+	}
+}
+
+// Admitted earns the budget for one started request.
+func (c *Core) Admitted(now time.Time) { c.budget.Earn(now) }
+
+// Relay chooses a peer for a request that was relayed hops times before, and
+// charges the budget. It reports false when no peer has room, or when the hops
+// or the budget are used up.
+func (c *Core) Relay(now time.Time, hops int) (gdconf.UpstreamID, bool) {
+	i, ok := c.choose(now, hops)
+	if !ok || !c.budget.Spend(now) {
+		return 0, false
+	}
+	return c.take(i), true
+}
+
+// Move chooses a peer like [Core.Relay] for work of a leaving upstream, without
+// a charge to the budget.
+func (c *Core) Move(now time.Time, hops int) (gdconf.UpstreamID, bool) {
+	i, ok := c.choose(now, hops)
+	if !ok {
+		return 0, false
+	}
+	return c.take(i), true
+}
+
+// take charges one request to the peer until it reports again.
+func (c *Core) take(i int) gdconf.UpstreamID {
+	c.peers[i].load.inFlight++
+	return c.peers[i].id
+}
+
+// choose returns the less loaded of two random peers with room.
+func (c *Core) choose(now time.Time, hops int) (int, bool) {
+	if hops >= c.hops() {
+		return 0, false
+	}
+	first, ok := c.pick(now, -1)
+	if !ok {
+		return 0, false
+	}
+	second, ok := c.pick(now, first)
+	if ok && c.peers[second].load.less(c.peers[first].load) {
+		return second, true
+	}
+	return first, true
+}
+
+// pick returns a random peer with room other than the one at index except. It
+// samples while it walks, so that it needs no memory.
+func (c *Core) pick(now time.Time, except int) (int, bool) {
+	found, seen := 0, 0
+	for i, p := range c.peers {
+		if i == except || !c.hasRoom(now, p) {
+			continue
+		}
+		seen++
+		if c.Rand.IntN(seen) == 0 {
+			found = i
+		}
+	}
+	return found, seen > 0
+}
+
+func (c *Core) hasRoom(now time.Time, p peer) bool {
+	return !p.at.IsZero() && now.Sub(p.at) <= c.fresh() && p.load.Room() > 0
+}
+
+func (c *Core) index(id gdconf.UpstreamID) int {
+	return slices.IndexFunc(c.peers, func(p peer) bool { return p.id == id })
+}
+
+func (c *Core) fresh() time.Duration {
+	if c.Fresh == 0 {
+		return DefaultFresh
+	}
+	return c.Fresh
+}
+
+func (c *Core) hops() int {
+	if c.Hops == 0 {
+		return DefaultHops
+	}
+	return c.Hops
+}
--- /dev/null
+++ b/internal/core/gdspread/spread_test.go
@@ -0,0 +1,93 @@
+package gdspread_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+)
+
+var start = time.Unix(1e9, 0)
+
+func newCore(peers ...gdconf.UpstreamID) *gdspread.Core {
+	c := &gdspread.Core{Rand: rand.New(rand.NewPCG(1, 1))}
+	c.SetPeers(peers)
+	return c
+}
+
+func TestMoveTakesOnlyFreshPeersWithRoom(t *testing.T) {
+	tests := []struct {
+		name string
+		load gdspread.Load
+		age  time.Duration
+		hops int
+		want bool
+	}{
+		{"room", gdspread.NewLoad(1, 0, 2), 0, 0, true},
+		{"as old as is believed", gdspread.NewLoad(1, 0, 2), gdspread.DefaultFresh, 0, true},
+		{"stale", gdspread.NewLoad(1, 0, 2), gdspread.DefaultFresh + 1, 0, false},
+		{"full", gdspread.NewLoad(2, 0, 2), 0, 0, false},
+		{"requests wait", gdspread.NewLoad(1, 1, 2), 0, 0, false},
+		{"takes no work", gdspread.NewLoad(0, 0, 0), 0, 0, false},
+		{"hops used up", gdspread.NewLoad(1, 0, 2), 0, gdspread.DefaultHops, false},
+	}
+	for _, tc := range tests {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newCore(7)
+			c.PeerLoad(start, 7, tc.load)
+			_, ok := c.Move(start.Add(tc.age), tc.hops)
+			require.Equal(t, tc.want, ok)
+		})
+	}
+}
+
+func TestMoveChargesThePeerUntilItReportsAgain(t *testing.T) {
+	c := newCore(7, 8)
+	c.PeerLoad(start, 7, gdspread.NewLoad(0, 0, 3))
+	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3))
+	moved := map[gdconf.UpstreamID]int{}
+	for range 10 {
+		if id, ok := c.Move(start, 0); ok {
+			moved[id]++
+		}
+	}
+	require.Equal(t, map[gdconf.UpstreamID]int{7: 3, 8: 2}, moved)
+	c.SetPeers([]gdconf.UpstreamID{8, 9})
+	c.PeerLoad(start, 8, gdspread.NewLoad(2, 0, 3))
+	id, ok := c.Move(start, 0)
+	require.True(t, ok)
+	require.EqualValues(t, 8, id)
+}
+
+func TestRelayPrefersTheLessLoadedOfTwo(t *testing.T) {
+	c := newCore(7, 8)
+	c.PeerLoad(start, 7, gdspread.NewLoad(1, 0, 2))
+	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3))
+	for range 10 {
+		c.Admitted(start)
+	}
+	id, ok := c.Relay(start, 0)
+	require.True(t, ok)
+	require.EqualValues(t, 8, id)
+	_, ok = c.Relay(start, 0)
+	require.False(t, ok, "the budget of ten started requests is one relay")
+}
+
+func TestRampWeight(t *testing.T) {
+	const ramp = 20 * time.Second
+	require.Equal(t, 1.0, gdspread.RampWeight(start, time.Time{}, ramp))
+	require.Equal(t, 1.0, gdspread.RampWeight(start, start, 0))
+	require.Equal(t, 0.5, gdspread.RampWeight(start.Add(ramp/2), start, ramp))
+	require.Equal(t, 1.0, gdspread.RampWeight(start.Add(2*ramp), start, ramp))
+	last := 0.0
+	for d := -ramp; d < ramp; d += ramp / 100 {
+		w := gdspread.RampWeight(start.Add(d), start, ramp)
+		require.Positive(t, w)
+		require.GreaterOrEqual(t, w, last)
+		last = w
+	}
+}
