Admit requests through the admission core

Cause: the agent sent every request to its upstream at once, beyond its slots. Ruled out: deciding in each request's goroutine under a lock; a duty with a bounded inbox refuses when it can't keep up, and keeps the order of events. Change: gdduty runs a core in a goroutine of its own; gdrequest serves requests with gdadmit (start, relay, refuse, retry) and says not-run or unknown with a time to come back. Routes can be marked as streams.

--- a/config/types.go
+++ b/config/types.go
@@ -81,6 +81,9 @@
 	// AtMostOnce marks requests that may not be repeated: they need an
 	// Idempotency-Key.
 	AtMostOnce bool `toml:"at-most-once,omitempty" cbor:"3,keyasint,omitempty"`
+	// Stream marks requests whose answers stay open, such as live feeds. They
+	// hold a slot only until the answer begins.
+	Stream bool `toml:"stream,omitempty" cbor:"4,keyasint,omitempty"`
 }
 
 // Upstream is one back end with the agent beside it.
--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,14 +42,23 @@
 	streamsPerFlow = 100
 )
 
+// Requests serves the requests of callers.
+type Requests interface {
+	http.Handler
+	// Stop makes it refuse new requests; those in progress go on.
+	Stop()
+	// InProgress returns the number of requests in progress.
+	InProgress() int
+}
+
 // Agent is the process. Its exported fields are set before Run.
 type Agent struct {
 	// NodeAddress is where balancers and other agents send envelopes.
 	NodeAddress netip.AddrPort
 	// Upstream is the upstream beside which the agent runs.
 	Upstream gdconf.UpstreamID
-	// Target is the upstream's own address.
-	Target *url.URL
+	// Requests serves what callers ask for.
+	Requests Requests
 	// Fleet is the key that all processes share.
 	Fleet gdkey.Fleet
 	// Config is the configuration in force.
@@ -66,8 +74,6 @@
 	node        *net.UDPConn
 	flows       flows
 	stopping    atomic.Bool
-	inProgress  atomic.Int64
-	proxy       *proxy
 }
 
 // Run serves until the context ends, then drains: it takes no new work and
@@ -117,7 +123,6 @@
 	_ = node.SetReadBuffer(socketBuffer)
 	_ = node.SetWriteBuffer(socketBuffer)
 	a.node = node
-	a.proxy = newProxy(a.Target)
 	return nil
 }
 
@@ -175,7 +180,7 @@
 // accept serves each connection. It only takes connections off the transport's
 // short queue, so that a burst of callers finds it empty.
 func (a *Agent) accept(l *quic.Listener) {
-	server := &http3.Server{Handler: http.HandlerFunc(a.serve)}
+	server := &http3.Server{Handler: a.Requests}
 	for {
 		c, err := l.Accept(context.Background())
 		if err != nil {
@@ -219,8 +224,9 @@
 // drain waits for the requests in progress, at most the service's drain time.
 func (a *Agent) drain() {
 	a.stopping.Store(true)
+	a.Requests.Stop()
 	limit := time.Now().Add(a.drainTime())
-	for a.inProgress.Load() > 0 && time.Now().Before(limit) {
+	for a.Requests.InProgress() > 0 && time.Now().Before(limit) {
 		time.Sleep(watchInterval / 10)
 	}
 	a.flows.closeAll(CodeStopping, "agent stopping")
@@ -253,7 +259,7 @@
 func (a *Agent) State() State {
 	return State{
 		Flows:      a.flows.count(),
-		InProgress: int(a.inProgress.Load()),
+		InProgress: a.Requests.InProgress(),
 		Stopping:   a.stopping.Load(),
 	}
 }
--- a/internal/process/gdagent/path_test.go
+++ b/internal/process/gdagent/path_test.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"math/big"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -30,6 +31,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/process/gdagent"
 	"godwitdrift.example/godwitdrift/internal/process/gdbalancer"
+	"godwitdrift.example/godwitdrift/internal/process/gdrequest"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
 )
 
@@ -79,8 +81,13 @@
 		t.Cleanup(backend.Close)
 		target, err := url.Parse(backend.URL)
 		require.NoError(t, err)
+		id := gdconf.UpstreamID(u.ID)
+		requests := &gdrequest.Server{
+			Self: id, Config: &p.conf, Target: target, Rand: mathrand.New(mathrand.NewPCG(1, uint64(u.ID))),
+		}
+		wg.Go(func() { requests.Run(ctx) })
 		a := &gdagent.Agent{
-			NodeAddress: netip.MustParseAddrPort(u.Agent), Upstream: gdconf.UpstreamID(u.ID), Target: target,
+			NodeAddress: netip.MustParseAddrPort(u.Agent), Upstream: id, Requests: requests,
 			Fleet: fleet, Config: &p.conf, Certificate: certificate, MaxFlows: 100,
 		}
 		wg.Go(func() { _ = a.Run(ctx) })
@@ -230,7 +237,7 @@
 	res, err := c.Do(req)
 	require.NoError(t, err)
 	defer res.Body.Close()
-	require.Equal(t, "unknown", res.Header.Get(gdagent.HeaderOutcome))
+	require.Equal(t, "unknown", res.Header.Get(gdrequest.HeaderOutcome))
 	require.EqualValues(t, 1, runs.Load())
 }
 
--- /dev/null
+++ b/internal/process/gdrequest/request.go
@@ -0,0 +1,110 @@
+package gdrequest
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdadmit"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+// request is one attempt of a caller as it passes through the server.
+type request struct {
+	*http.Request
+	id       uint64
+	service  *gdconf.Service
+	priority int
+	once     bool
+	stream   bool
+	hops     int
+	deadline time.Time
+}
+
+// read takes from the request what the cores need to know.
+func (s *Server) read(r *http.Request, svc *gdconf.Service, now time.Time) *request {
+	q := &request{
+		Request:  r,
+		id:       s.lastID.Add(1),
+		service:  svc,
+		priority: svc.Priority(),
+		stream:   strings.Contains(r.Header.Get(headerAccept), typeEventStream),
+		hops:     hopsOf(r),
+		deadline: deadlineOf(r, now),
+	}
+	if route, ok := routeOf(svc, r.URL.Path); ok {
+		q.priority = route.Priority
+		q.once = route.AtMostOnce
+		q.stream = q.stream || route.Stream
+	}
+	return q
+}
+
+// routeOf returns the route with the longest prefix of the path.
+func routeOf(svc *gdconf.Service, path string) (config.Route, bool) {
+	var best config.Route
+	for _, r := range svc.Routes() {
+		if strings.HasPrefix(path, r.PathPrefix) && len(r.PathPrefix) > len(best.PathPrefix) {
+			best = r
+		}
+	}
+	return best, best.PathPrefix != ""
+}
+
+func hopsOf(r *http.Request) int {
+	n, err := strconv.Atoi(r.Header.Get(HeaderHops))
+	if err != nil || n < 0 {
+		return 0
+	}
+	return n
+}
+
+func deadlineOf(r *http.Request, now time.Time) time.Time {
+	ms, err := strconv.Atoi(r.Header.Get(HeaderTimeout))
+	if err != nil || ms <= 0 {
+		return time.Time{}
+	}
+	return now.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// safe reports whether the method asks for no change (RFC 9110, 9.2.1), so that
+// the request may run again.
+func (q *request) safe() bool {
+	switch q.Method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return false
+}
+
+// keyed reports whether the request must run at most once.
+func (q *request) keyed() bool {
+	return !q.safe() && (q.once || q.Header.Get(headerKey) != "")
+}
+
+// admission returns the request as the admission core sees it.
+func (q *request) admission() gdadmit.Request {
+	opts := []gdadmit.Option{gdadmit.Relayed(q.hops)}
+	if q.hops == 0 {
+		// Callers' requests come on flows that this agent holds.
+		opts = append(opts, gdadmit.Established())
+	}
+	if q.safe() {
+		opts = append(opts, gdadmit.Repeatable())
+	}
+	if q.stream {
+		opts = append(opts, gdadmit.Stream())
+	}
+	return gdadmit.NewRequest(q.id, q.priority, q.deadline, opts...)
+}
+
+// context bounds the request by its deadline.
+func (q *request) bounded(ctx context.Context) (context.Context, context.CancelFunc) {
+	if q.deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, q.deadline)
+}
--- a/internal/process/gdserve/agent.go
+++ b/internal/process/gdserve/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/url"
 
 	"github.com/pkg/errors"
@@ -13,6 +14,7 @@
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
 	"godwitdrift.example/godwitdrift/internal/process/gdagent"
 	"godwitdrift.example/godwitdrift/internal/process/gdpoll"
+	"godwitdrift.example/godwitdrift/internal/process/gdrequest"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
 )
 
@@ -35,10 +37,16 @@
 		KeyFile:  s.KeyFile,
 		Loaded:   logCertificate(do.MustInvoke[gdlog.Logger](inj)),
 	}
+	requests := &gdrequest.Server{
+		Self:   gdconf.UpstreamID(s.UpstreamID),
+		Config: conf,
+		Target: target,
+		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 	a := &gdagent.Agent{
 		NodeAddress: s.NodeAddress,
 		Upstream:    gdconf.UpstreamID(s.UpstreamID),
-		Target:      target,
+		Requests:    requests,
 		Fleet:       fleet,
 		Config:      conf,
 		Certificate: certs.Get,
@@ -52,6 +60,7 @@
 		counters:    &a.Counters,
 		state:       func() any { return a.State() },
 	}
+	go requests.Run(context.WithoutCancel(ctx)) // ends with the process
 	return runProcess(ctx, inj, p, a.Run)
 }
 
