Share the earnings of the relay budget among a service's agents

Cause: an agent whose upstream is cold or slow starts little, so a tenth of its own work pays for almost no relay, just where relays are needed; the fleet as a whole used 3 to 6 % of the allowed 10 %. Ruled out: a larger share for a cold agent, which breaks the bound for the service when all are cold. Change: loads carry a count of started requests; each agent earns an equal share of the service's tenth. Less urgent requests leave a part of the budget.

--- a/internal/core/gdadmit/core.go
+++ b/internal/core/gdadmit/core.go
@@ -174,7 +174,11 @@
 	if c.mode == ModeServing {
 		limit = c.limit(now)
 	}
-	return gdspread.NewLoad(len(c.running), c.waiting.len(), limit)
+	started := uint64(0)
+	if c.Spread != nil {
+		started = c.Spread.Started()
+	}
+	return gdspread.NewLoad(len(c.running), c.waiting.len(), limit, started)
 }
 
 // OpenStreams returns the number of open streams.
--- a/internal/core/gdadmit/property_test.go
+++ b/internal/core/gdadmit/property_test.go
@@ -106,7 +106,7 @@
 		return
 	}
 	w.charged++
-	allowed := float64(w.started)/10 + w.now.Sub(w.begin).Seconds()
+	allowed := float64(w.started)/10/3 + w.now.Sub(w.begin).Seconds()/10
 	require.LessOrEqual(w, float64(w.charged), allowed)
 }
 
@@ -181,7 +181,7 @@
 
 func (w *world) peers() {
 	for _, id := range []gdconf.UpstreamID{2, 3, 4} {
-		w.core.PeerLoad(w.now, id, gdspread.NewLoad(0, 0, rapid.IntRange(0, 2).Draw(w.T, "limit")))
+		w.core.PeerLoad(w.now, id, gdspread.NewLoad(0, 0, rapid.IntRange(0, 2).Draw(w.T, "limit"), 0))
 	}
 }
 
--- a/internal/core/gdadmit/relay.go
+++ b/internal/core/gdadmit/relay.go
@@ -21,7 +21,7 @@
 			return c.Spread.Move(now, r.hops)
 		}
 	}
-	return c.Spread.Relay(now, r.hops)
+	return c.Spread.Relay(now, r.hops, r.priority)
 }
 
 // Retry decides on a request that was started and not served. It is relayed to a
--- a/internal/core/gdspread/doc.go
+++ b/internal/core/gdspread/doc.go
@@ -14,16 +14,19 @@
 //
 //	s := &gdspread.Core{Rand: r}
 //	s.SetPeers(ids)
-//	s.PeerLoad(now, id, gdspread.NewLoad(1, 0, 3)) // for each report
+//	s.PeerLoad(now, id, gdspread.NewLoad(1, 0, 3, 812)) // for each report
 //	s.Admitted(now)                                // for each started request
-//	if peer, ok := s.Relay(now, hops); ok {
+//	if peer, ok := s.Relay(now, hops, priority); ok {
 //		// pass the request on to peer with hops+1
 //	}
 //
 // # Budget
 //
-// Every started request earns a tenth of a token and every relay or retry costs
-// a whole one. A small floor is earned by time, so that an upstream without work
+// Every started request of the service earns a tenth of a token, in equal shares
+// for its agents, and every relay or retry costs a whole one. An agent whose
+// upstream can start little can so relay more than a tenth of its own work, while
+// the service as a whole stays within a tenth. What peers have started is known
+// from their loads; an agent that hears of none has only its share of its own. Less urgent requests leave a part of the budget to urgent ones. A small floor is earned by time, so that an upstream without work
 // can still pass a request on. Requests that a leaving upstream passes on take
 // [Core.Move] instead and cost nothing: they were never offered to the leaving
 // upstream, so they add no load to the service, and the room that the peers
--- a/internal/core/gdspread/load.go
+++ b/internal/core/gdspread/load.go
@@ -5,13 +5,14 @@
 	inFlight int
 	queued   int
 	limit    int
+	started  uint64
 }
 
 // NewLoad returns a load: the requests that run, those that wait, and the number
 // that may run at the same time. A limit of 0 says that the upstream takes no
-// work.
-func NewLoad(inFlight, queued, limit int) Load {
-	return Load{inFlight: inFlight, queued: queued, limit: limit}
+// work. Started counts all requests that the agent has started since it began.
+func NewLoad(inFlight, queued, limit int, started uint64) Load {
+	return Load{inFlight: inFlight, queued: queued, limit: limit, started: started}
 }
 
 // InFlight returns the number of requests that run at the upstream.
@@ -23,6 +24,10 @@
 // Limit returns the number of requests that may run at the same time.
 func (l Load) Limit() int { return l.limit }
 
+// Started returns the number of requests that the agent has started since it
+// began.
+func (l Load) Started() uint64 { return l.started }
+
 // Room returns the number of requests that would start at once; it is negative
 // when requests wait.
 func (l Load) Room() int { return l.limit - l.inFlight - l.queued }
--- a/internal/core/gdspread/spread.go
+++ b/internal/core/gdspread/spread.go
@@ -27,8 +27,9 @@
 	// DefaultHops.
 	Hops int
 
-	budget Budget
-	peers  []peer
+	budget  Budget
+	started uint64
+	peers   []peer
 }
 
 // peer is the last that is known of one peer.
@@ -54,21 +55,37 @@
 // PeerLoad notes the load that a peer reported. A report from an upstream that
 // is no peer is ignored.
 func (c *Core) PeerLoad(now time.Time, id gdconf.UpstreamID, l Load) {
-	if i := c.index(id); i >= 0 {
-		c.peers[i].load = l
-		c.peers[i].at = now
+	i := c.index(id)
+	if i < 0 {
+		return
 	}
+	p := &c.peers[i]
+	// A first report, and one of an agent that began anew, earns nothing.
+	if !p.at.IsZero() && l.started > p.load.started {
+		c.budget.Earn(now, l.started-p.load.started, c.agents())
+	}
+	p.load = l
+	p.at = now
+}
+
+// Admitted earns the budget for one request started here.
+func (c *Core) Admitted(now time.Time) {
+	c.started++
+	c.budget.Earn(now, 1, c.agents())
 }
 
-// Admitted earns the budget for one started request.
-func (c *Core) Admitted(now time.Time) { c.budget.Earn(now) }
+// Started returns the number of requests started here.
+func (c *Core) Started() uint64 { return c.started }
+
+// agents is the number of agents that share the budget's earnings.
+func (c *Core) agents() int { return len(c.peers) + 1 }
 
 // Relay chooses a peer for a request that was relayed hops times before, and
 // charges the budget. It reports false when no peer has room, or when the hops
 // or the budget are used up.
-func (c *Core) Relay(now time.Time, hops int) (gdconf.UpstreamID, bool) {
+func (c *Core) Relay(now time.Time, hops, priority int) (gdconf.UpstreamID, bool) {
 	i, ok := c.choose(now, hops)
-	if !ok || !c.budget.Spend(now) {
+	if !ok || !c.budget.Spend(now, priority) {
 		return 0, false
 	}
 	return c.take(i), true
--- a/internal/core/gdspread/spread_test.go
+++ b/internal/core/gdspread/spread_test.go
@@ -27,13 +27,13 @@
 		hops int
 		want bool
 	}{
-		{"room", gdspread.NewLoad(1, 0, 2), 0, 0, true},
-		{"as old as is believed", gdspread.NewLoad(1, 0, 2), gdspread.DefaultFresh, 0, true},
-		{"stale", gdspread.NewLoad(1, 0, 2), gdspread.DefaultFresh + 1, 0, false},
-		{"full", gdspread.NewLoad(2, 0, 2), 0, 0, false},
-		{"requests wait", gdspread.NewLoad(1, 1, 2), 0, 0, false},
-		{"takes no work", gdspread.NewLoad(0, 0, 0), 0, 0, false},
-		{"hops used up", gdspread.NewLoad(1, 0, 2), 0, gdspread.DefaultHops, false},
+		{"room", gdspread.NewLoad(1, 0, 2, 0), 0, 0, true},
+		{"as old as is believed", gdspread.NewLoad(1, 0, 2, 0), gdspread.DefaultFresh, 0, true},
+		{"stale", gdspread.NewLoad(1, 0, 2, 0), gdspread.DefaultFresh + 1, 0, false},
+		{"full", gdspread.NewLoad(2, 0, 2, 0), 0, 0, false},
+		{"requests wait", gdspread.NewLoad(1, 1, 2, 0), 0, 0, false},
+		{"takes no work", gdspread.NewLoad(0, 0, 0, 0), 0, 0, false},
+		{"hops used up", gdspread.NewLoad(1, 0, 2, 0), 0, gdspread.DefaultHops, false},
 	}
 	for _, tc := range tests {
 		t.Run(tc.name, func(t *testing.T) {
@@ -47,8 +47,8 @@
 
 func TestMoveChargesThePeerUntilItReportsAgain(t *testing.T) {
 	c := newCore(7, 8)
-	c.PeerLoad(start, 7, gdspread.NewLoad(0, 0, 3))
-	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3))
+	c.PeerLoad(start, 7, gdspread.NewLoad(0, 0, 3, 0))
+	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3, 0))
 	moved := map[gdconf.UpstreamID]int{}
 	for range 10 {
 		if id, ok := c.Move(start, 0); ok {
@@ -57,7 +57,7 @@
 	}
 	require.Equal(t, map[gdconf.UpstreamID]int{7: 3, 8: 2}, moved)
 	c.SetPeers([]gdconf.UpstreamID{8, 9})
-	c.PeerLoad(start, 8, gdspread.NewLoad(2, 0, 3))
+	c.PeerLoad(start, 8, gdspread.NewLoad(2, 0, 3, 0))
 	id, ok := c.Move(start, 0)
 	require.True(t, ok)
 	require.EqualValues(t, 8, id)
@@ -65,16 +65,22 @@
 
 func TestRelayPrefersTheLessLoadedOfTwo(t *testing.T) {
 	c := newCore(7, 8)
-	c.PeerLoad(start, 7, gdspread.NewLoad(1, 0, 2))
-	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3))
+	c.PeerLoad(start, 7, gdspread.NewLoad(1, 0, 2, 0))
+	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3, 0))
 	for range 10 {
 		c.Admitted(start)
 	}
-	id, ok := c.Relay(start, 0)
+	// The three agents have started 30 requests together, so each may relay one.
+	c.PeerLoad(start, 7, gdspread.NewLoad(1, 0, 2, 10))
+	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3, 9))
+	_, ok := c.Relay(start, 0, 1)
+	require.False(t, ok)
+	c.PeerLoad(start, 8, gdspread.NewLoad(1, 0, 3, 10))
+	id, ok := c.Relay(start, 0, 1)
 	require.True(t, ok)
 	require.EqualValues(t, 8, id)
-	_, ok = c.Relay(start, 0)
-	require.False(t, ok, "the budget of ten started requests is one relay")
+	_, ok = c.Relay(start, 0, 1)
+	require.False(t, ok, "the share of thirty started requests is one relay")
 }
 
 func TestRampWeight(t *testing.T) {
