Agree on one configuration in a pure core (thin)

Cause: each process needs the configuration in force, without a shared store. Change: gdsync decides reads, pushes, pulls and digests; a seeded network in virtual time drives it in tests.

--- /dev/null
+++ b/internal/core/gdsync/net_test.go
@@ -0,0 +1,277 @@
+package gdsync
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+// deployment returns a deployment with the services and their upstreams; the
+// salt changes the last service only.
+func deployment(revision uint64, services, upstreams, salt int) config.Deployment {
+	d := config.Deployment{
+		Name: "rejilla-norte", Revision: revision,
+		TokenKeys: []config.TokenKey{{Phase: 0, Name: "2026-12"}},
+		Domains:   []config.Domain{{Name: "bilbao"}, {Name: "getxo"}},
+	}
+	id := 0
+	for i := range services {
+		s := config.Service{
+			Name: fmt.Sprintf("service-%d", i), ID: uint16(i + 1), Priority: 1,
+			Address: fmt.Sprintf("192.0.%d.%d:443", i/250, i%250+1),
+		}
+		if i == services-1 {
+			s.DrainSeconds = 1 + salt
+		}
+		for j := range upstreams {
+			id++
+			s.Upstreams = append(s.Upstreams, config.Upstream{
+				Name: fmt.Sprintf("service-%d-%d", i, j), ID: uint32(id), Domain: "bilbao", Slots: 3,
+				Agent: fmt.Sprintf("10.%d.%d.%d:7000", id/60000, id/240%250, id%240+1),
+			})
+		}
+		d.Services = append(d.Services, s)
+	}
+	return d
+}
+
+func split(d config.Deployment) map[string][]byte {
+	values, err := config.Split(d)
+	if err != nil {
+		panic(err)
+	}
+	m := map[string][]byte{}
+	for _, v := range values {
+		m[v.Key()] = v.Data()
+	}
+	return m
+}
+
+// fakePlatform is the read-only platform. It counts calls.
+type fakePlatform struct {
+	values map[string][]byte
+	// old are the values that a stale answer comes from, with the probability.
+	old   map[string][]byte
+	stale float64
+	down  bool
+	calls int
+	// after is called after each call and may change the platform.
+	after func()
+}
+
+func (p *fakePlatform) publish(d config.Deployment) {
+	p.old = p.values
+	p.values = split(d)
+}
+
+func (p *fakePlatform) read(rnd *rand.Rand, keys []string) Result {
+	var r Result
+	values := p.values
+	if p.old != nil && rnd.Float64() < p.stale {
+		values = p.old
+	}
+	for _, k := range keys {
+		p.calls++
+		if p.down {
+			return Result{Err: errors.New("platform: connection refused")}
+		}
+		r.Values = append(r.Values, PlatformValue{Key: k, Data: values[k]})
+	}
+	if p.after != nil {
+		p.after()
+	}
+	return r
+}
+
+// fakeNet runs cores in virtual time on a network that delays, loses and cuts.
+type fakeNet struct {
+	rnd      *rand.Rand
+	now      time.Time
+	queue    eventQueue
+	cores    []*Core
+	index    map[string]int
+	hosts    []Member
+	platform *fakePlatform
+	loss     float64
+	cut      func(a, b int) bool
+	// highest is the highest version that each process has had in force.
+	highest  []gdconf.Version
+	since    []time.Time
+	reverted int
+	rejected int
+	messages int
+	bytes    int
+	wake     []time.Time
+	seq      int
+}
+
+type event struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+const (
+	smallMessage = 120 // bytes of a digest or a pull with its headers
+	minHop       = 5 * time.Millisecond
+	maxHop       = 25 * time.Millisecond
+)
+
+func newNet(seed uint64, size int) *fakeNet {
+	n := &fakeNet{
+		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
+		index: map[string]int{}, platform: &fakePlatform{},
+	}
+	for i := range size {
+		name := fmt.Sprintf("host-%d", i)
+		n.index[name] = i
+		n.hosts = append(n.hosts, NewMember(name, name))
+	}
+	for i := range size {
+		n.cores = append(n.cores, nil)
+		n.highest = append(n.highest, gdconf.Version{})
+		n.since = append(n.since, time.Time{})
+		n.wake = append(n.wake, time.Time{})
+		n.start(i)
+	}
+	return n
+}
+
+// start starts or replaces the process.
+func (n *fakeNet) start(i int) {
+	c := &Core{Self: n.hosts[i].Name(), Rand: rand.New(rand.NewPCG(n.rnd.Uint64(), uint64(i)))}
+	n.cores[i] = c
+	n.highest[i] = gdconf.Version{}
+	n.after(0, func() { n.do(i, c, c.Start(n.now)) })
+}
+
+func (n *fakeNet) after(d time.Duration, run func()) {
+	n.seq++
+	heap.Push(&n.queue, event{at: n.now.Add(d), seq: n.seq, run: run})
+}
+
+func (n *fakeNet) hop() time.Duration {
+	return minHop + time.Duration(n.rnd.Int64N(int64(maxHop-minHop)))
+}
+
+// send delivers a message to the process that has the name, if it can.
+func (n *fakeNet) send(from int, to string, size int, deliver func(i int, c *Core) []Action) {
+	n.messages++
+	n.bytes += size
+	j, ok := n.index[to]
+	if !ok || n.rnd.Float64() < n.loss || (n.cut != nil && n.cut(from, j)) {
+		return
+	}
+	n.after(n.hop(), func() { n.do(j, n.cores[j], deliver(j, n.cores[j])) })
+}
+
+func (n *fakeNet) do(i int, c *Core, acts []Action) {
+	if n.cores[i] != c {
+		return // replaced meanwhile
+	}
+	for _, a := range acts {
+		n.act(i, c, a)
+	}
+	next := c.NextTick()
+	if !next.IsZero() && (n.wake[i].IsZero() || next.Before(n.wake[i]) || !n.wake[i].After(n.now)) {
+		n.wake[i] = next
+		n.after(next.Sub(n.now), func() { n.do(i, c, c.Tick(n.now)) })
+	}
+}
+
+func (n *fakeNet) act(i int, c *Core, a Action) {
+	self := n.hosts[i].Name()
+	switch a := a.(type) {
+	case ReadPlatform:
+		n.after(n.hop(), func() {
+			r := n.platform.read(n.rnd, a.Keys)
+			n.after(time.Duration(len(a.Keys)-1)*a.Pace, func() { n.do(i, c, c.PlatformRead(n.now, r)) })
+		})
+	case ReadHosts:
+		n.platform.calls++
+		if n.platform.down {
+			c.HostsFailed(errors.New("platform: connection refused"))
+			return
+		}
+		n.after(n.hop(), func() { n.do(i, c, c.Members(n.now, n.hosts)) })
+	case Push:
+		n.push(i, a.To.Name(), a.Update)
+	case Pull:
+		n.send(i, a.From.Name(), smallMessage, func(j int, d *Core) []Action {
+			if u, ok := d.Answer(a.Have); ok {
+				n.push(j, self, u)
+			}
+			return nil
+		})
+	case Digest:
+		n.send(i, a.To.Name(), smallMessage, func(j int, d *Core) []Action {
+			v := d.State().Version()
+			peer := n.hosts[j].Name()
+			n.send(j, self, smallMessage, func(_ int, c *Core) []Action { return c.PeerVersion(n.now, peer, v) })
+			return nil
+		})
+	case InForce:
+		n.inForce(i, a.State.Version())
+	case Rejected:
+		n.rejected++
+	}
+}
+
+func (n *fakeNet) push(from int, to string, u Update) {
+	self := n.hosts[from].Name()
+	n.send(from, to, smallMessage+u.size(), func(_ int, d *Core) []Action { return d.Pushed(n.now, self, u) })
+}
+
+func (n *fakeNet) inForce(i int, v gdconf.Version) {
+	if v.Compare(n.highest[i]) <= 0 {
+		n.reverted++
+	}
+	n.highest[i] = v
+	n.since[i] = n.now
+}
+
+// run lets the time pass.
+func (n *fakeNet) run(d time.Duration) {
+	end := n.now.Add(d)
+	for len(n.queue) > 0 && !n.queue[0].at.After(end) {
+		e := heap.Pop(&n.queue).(event)
+		n.now = e.at
+		e.run()
+	}
+	n.now = end
+}
+
+// agreed returns how many processes have the revision in force.
+func (n *fakeNet) agreed(revision uint64) int {
+	count := 0
+	for _, v := range n.highest {
+		if v.Revision() == revision {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/internal/core/gdsync/peer.go
@@ -0,0 +1,150 @@
+package gdsync
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+// Pushed takes in an update from a peer, asked for or not.
+func (c *Core) Pushed(now time.Time, from string, u Update) []Action {
+	v := u.Version()
+	if v.Compare(c.state.Version()) <= 0 {
+		return c.PeerVersion(now, from, v)
+	}
+	base := c.state
+	if u.Snapshot() {
+		base = nil
+	}
+	if u.Base() != base.Version() {
+		return c.PeerVersion(now, from, v)
+	}
+	next, err := base.apply(u)
+	if err == nil {
+		return c.enter(now, from, next)
+	}
+	if m, ok := c.members.find(from); ok && base != nil {
+		return []Action{Pull{From: m}} // a snapshot tells whether the difference was wrong
+	}
+	return c.reject(now, u.Revision, err)
+}
+
+// PeerVersion takes in the version that a peer has in force, from the answer to
+// a digest or from any other message. A newer one is pulled, and a peer with an
+// older one gets an update.
+func (c *Core) PeerVersion(now time.Time, from string, v gdconf.Version) []Action {
+	switch v.Compare(c.state.Version()) {
+	case 0:
+		c.confirmBy = time.Time{}
+		return nil
+	case 1:
+		return c.pull(now, from, v)
+	}
+	c.confirmBy = time.Time{}
+	return c.correct(now, from, v)
+}
+
+// correct sends a peer with an older version what it lacks.
+func (c *Core) correct(now time.Time, peer string, v gdconf.Version) []Action {
+	to, ok := c.members.find(peer)
+	if !ok || v == (gdconf.Version{}) {
+		return nil // a new process asks by itself
+	}
+	if last, ok := c.corrected[peer]; ok && now.Sub(last) < pushAgain {
+		return nil
+	}
+	if len(c.corrected) >= maxCorrected {
+		clear(c.corrected)
+	}
+	c.corrected[peer] = now
+	u, _ := c.Answer(v)
+	return []Action{Push{To: to, Update: u}}
+}
+
+// pull asks a peer for the version, unless one that is as high is being pulled.
+func (c *Core) pull(now time.Time, from string, v gdconf.Version) []Action {
+	if !c.pulling.retryAt.IsZero() && c.pulling.version.Compare(v) >= 0 {
+		return nil
+	}
+	c.pulling = pulling{version: v, retryAt: now.Add(pullRetry)}
+	if m, ok := c.members.find(from); ok {
+		return []Action{Pull{From: m, Have: c.state.Version()}}
+	}
+	return c.askPeers(1)
+}
+
+func (c *Core) pullAgain(now time.Time) []Action {
+	c.pulling.tries++
+	if c.pulling.tries > pullTries || c.pulling.version.Compare(c.state.Version()) <= 0 {
+		c.pulling = pulling{}
+		return nil
+	}
+	c.pulling.retryAt = now.Add(pullRetry)
+	return c.askPeers(1)
+}
+
+// digest tells one peer the version, or asks it for one when there is none.
+func (c *Core) digest() []Action {
+	p, ok := c.members.nearPeer(c.Rand)
+	if !ok {
+		return nil
+	}
+	if c.state == nil {
+		return []Action{Pull{From: p}}
+	}
+	return []Action{Digest{To: p, Version: c.state.Version()}}
+}
+
+// enter puts a newer configuration in force and pushes it on.
+func (c *Core) enter(now time.Time, from string, next *State) []Action {
+	prev := c.state
+	if prev != nil {
+		c.former = append(c.former, prev.withoutView())
+		if len(c.former) > keptStates {
+			c.former = c.former[1:]
+		}
+	}
+	c.state = next
+	c.status.Since = now
+	c.confirmBy = time.Time{}
+	c.setMembers(c.members.hosts)
+	c.leaveJoining(now)
+	if c.pulling.version.Compare(next.Version()) <= 0 {
+		c.pulling = pulling{}
+	}
+	acts := []Action{InForce{State: next}}
+	if prev == nil && from != "" {
+		return acts // what a new process learns from a peer is no news
+	}
+	return append(acts, c.spread(prev, from)...)
+}
+
+func (c *Core) leaveJoining(now time.Time) {
+	if !c.joining {
+		return
+	}
+	c.joining = false
+	c.joinBy = time.Time{}
+	c.nextRead = now.Add(c.readInterval())
+}
+
+// spread pushes the configuration in force to random peers at once.
+func (c *Core) spread(prev *State, from string) []Action {
+	var acts []Action
+	u := c.state.update(prev)
+	for _, m := range c.members.sample(c.Rand, c.Fanout, from) {
+		if u.Snapshot() || u.size() > eagerBytes {
+			acts = append(acts, Digest{To: m, Version: c.state.Version()})
+			continue
+		}
+		acts = append(acts, Push{To: m, Update: u})
+	}
+	return acts
+}
+
+func (c *Core) reject(now time.Time, revision uint64, err error) []Action {
+	c.status.RejectedAt = now
+	c.status.RejectedRev = revision
+	c.status.RejectedReason = err.Error()
+	return []Action{Rejected{Revision: revision, Problems: err}}
+}
