Run the configuration core in a process; read the platform over HTTP

Cause: processes need a View, and a paused one must not decide on old beliefs. Ruled out: letting any peer's message end the wait after a pause. In TestPausedProcessConfirmsBeforeItDecides an update that had waited in the inbox since before the pause ended it; now only the answer to a question asked after the pause does. Change: gdconfsync (one goroutine for the core, bounded queues, heartbeat), gdplatform (HTTP client, bounded body, ETag), DigestAnswer in the core.

--- a/internal/core/gdsync/core.go
+++ b/internal/core/gdsync/core.go
@@ -70,7 +70,9 @@
 
 	joining    bool
 	joinBy     time.Time
+	resumedAt  time.Time
 	confirmBy  time.Time
+	confirmAt  gdconf.Version
 	nextRead   time.Time
 	nextHosts  time.Time
 	nextDigest time.Time
@@ -89,7 +91,9 @@
 func (c *Core) Start(now time.Time) []Action {
 	c.setDefaults()
 	c.joining = true
-	c.members.set(c.Self, c.Seeds, nil, nil)
+	c.members.self = c.Self
+	c.members.seeds = c.Seeds
+	c.members.merge()
 	c.joinBy = now.Add(joinWait)
 	c.nextDigest = now.Add(c.digestInterval())
 	c.nextHosts = now.Add(c.hostsInterval())
@@ -126,8 +130,8 @@
 func (c *Core) Members(now time.Time, hosts []Member) []Action {
 	c.status.PlatformContact = now
 	first := c.joining && len(c.members.hosts) == 0
-	c.setMembers(hosts)
-	if !first || len(c.members.list) == 0 {
+	c.members.setHosts(hosts)
+	if !first || c.members.size() == 1 {
 		return nil
 	}
 	c.joinBy = now.Add(joinWait)
@@ -138,15 +142,6 @@
 // stays.
 func (c *Core) HostsFailed(err error) { c.status.PlatformError = err.Error() }
 
-func (c *Core) setMembers(hosts []Member) {
-	var v *gdconf.View
-	if c.state != nil {
-		v = c.state.View()
-	}
-	c.members.set(c.Self, c.Seeds, hosts, v)
-	c.status.Members = len(c.members.list)
-}
-
 // Tick does what is due.
 func (c *Core) Tick(now time.Time) []Action {
 	var acts []Action
@@ -194,6 +189,8 @@
 	if c.state == nil {
 		return nil
 	}
+	c.resumedAt = now
+	c.confirmAt = gdconf.Version{}
 	c.confirmBy = now.Add(c.ConfirmWithin)
 	var acts []Action
 	for _, m := range c.members.sample(c.Rand, c.Fanout, "") {
@@ -226,6 +223,7 @@
 // Status returns what the core holds at the time.
 func (c *Core) Status(now time.Time) Status {
 	s := c.status
+	s.Members = c.members.size()
 	s.Version = c.state.Version()
 	s.Confirming = c.state != nil && !c.MayDecide(now)
 	return s
--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -12,8 +12,6 @@
 	// inForceWithin is the time within which an accepted configuration is in
 	// force everywhere, from the sixth second.
 	inForceWithin = 6 * time.Second
-	// readBound is the fleet's rate of platform calls, from the design.
-	readBound = 200
 )
 
 // settle starts a fleet on revision 1.
--- a/internal/core/gdsync/doc.go
+++ b/internal/core/gdsync/doc.go
@@ -34,5 +34,5 @@
 //
 // The caller carries each [Action] out and reports its result as an event:
 // [ReadPlatform] by PlatformRead, [ReadHosts] by Members or HostsFailed, [Pull]
-// by Pushed, [Digest] by PeerVersion. A lost message needs no event.
+// by Pushed, [Digest] by DigestAnswer. A lost message needs no event.
 package gdsync
--- a/internal/core/gdsync/interval.go
+++ b/internal/core/gdsync/interval.go
@@ -11,7 +11,7 @@
 )
 
 // fleet returns the number of processes, as far as known.
-func (c *Core) fleet() float64 { return float64(len(c.members.list) + 1) }
+func (c *Core) fleet() float64 { return float64(c.members.size()) }
 
 // readInterval returns the time to the next read of the index, so that the
 // whole fleet's reads come to the index's share of the budget.
--- a/internal/core/gdsync/member.go
+++ b/internal/core/gdsync/member.go
@@ -2,20 +2,27 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 )
 
-// membership is the list of the other processes: the agents of the
+// membership is the list of the fleet's processes: the agents of the
 // configuration, the platform's hosts and the peers from the settings. It lags
-// and may name processes that are gone.
+// and may name processes that are gone. It may hold the process itself, which
+// is never picked.
 type membership struct {
-	hosts []Member
-	list  []Member
-	names map[string]int
-	// near are the peers that get digests. They change slowly, so that their
-	// connections are used again.
-	near []string
+	self   string
+	seeds  []Member
+	hosts  []Member
+	agents []Member
+	// list is the union, sorted by name. It is the slice of the hosts when that
+	// has all others.
+	list []Member
+	// near are the names of the peers that get digests. They change slowly, so
+	// that their connections are used again.
+	near [nearPeers]string
 }
 
 const (
@@ -25,54 +32,96 @@
 	nearChange = 1.0 / 16
 )
 
-func (m *membership) set(self string, seeds, hosts []Member, v *gdconf.View) {
+func byName(a, b Member) int { return strings.Compare(a.name, b.name) }
+
+// setHosts takes the platform's list in place of the last one.
+func (m *membership) setHosts(hosts []Member) {
+	if !slices.IsSortedFunc(hosts, byName) {
+		hosts = slices.SortedFunc(slices.Values(hosts), byName)
+	}
 	m.hosts = hosts
-	m.list = m.list[:0]
-	m.names = map[string]int{self: -1}
-	if v != nil {
-		for _, s := range v.Deployment().Services {
-			for _, u := range s.Upstreams {
-				m.add(NewMember(u.Name, u.Agent))
-			}
+	m.merge()
+}
+
+// setView takes the agents of the configuration in force.
+func (m *membership) setView(v *gdconf.View) {
+	agents := make([]Member, 0, v.Upstreams())
+	for _, s := range v.Deployment().Services {
+		for _, u := range s.Upstreams {
+			agents = append(agents, NewMember(u.Name, u.Agent))
 		}
 	}
-	for _, h := range hosts {
-		m.add(h)
+	slices.SortFunc(agents, byName)
+	if slices.Equal(agents, m.agents) {
+		return
+	}
+	m.agents = agents
+	m.merge()
+}
+
+// merge forms the union. Where two sources give a name different addresses, the
+// configuration goes before the platform's list and that before the settings.
+func (m *membership) merge() {
+	m.list = m.hosts
+	for _, p := range m.agents {
+		if i, ok := m.search(p.name); !ok || m.list[i] != p {
+			m.list = m.union()
+			return
+		}
 	}
-	for _, s := range seeds {
-		m.add(s)
+	for _, p := range m.seeds {
+		if _, ok := m.search(p.name); !ok {
+			m.list = m.union()
+			return
+		}
 	}
 }
 
-func (m *membership) add(p Member) {
-	if _, ok := m.names[p.name]; ok {
-		return
+func (m *membership) union() []Member {
+	all := slices.Concat(m.agents, m.hosts, m.seeds)
+	slices.SortStableFunc(all, byName)
+	same := func(a, b Member) bool { return a.name == b.name }
+	return slices.CompactFunc(all, same)
+}
+
+func (m *membership) search(name string) (int, bool) {
+	return slices.BinarySearchFunc(m.list, name, func(p Member, s string) int {
+		return strings.Compare(p.name, s)
+	})
+}
+
+// size returns the number of processes, this one included.
+func (m *membership) size() int {
+	if _, ok := m.search(m.self); ok {
+		return len(m.list)
 	}
-	m.names[p.name] = len(m.list)
-	m.list = append(m.list, p)
+	return len(m.list) + 1
 }
 
 func (m *membership) find(name string) (Member, bool) {
-	i, ok := m.names[name]
-	if !ok || i < 0 {
+	i, ok := m.search(name)
+	if !ok || name == m.self {
 		return Member{}, false
 	}
 	return m.list[i], true
 }
 
-// sample returns up to n different random members other than the one named.
+// sample returns up to n different random members other than the one named and
+// the process itself.
 func (m *membership) sample(rnd *rand.Rand, n int, except string) []Member {
-	var picked []Member
-	taken := map[int]bool{}
-	if i, ok := m.names[except]; ok && i >= 0 {
-		taken[i] = true
+	var taken []int
+	for _, name := range []string{m.self, except} {
+		if i, ok := m.search(name); ok && !slices.Contains(taken, i) {
+			taken = append(taken, i)
+		}
 	}
+	var picked []Member
 	for len(picked) < n && len(taken) < len(m.list) {
 		i := rnd.IntN(len(m.list))
-		if taken[i] {
+		if slices.Contains(taken, i) {
 			continue
 		}
-		taken[i] = true
+		taken = append(taken, i)
 		picked = append(picked, m.list[i])
 	}
 	return picked
@@ -80,17 +129,14 @@
 
 // nearPeer returns a random one of the few peers that get digests.
 func (m *membership) nearPeer(rnd *rand.Rand) (Member, bool) {
-	if len(m.list) == 0 {
-		return Member{}, false
-	}
 	slot := rnd.IntN(nearPeers)
-	for len(m.near) < nearPeers {
-		m.near = append(m.near, m.list[rnd.IntN(len(m.list))].name)
+	if p, ok := m.find(m.near[slot]); ok && rnd.Float64() >= nearChange {
+		return p, true
 	}
-	p, ok := m.find(m.near[slot])
-	if !ok || rnd.Float64() < nearChange {
-		p = m.list[rnd.IntN(len(m.list))]
-		m.near[slot] = p.name
+	picked := m.sample(rnd, 1, m.near[slot])
+	if len(picked) == 0 {
+		return m.find(m.near[slot])
 	}
-	return p, true
+	m.near[slot] = picked[0].name
+	return picked[0], true
 }
--- a/internal/core/gdsync/net_test.go
+++ b/internal/core/gdsync/net_test.go
@@ -33,7 +33,7 @@
 			id++
 			s.Upstreams = append(s.Upstreams, config.Upstream{
 				Name: fmt.Sprintf("service-%d-%d", i, j), ID: uint32(id), Domain: "bilbao", Slots: 3,
-				Agent: fmt.Sprintf("10.%d.%d.%d:7000", id/60000, id/240%250, id%240+1),
+				Agent: agentAddress(id),
 			})
 		}
 		d.Services = append(d.Services, s)
@@ -41,6 +41,10 @@
 	return d
 }
 
+func agentAddress(id int) string {
+	return fmt.Sprintf("10.%d.%d.%d:7000", id/60000, id/240%250, id%240+1)
+}
+
 func split(d config.Deployment) map[string][]byte {
 	values, err := config.Split(d)
 	if err != nil {
@@ -136,6 +140,7 @@
 }
 
 const (
+	agents       = 8   // processes that are agents of the usual deployment
 	smallMessage = 120 // bytes of a digest or a pull with its headers
 	minHop       = 5 * time.Millisecond
 	maxHop       = 25 * time.Millisecond
@@ -147,9 +152,12 @@
 		index: map[string]int{}, platform: &fakePlatform{},
 	}
 	for i := range size {
-		name := fmt.Sprintf("host-%d", i)
+		name := fmt.Sprintf("spare-%05d", i)
+		if i < agents {
+			name = fmt.Sprintf("service-%d-%d", i/4, i%4) // as in deployment(_, 2, 4, _)
+		}
 		n.index[name] = i
-		n.hosts = append(n.hosts, NewMember(name, name))
+		n.hosts = append(n.hosts, NewMember(name, agentAddress(i+1)))
 	}
 	for i := range size {
 		n.cores = append(n.cores, nil)
@@ -228,10 +236,11 @@
 			return nil
 		})
 	case Digest:
+		asked := n.now
 		n.send(i, a.To.Name(), smallMessage, func(j int, d *Core) []Action {
 			v := d.State().Version()
 			peer := n.hosts[j].Name()
-			n.send(j, self, smallMessage, func(_ int, c *Core) []Action { return c.PeerVersion(n.now, peer, v) })
+			n.send(j, self, smallMessage, func(_ int, c *Core) []Action { return c.DigestAnswer(n.now, asked, peer, v) })
 			return nil
 		})
 	case InForce:
--- a/internal/core/gdsync/peer.go
+++ b/internal/core/gdsync/peer.go
@@ -29,21 +29,37 @@
 	return c.reject(now, u.Revision, err)
 }
 
-// PeerVersion takes in the version that a peer has in force, from the answer to
-// a digest or from any other message. A newer one is pulled, and a peer with an
-// older one gets an update.
+// PeerVersion takes in the version that a peer had in force when it sent some
+// message. A newer one is pulled, and a peer with an older one gets an update.
 func (c *Core) PeerVersion(now time.Time, from string, v gdconf.Version) []Action {
 	switch v.Compare(c.state.Version()) {
 	case 0:
-		c.confirmBy = time.Time{}
 		return nil
 	case 1:
 		return c.pull(now, from, v)
 	}
-	c.confirmBy = time.Time{}
 	return c.correct(now, from, v)
 }
 
+// DigestAnswer takes in a peer's answer to a digest that was sent at the time
+// asked. Only an answer to a question from after the pause ends the wait for a
+// confirmation: what waited in buffers meanwhile is as old as the pause.
+func (c *Core) DigestAnswer(now, asked time.Time, from string, v gdconf.Version) []Action {
+	if !c.confirmBy.IsZero() && !asked.Before(c.resumedAt) {
+		c.confirmAt = v
+		c.tryConfirm()
+	}
+	return c.PeerVersion(now, from, v)
+}
+
+// tryConfirm ends the wait when the version that a peer answered is reached.
+func (c *Core) tryConfirm() {
+	known := c.confirmAt != (gdconf.Version{})
+	if known && c.confirmAt.Compare(c.state.Version()) <= 0 {
+		c.confirmBy = time.Time{}
+	}
+}
+
 // correct sends a peer with an older version what it lacks.
 func (c *Core) correct(now time.Time, peer string, v gdconf.Version) []Action {
 	to, ok := c.members.find(peer)
@@ -106,8 +122,8 @@
 	}
 	c.state = next
 	c.status.Since = now
-	c.confirmBy = time.Time{}
-	c.setMembers(c.members.hosts)
+	c.tryConfirm()
+	c.members.setView(next.View())
 	c.leaveJoining(now)
 	if c.pulling.version.Compare(next.Version()) <= 0 {
 		c.pulling = pulling{}
--- /dev/null
+++ b/internal/platform/gdplatform/client.go
@@ -0,0 +1,184 @@
+package gdplatform
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// DefaultTimeout bounds one call with its answer's body.
+	DefaultTimeout = 3 * time.Second
+	// MaxValueBytes is the largest value that is read.
+	MaxValueBytes = 1 << 20
+	// MaxHostsBytes is the largest list of hosts that is read.
+	MaxHostsBytes = 4 << 20
+)
+
+// Client reads one platform. Set the exported fields before use; it is safe for
+// concurrent use.
+type Client struct {
+	// URL is the platform's address, such as "http://192.0.2.5:8500".
+	URL string
+	// HTTP carries the calls; nil means http.DefaultClient.
+	HTTP *http.Client
+	// Timeout bounds one call; zero means DefaultTimeout.
+	Timeout time.Duration
+	// Remember names the keys whose unchanged value is answered without a body.
+	Remember []string
+
+	mu    sync.Mutex
+	etags map[string]string
+}
+
+// Value is one value of the platform.
+type Value struct {
+	data      []byte
+	present   bool
+	unchanged bool
+}
+
+// NewValue returns a value that is present.
+func NewValue(data []byte) Value { return Value{data: data, present: true} }
+
+// Data returns the value's bytes, none when it is absent or unchanged.
+func (v Value) Data() []byte { return v.data }
+
+// Present reports whether the platform holds the value.
+func (v Value) Present() bool { return v.present }
+
+// Unchanged reports whether the value is the one that was read last.
+func (v Value) Unchanged() bool { return v.unchanged }
+
+// Role says what a host runs.
+type Role string
+
+const (
+	// RoleBalancer is the role of an entry host.
+	RoleBalancer Role = "balancer"
+	// RoleAgent is the role of a host beside an upstream.
+	RoleAgent Role = "agent"
+)
+
+// HostState says whether a host is about to go.
+type HostState string
+
+const (
+	// HostLive is the state of a host in service.
+	HostLive HostState = "live"
+	// HostLeaving is the state of a host that is about to go.
+	HostLeaving HostState = "leaving"
+)
+
+// Host is one row of the platform's list of hosts.
+type Host struct {
+	Name    string    `json:"name"`
+	Role    Role      `json:"role"`
+	Domain  string    `json:"domain"`
+	Address string    `json:"address"`
+	State   HostState `json:"state"`
+}
+
+// ReadValue reads a value. An absent value is no error.
+func (c *Client) ReadValue(ctx context.Context, key string) (Value, error) {
+	path := "/v1/values/" + url.PathEscape(key)
+	if etag := c.etag(key); etag != "" {
+		path += "?after=" + url.QueryEscape(etag)
+	}
+	a, err := c.get(ctx, path, MaxValueBytes)
+	if err != nil {
+		return Value{}, errors.Wrapf(err, "read value %s from platform %s", key, c.URL)
+	}
+	switch a.status {
+	case http.StatusOK:
+		c.remember(key, a.etag)
+		return NewValue(a.body), nil
+	case http.StatusNotModified:
+		return Value{present: true, unchanged: true}, nil
+	case http.StatusNotFound:
+		c.remember(key, "")
+		return Value{}, nil
+	}
+	return Value{}, errors.Errorf("read value %s from platform %s: status %d", key, c.URL, a.status)
+}
+
+// Hosts reads the list of live and leaving hosts, which may lag.
+func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
+	a, err := c.get(ctx, "/v1/hosts", MaxHostsBytes)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read hosts from platform %s", c.URL)
+	}
+	if a.status != http.StatusOK {
+		return nil, errors.Errorf("read hosts from platform %s: status %d", c.URL, a.status)
+	}
+	var list struct {
+		Hosts []Host `json:"hosts"`
+	}
+	if err := json.Unmarshal(a.body, &list); err != nil {
+		return nil, errors.Wrapf(err, "decode hosts from platform %s", c.URL)
+	}
+	return list.Hosts, nil
+}
+
+// answer is one HTTP answer, read whole.
+type answer struct {
+	status int
+	etag   string
+	body   []byte
+}
+
+func (c *Client) get(ctx context.Context, path string, limit int64) (answer, error) {
+	timeout := c.Timeout
+	if timeout == 0 {
+		timeout = DefaultTimeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.URL+path, nil)
+	if err != nil {
+		return answer{}, err
+	}
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return answer{}, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return answer{}, err
+	}
+	if int64(len(body)) > limit {
+		return answer{}, errors.Errorf("the answer is larger than %d bytes", limit)
+	}
+	return answer{status: resp.StatusCode, etag: resp.Header.Get("ETag"), body: body}, nil
+}
+
+func (c *Client) etag(key string) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.etags[key]
+}
+
+func (c *Client) remember(key, etag string) {
+	for _, k := range c.Remember {
+		if k != key {
+			continue
+		}
+		c.mu.Lock()
+		if c.etags == nil {
+			c.etags = map[string]string{}
+		}
+		c.etags[key] = etag
+		c.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/internal/platform/gdplatform/client_test.go
@@ -0,0 +1,77 @@
+package gdplatform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
+)
+
+func serve(t *testing.T, h http.HandlerFunc) *gdplatform.Client {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return &gdplatform.Client{URL: s.URL, HTTP: s.Client(), Remember: []string{"index"}}
+}
+
+func TestReadValue(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case r.URL.Path != "/v1/values/index":
+			http.NotFound(w, r)
+		case r.URL.Query().Get("after") == `"1"`:
+			w.WriteHeader(http.StatusNotModified)
+		default:
+			w.Header().Set("ETag", `"1"`)
+			_, _ = w.Write([]byte("revision = 1"))
+		}
+	})
+	ctx := context.Background()
+	v, err := c.ReadValue(ctx, "index")
+	require.NoError(t, err)
+	require.Equal(t, "revision = 1", string(v.Data()))
+	v, err = c.ReadValue(ctx, "index")
+	require.NoError(t, err)
+	require.True(t, v.Unchanged())
+	v, err = c.ReadValue(ctx, "service-booking")
+	require.NoError(t, err)
+	require.False(t, v.Present())
+}
+
+func TestFaultyAnswersAreErrors(t *testing.T) {
+	cases := map[string]http.HandlerFunc{
+		"status 503": func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"larger than": func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(strings.Repeat("x", gdplatform.MaxValueBytes+1)))
+		},
+		"deadline exceeded": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+	}
+	for want, h := range cases {
+		t.Run(want, func(t *testing.T) {
+			c := serve(t, h)
+			c.Timeout = 200 * time.Millisecond
+			_, err := c.ReadValue(context.Background(), "index")
+			require.ErrorContains(t, err, want)
+			require.ErrorContains(t, err, c.URL)
+		})
+	}
+}
+
+func TestHosts(t *testing.T) {
+	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"hosts":[{"name":"entry-1","role":"balancer","domain":"bilbao",` +
+			`"address":"192.0.2.7:7000","state":"leaving"}]}`))
+	})
+	hosts, err := c.Hosts(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, []gdplatform.Host{{
+		Name: "entry-1", Role: gdplatform.RoleBalancer, Domain: "bilbao",
+		Address: "192.0.2.7:7000", State: gdplatform.HostLeaving,
+	}}, hosts)
+}
--- /dev/null
+++ b/internal/process/gdconfsync/work.go
@@ -0,0 +1,133 @@
+package gdconfsync
+
+import (
+	"context"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
+)
+
+// do hands each action to the worker that carries it out.
+func (s *Syncer) do(acts []gdsync.Action) {
+	for _, a := range acts {
+		switch a.(type) {
+		case gdsync.ReadPlatform, gdsync.ReadHosts:
+			s.queue(s.platforms, a)
+		case gdsync.InForce, gdsync.Rejected:
+			if s.Observe != nil {
+				s.Observe(a)
+			}
+		default:
+			if s.Peers != nil {
+				s.queue(s.peers, a)
+			}
+		}
+	}
+}
+
+func (s *Syncer) queue(q chan gdsync.Action, a gdsync.Action) {
+	select {
+	case q <- a:
+	default:
+		s.dropped.Add(1)
+	}
+}
+
+// work carries out actions, one at a time.
+func (s *Syncer) work(ctx context.Context, q <-chan gdsync.Action) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case a := <-q:
+			s.carryOut(ctx, a)
+		}
+	}
+}
+
+func (s *Syncer) carryOut(ctx context.Context, a gdsync.Action) {
+	switch a := a.(type) {
+	case gdsync.ReadPlatform:
+		r := s.readValues(ctx, a)
+		s.send(func(now time.Time) []gdsync.Action { return s.core.PlatformRead(now, r) })
+	case gdsync.ReadHosts:
+		s.readHosts(ctx)
+	case gdsync.Push:
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		s.note(s.Peers.Push(ctx, a.To, a.Update))
+	case gdsync.Pull:
+		s.pull(ctx, a)
+	case gdsync.Digest:
+		s.digest(ctx, a)
+	}
+}
+
+func (s *Syncer) readValues(ctx context.Context, a gdsync.ReadPlatform) gdsync.Result {
+	var r gdsync.Result
+	for i, key := range a.Keys {
+		if i > 0 && !pause(ctx, a.Pace) {
+			return gdsync.Result{Err: ctx.Err()}
+		}
+		v, err := s.Platform.ReadValue(ctx, key)
+		if err != nil {
+			return gdsync.Result{Err: err}
+		}
+		r.Values = append(r.Values, gdsync.PlatformValue{Key: key, Data: v.Data(), Unchanged: v.Unchanged()})
+	}
+	return r
+}
+
+// pause waits and reports whether the context still lives.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (s *Syncer) readHosts(ctx context.Context) {
+	hosts, err := s.Platform.Hosts(ctx)
+	s.send(func(now time.Time) []gdsync.Action {
+		if err != nil {
+			s.core.HostsFailed(err)
+			return nil
+		}
+		return s.core.Members(now, members(hosts))
+	})
+}
+
+// members returns all hosts, also the leaving ones: they still serve.
+func members(hosts []gdplatform.Host) []gdsync.Member {
+	list := make([]gdsync.Member, 0, len(hosts))
+	for _, h := range hosts {
+		list = append(list, gdsync.NewMember(h.Name, h.Address))
+	}
+	return list
+}
+
+func (s *Syncer) pull(ctx context.Context, a gdsync.Pull) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	u, ok, err := s.Peers.Fetch(ctx, a.From, a.Have)
+	s.note(err)
+	if err == nil && ok {
+		s.Pushed(a.From.Name(), u)
+	}
+}
+
+func (s *Syncer) digest(ctx context.Context, a gdsync.Digest) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	asked := time.Now()
+	v, err := s.Peers.Digest(ctx, a.To, a.Version)
+	s.note(err)
+	if err == nil {
+		s.send(func(now time.Time) []gdsync.Action { return s.core.DigestAnswer(now, asked, a.To.Name(), v) })
+	}
+}
