Carry messages between processes over twirp with the fleet's key

Cause: processes exchange updates, loads and outcomes, and only holders of the fleet key may take part. Ruled out: http.Transport's own idle limit, which leaves evicted HTTP/2 connections open until their idle timeout (goleak showed them); the client now owns its connections and closes them when it is retired. Returning from Serve before Shutdown has ended (goleak showed that too). Change: gdpeer (Identity, Server, Dialer), generated gdpeerpb, make generate.

--- a/Makefile
+++ b/Makefile
@@ -38,5 +38,16 @@
 demo: build
 	bin/gdrig demo --deployment examples/rejilla-norte
 
+# Writes the committed generated code anew; the build does not need it. It
+# takes protoc, and builds the generators from the tools module.
+generate:
+	@dir="$$(mktemp -d)"; trap 'rm -rf "$$dir"' EXIT; \
+	$(GO) build -modfile=tools/go.mod -o "$$dir/" \
+	  google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp && \
+	PATH="$$dir:$$PATH" protoc --proto_path=. \
+	  --go_out=. --go_opt=module=godwitdrift.example/godwitdrift \
+	  --twirp_out=. --twirp_opt=module=godwitdrift.example/godwitdrift \
+	  internal/wire/gdpeerpb/peer.proto
+
 clean:
 	rm -rf bin
--- /dev/null
+++ b/internal/wire/gdpeer/dialer.go
@@ -0,0 +1,159 @@
+package gdpeer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeerpb"
+)
+
+const (
+	// DefaultTimeout bounds one call to a peer.
+	DefaultTimeout = 2 * time.Second
+	// DefaultMaxPeers is the number of peers whose connections are kept.
+	DefaultMaxPeers = 32
+	// maxAnswerBytes bounds the body of an answer; a snapshot of the largest
+	// configuration fits.
+	maxAnswerBytes = 16 << 20
+	// idleConn is the time after which an unused connection is closed.
+	idleConn = 30 * time.Second
+)
+
+// Dialer calls peers by their control address, an IP address with a port. Set
+// the exported fields before use; it is safe for concurrent use.
+type Dialer struct {
+	Identity *Identity
+	// Name and Incarnation say who calls.
+	Name        string
+	Incarnation uint64
+	// Version returns the configuration version in force.
+	Version func() gdconf.Version
+	// Timeout bounds one call; zero means DefaultTimeout.
+	Timeout time.Duration
+	// MaxPeers is the number of peers whose connections are kept for further
+	// calls; zero means DefaultMaxPeers.
+	MaxPeers int
+
+	once    sync.Once
+	clients *lru.Cache[string, *client]
+	mu      sync.Mutex
+}
+
+func (d *Dialer) init() {
+	d.once.Do(func() {
+		if d.Timeout == 0 {
+			d.Timeout = DefaultTimeout
+		}
+		if d.MaxPeers == 0 {
+			d.MaxPeers = DefaultMaxPeers
+		}
+		retire := func(_ string, c *client) { c.retire() }
+		d.clients, _ = lru.NewWithEvict(d.MaxPeers, retire) // fails for a size below 1 only
+	})
+}
+
+// Close closes each connection as soon as it carries no call.
+func (d *Dialer) Close() {
+	d.init()
+	d.clients.Purge()
+}
+
+// client returns the peer's client with a call begun on it.
+func (d *Dialer) client(addr string) *client {
+	d.init()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, ok := d.clients.Get(addr)
+	if !ok {
+		c = newClient(d, addr)
+	}
+	c.begin()
+	if !ok {
+		d.clients.Add(addr, c)
+	}
+	return c
+}
+
+func (d *Dialer) sender() *gdpeerpb.Sender {
+	s := &gdpeerpb.Sender{Name: d.Name, Incarnation: d.Incarnation}
+	if d.Version != nil {
+		s.Version = fromVersion(d.Version())
+	}
+	return s
+}
+
+// call runs one call within the timeout. Its error carries the step and peer.
+func call[Q, A any](ctx context.Context, d *Dialer, step, addr string, f func(gdpeerpb.Peer, context.Context, Q) (A, error), q Q) (A, error) {
+	c := d.client(addr)
+	defer c.release()
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout)
+	defer cancel()
+	a, err := f(c.rpc, ctx, q)
+	return a, errors.Wrapf(err, "%s at peer %s", step, addr)
+}
+
+// Push sends an update to a peer.
+func (d *Dialer) Push(ctx context.Context, to gdsync.Member, u gdsync.Update) error {
+	data, err := gdsync.Encode(u)
+	if err != nil {
+		return err
+	}
+	q := &gdpeerpb.PushRequest{Sender: d.sender(), Update: data}
+	_, err = call(ctx, d, "push update", to.Address(), gdpeerpb.Peer.Push, q)
+	return err
+}
+
+// Digest tells a peer the version in force and returns the peer's.
+func (d *Dialer) Digest(ctx context.Context, to gdsync.Member, v gdconf.Version) (gdconf.Version, error) {
+	q := &gdpeerpb.DigestRequest{Sender: d.sender()}
+	q.Sender.Version = fromVersion(v)
+	a, err := call(ctx, d, "exchange digest", to.Address(), gdpeerpb.Peer.Digest, q)
+	return toVersion(a.GetVersion()), err
+}
+
+// Fetch returns what leads from the version to the peer's, and false when the
+// peer has nothing newer.
+func (d *Dialer) Fetch(ctx context.Context, from gdsync.Member, have gdconf.Version) (gdsync.Update, bool, error) {
+	q := &gdpeerpb.FetchRequest{Sender: d.sender(), Have: fromVersion(have)}
+	a, err := call(ctx, d, "fetch update", from.Address(), gdpeerpb.Peer.Fetch, q)
+	if err != nil || len(a.GetUpdate()) == 0 {
+		return gdsync.Update{}, false, err
+	}
+	u, err := gdsync.Decode(a.GetUpdate())
+	return u, err == nil, errors.Wrapf(err, "fetch update at peer %s", from.Address())
+}
+
+// ExchangeLoad tells a peer the own load and returns the peer's.
+func (d *Dialer) ExchangeLoad(ctx context.Context, addr string, l Load) (PeerLoad, error) {
+	q := &gdpeerpb.ExchangeLoadRequest{Sender: d.sender(), Load: fromLoad(l)}
+	a, err := call(ctx, d, "exchange load", addr, gdpeerpb.Peer.ExchangeLoad, q)
+	if err != nil {
+		return PeerLoad{}, err
+	}
+	return PeerLoad{Load: toLoad(a.GetLoad()), Incarnation: a.GetIncarnation(), Version: toVersion(a.GetVersion())}, nil
+}
+
+// AskOutcome asks a peer what became of a request. On an error the outcome is
+// unknown.
+func (d *Dialer) AskOutcome(ctx context.Context, addr string, question Question) (Outcome, error) {
+	q := &gdpeerpb.AskOutcomeRequest{Sender: d.sender(), Key: question.Key, Digest: question.Digest}
+	a, err := call(ctx, d, "ask outcome", addr, gdpeerpb.Peer.AskOutcome, q)
+	if err != nil {
+		return Outcome{State: OutcomeUnknown}, err
+	}
+	return Outcome{State: toState(a.GetState()), Answer: a.GetAnswer(), Incarnation: a.GetIncarnation()}, nil
+}
+
+// toState reads a state that this process does not know as unknown.
+func toState(s gdpeerpb.OutcomeState) OutcomeState {
+	if state := OutcomeState(s); state >= OutcomeUnknown && state <= OutcomeNeverSeen {
+		return state
+	}
+	return OutcomeUnknown
+}
--- /dev/null
+++ b/internal/wire/gdpeer/peer_test.go
@@ -0,0 +1,170 @@
+package gdpeer_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fakeProcess is everything that a server asks of its process.
+type fakeProcess struct {
+	pushed atomic.Pointer[gdsync.Update]
+	seen   atomic.Pointer[gdconf.Version]
+}
+
+var update = gdsync.Update{Revision: 4, Digest: 1 << 63, Name: "rejilla-norte", Domains: []config.Domain{{Name: "bilbao"}}}
+
+func (p *fakeProcess) Pushed(_ string, u gdsync.Update)       { p.pushed.Store(&u) }
+func (p *fakeProcess) PeerVersion(_ string, v gdconf.Version) { p.seen.Store(&v) }
+func (p *fakeProcess) Version() gdconf.Version                { return update.Version() }
+func (p *fakeProcess) ExchangeLoad(gdpeer.Sender, gdpeer.Load) gdpeer.Load {
+	return gdpeer.Load{Upstream: 7, InFlight: 2, Queued: 1, Limit: 3}
+}
+
+func (p *fakeProcess) Answer(_ context.Context, have gdconf.Version) (gdsync.Update, bool, error) {
+	return update, have != update.Version(), nil
+}
+
+func (p *fakeProcess) Outcome(_ context.Context, _ gdpeer.Sender, q gdpeer.Question) (gdpeer.Outcome, error) {
+	return gdpeer.Outcome{State: gdpeer.OutcomeDone, Answer: []byte(q.Key)}, nil
+}
+
+func identity(t *testing.T, b byte, also ...[]byte) *gdpeer.Identity {
+	t.Helper()
+	id, err := gdpeer.NewIdentity(bytes.Repeat([]byte{b}, gdpeer.SeedBytes), also...)
+	require.NoError(t, err)
+	return id
+}
+
+// serve serves a fake process under key 1 and returns its address.
+func serve(t *testing.T) (*gdpeer.Server, *fakeProcess, string, *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	counted := &countingListener{Listener: l}
+	p := &fakeProcess{}
+	srv := &gdpeer.Server{
+		Identity: identity(t, 1), Incarnation: 9, Config: p, Loads: p, Outcomes: p,
+		Handlers: map[string]http.Handler{"/extra": http.NotFoundHandler()},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error)
+	go func() { done <- srv.Serve(ctx, counted) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-done)
+	})
+	return srv, p, l.Addr().String(), &counted.accepted
+}
+
+type countingListener struct {
+	net.Listener
+	accepted atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.accepted.Add(1)
+	}
+	return c, err
+}
+
+func dialer(t *testing.T, id *gdpeer.Identity) *gdpeer.Dialer {
+	d := &gdpeer.Dialer{
+		Identity: id, Name: "booking-1", Incarnation: 5,
+		Version: func() gdconf.Version { return gdconf.NewVersion(3, 2) },
+	}
+	t.Cleanup(d.Close)
+	return d
+}
+
+func TestCallsReachThePeerOverOneConnection(t *testing.T) {
+	_, p, addr, accepted := serve(t)
+	d, to := dialer(t, identity(t, 1)), gdsync.NewMember("booking-2", addr)
+	ctx := context.Background()
+
+	require.NoError(t, d.Push(ctx, to, update))
+	require.Equal(t, update, *p.pushed.Load())
+	v, err := d.Digest(ctx, to, gdconf.NewVersion(3, 2))
+	require.NoError(t, err)
+	require.Equal(t, update.Version(), v)
+	u, ok, err := d.Fetch(ctx, to, gdconf.Version{})
+	require.NoError(t, err)
+	require.True(t, ok)
+	require.Equal(t, update, u)
+	_, ok, err = d.Fetch(ctx, to, update.Version())
+	require.NoError(t, err)
+	require.False(t, ok)
+	load, err := d.ExchangeLoad(ctx, addr, gdpeer.Load{Upstream: 6})
+	require.NoError(t, err)
+	require.Equal(t, gdpeer.PeerLoad{
+		Load:        gdpeer.Load{Upstream: 7, InFlight: 2, Queued: 1, Limit: 3},
+		Incarnation: 9, Version: update.Version(),
+	}, load)
+	require.Equal(t, gdconf.NewVersion(3, 2), *p.seen.Load())
+	o, err := d.AskOutcome(ctx, addr, gdpeer.Question{Key: "key"})
+	require.NoError(t, err)
+	require.Equal(t, gdpeer.Outcome{State: gdpeer.OutcomeDone, Answer: []byte("key"), Incarnation: 9}, o)
+	require.EqualValues(t, 1, accepted.Load())
+}
+
+func TestPeerWithoutFleetKeyIsRefusedAndCounted(t *testing.T) {
+	srv, _, addr, _ := serve(t)
+	ctx, to := context.Background(), gdsync.NewMember("booking-2", addr)
+	_, err := dialer(t, identity(t, 2)).Digest(ctx, to, gdconf.Version{})
+	require.ErrorContains(t, err, "exchange digest at peer "+addr)
+	require.ErrorContains(t, err, "does not hold the fleet key") // the server is refused first
+
+	for _, certs := range [][]tls.Certificate{nil, foreignCertificate(t)} {
+		before := srv.Refused()
+		conn, err := tls.Dial("tcp", addr, &tls.Config{InsecureSkipVerify: true, NextProtos: []string{"h2"}, Certificates: certs})
+		require.NoError(t, err) // in TLS 1.3 the refusal shows at the first read
+		_, err = conn.Read(make([]byte, 1))
+		require.Error(t, err)
+		require.NoError(t, conn.Close())
+		require.Equal(t, before+1, srv.Refused())
+	}
+}
+
+func foreignCertificate(t *testing.T) []tls.Certificate {
+	t.Helper()
+	return []tls.Certificate{gdpeer.Certificate(identity(t, 2))}
+}
+
+func TestFleetKeyIsReplacedWithoutRefusal(t *testing.T) {
+	srv, _, addr, _ := serve(t)
+	old := bytes.Repeat([]byte{1}, gdpeer.SeedBytes)
+	d := dialer(t, identity(t, 1, bytes.Repeat([]byte{2}, gdpeer.SeedBytes)))
+	_, err := d.Digest(context.Background(), gdsync.NewMember("booking-2", addr), gdconf.Version{})
+	require.NoError(t, err)
+	require.Zero(t, srv.Refused())
+	_, err = gdpeer.NewIdentity(old[:31])
+	require.ErrorContains(t, err, "31 bytes")
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	const peers, kept = 6, 2
+	d := dialer(t, identity(t, 1))
+	d.MaxPeers = kept
+	for range peers {
+		_, _, addr, _ := serve(t)
+		_, err := d.Digest(context.Background(), gdsync.NewMember("booking-2", addr), gdconf.Version{})
+		require.NoError(t, err)
+	}
+	require.Equal(t, kept, gdpeer.OpenConnections(d))
+}
--- /dev/null
+++ b/internal/wire/gdpeer/server.go
@@ -0,0 +1,184 @@
+package gdpeer
+
+import (
+	"context"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeerpb"
+)
+
+const (
+	// maxRequestBytes bounds the body of a request.
+	maxRequestBytes = 4 << 20
+	// maxStreams bounds the calls of one connection at the same time.
+	maxStreams = 64
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 5 * time.Second
+	// idleTimeout closes a connection that carries nothing.
+	idleTimeout = 60 * time.Second
+	// closeTimeout bounds the end of calls in progress when serving ends.
+	closeTimeout = 2 * time.Second
+)
+
+// Config is the configuration of the serving process.
+type Config interface {
+	Pushed(from string, u gdsync.Update)
+	PeerVersion(from string, v gdconf.Version)
+	Answer(ctx context.Context, have gdconf.Version) (gdsync.Update, bool, error)
+	Version() gdconf.Version
+}
+
+// Loads knows the load of the upstream beside the serving process.
+type Loads interface {
+	// ExchangeLoad takes in a peer's load and returns the own one.
+	ExchangeLoad(from Sender, peer Load) Load
+}
+
+// Outcomes knows what became of requests that run at most once.
+type Outcomes interface {
+	Outcome(ctx context.Context, from Sender, q Question) (Outcome, error)
+}
+
+// Server serves the peers of one process. Set the exported fields before Serve.
+type Server struct {
+	Identity    *Identity
+	Incarnation uint64
+	Config      Config
+	// Loads and Outcomes may be nil: their calls are then refused.
+	Loads    Loads
+	Outcomes Outcomes
+	// Handlers are further handlers by their path pattern, as in http.ServeMux.
+	Handlers map[string]http.Handler
+
+	refused atomic.Int64
+}
+
+// Refused returns the number of peers that did not hold the fleet key.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
+// Handler returns the handler of the service and of the further handlers. It
+// does not authenticate: Serve does.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	rpc := gdpeerpb.NewPeerServer(&service{server: s})
+	mux.Handle(rpc.PathPrefix(), http.MaxBytesHandler(rpc, maxRequestBytes))
+	for pattern, h := range s.Handlers {
+		mux.Handle(pattern, h)
+	}
+	return mux
+}
+
+// Serve serves peers on the TCP listener until the context ends; calls in
+// progress are let finish for a bounded time.
+func (s *Server) Serve(ctx context.Context, l net.Listener) error {
+	var protocols http.Protocols
+	protocols.SetHTTP2(true)
+	srv := &http.Server{
+		Handler:           s.Handler(),
+		TLSConfig:         s.Identity.serverConfig(&s.refused),
+		Protocols:         &protocols,
+		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(discard{}, "", 0), // refusals are counted instead
+	}
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		end, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer cancel()
+		if err := srv.Shutdown(end); err != nil {
+			_ = srv.Close()
+		}
+	})
+	err := srv.ServeTLS(l, "", "")
+	if !stop() {
+		<-closed
+		return nil
+	}
+	return errors.Wrapf(err, "serve peers on %s", l.Addr())
+}
+
+// discard drops what the HTTP server logs.
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// service answers the calls of peers.
+type service struct{ server *Server }
+
+// Push implements the generated service.
+func (s *service) Push(_ context.Context, r *gdpeerpb.PushRequest) (*gdpeerpb.PushResponse, error) {
+	u, err := gdsync.Decode(r.GetUpdate())
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("update", err.Error())
+	}
+	s.server.Config.Pushed(r.GetSender().GetName(), u)
+	return &gdpeerpb.PushResponse{}, nil
+}
+
+// Digest implements the generated service. The caller acts on the answer, so
+// that one difference is not mended from both ends.
+func (s *service) Digest(context.Context, *gdpeerpb.DigestRequest) (*gdpeerpb.DigestResponse, error) {
+	return &gdpeerpb.DigestResponse{Version: fromVersion(s.server.Config.Version())}, nil
+}
+
+// Fetch implements the generated service.
+func (s *service) Fetch(ctx context.Context, r *gdpeerpb.FetchRequest) (*gdpeerpb.FetchResponse, error) {
+	u, ok, err := s.server.Config.Answer(ctx, toVersion(r.GetHave()))
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	if !ok {
+		return &gdpeerpb.FetchResponse{}, nil
+	}
+	data, err := gdsync.Encode(u)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &gdpeerpb.FetchResponse{Update: data}, nil
+}
+
+// ExchangeLoad implements the generated service.
+func (s *service) ExchangeLoad(_ context.Context, r *gdpeerpb.ExchangeLoadRequest) (*gdpeerpb.ExchangeLoadResponse, error) {
+	if s.server.Loads == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process has no upstream")
+	}
+	from := s.sender(r.GetSender())
+	l := s.server.Loads.ExchangeLoad(from, toLoad(r.GetLoad()))
+	return &gdpeerpb.ExchangeLoadResponse{
+		Load: fromLoad(l), Incarnation: s.server.Incarnation,
+		Version: fromVersion(s.server.Config.Version()),
+	}, nil
+}
+
+// AskOutcome implements the generated service.
+func (s *service) AskOutcome(ctx context.Context, r *gdpeerpb.AskOutcomeRequest) (*gdpeerpb.AskOutcomeResponse, error) {
+	if s.server.Outcomes == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process keeps no outcomes")
+	}
+	q := Question{Key: r.GetKey(), Digest: r.GetDigest()}
+	o, err := s.server.Outcomes.Outcome(ctx, s.sender(r.GetSender()), q)
+	if err != nil {
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	return &gdpeerpb.AskOutcomeResponse{
+		State: gdpeerpb.OutcomeState(o.State), Answer: o.Answer, Incarnation: s.server.Incarnation,
+	}, nil
+}
+
+// sender hands the sender's version to the configuration.
+func (s *service) sender(p *gdpeerpb.Sender) Sender {
+	from := toSender(p)
+	s.server.Config.PeerVersion(from.name, from.version)
+	return from
+}
