--- /dev/null
+++ b/internal/core/gdonce/net_test.go
@@ -0,0 +1,336 @@
+package gdonce
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"encoding/hex"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+const (
+	testService = gdconf.ServiceID(1)
+	peerTimeout = 200 * time.Millisecond
+)
+
+var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+// testView is a view of one service whose upstream n is in domain n%4.
+func testView(revision uint64, out int, ids ...int) *gdconf.View {
+	d := config.Deployment{Name: "test", Revision: revision, TokenKeys: []config.TokenKey{{Name: "k"}}}
+	for i := range 4 {
+		state := config.StateIn
+		if i == out {
+			state = config.StateOut
+		}
+		d.Domains = append(d.Domains, config.Domain{Name: fmt.Sprintf("domain-%d", i), State: state})
+	}
+	s := config.Service{Name: "booking", ID: uint16(testService), Address: "192.0.2.1:443", Priority: 1}
+	for _, id := range ids {
+		agent := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(id)}), 7000)
+		s.Upstreams = append(s.Upstreams, config.Upstream{
+			Name: fmt.Sprintf("booking-%d", id), ID: uint32(id), Domain: fmt.Sprintf("domain-%d", id%4),
+			Agent: agent.String(), Slots: 3,
+		})
+	}
+	d.Services = []config.Service{s}
+	v, err := gdconf.New(d)
+	if err != nil {
+		panic(err)
+	}
+	return v
+}
+
+type event struct {
+	at   time.Time
+	seq  int
+	proc *proc // nil when nothing holds the event up
+	fn   func()
+}
+
+type events []event
+
+func (q events) Len() int      { return len(q) }
+func (q events) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q events) Less(i, j int) bool {
+	if q[i].at.Equal(q[j].at) {
+		return q[i].seq < q[j].seq
+	}
+	return q[i].at.Before(q[j].at)
+}
+func (q *events) Push(x any) { *q = append(*q, x.(event)) }
+func (q *events) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// proc is one agent process.
+type proc struct {
+	core  Core
+	dead  bool
+	wakes time.Time
+	next  uint64
+	reply map[uint64]func(Action) // by request
+	keys  map[uint64]*call
+}
+
+// call is one attempt of a caller.
+type call struct {
+	key    string
+	notRun bool
+	starts int
+}
+
+// world is a small net of agents in virtual time.
+type world struct {
+	rnd     *rand.Rand
+	now     time.Time
+	seq     int
+	queue   events
+	procs   map[gdconf.UpstreamID]*proc
+	side    map[gdconf.UpstreamID]bool // of a partition
+	views   []*gdconf.View
+	loss    float64
+	starts  map[string]int
+	answers map[string]string // the body of the first done answer
+	faults  []string
+	tally   map[string]int
+}
+
+func newWorld(seed uint64, views ...*gdconf.View) *world {
+	w := &world{
+		rnd: rand.New(rand.NewPCG(seed, 7)), now: epoch, views: views, loss: 0.02,
+		procs: map[gdconf.UpstreamID]*proc{}, side: map[gdconf.UpstreamID]bool{},
+		starts: map[string]int{}, answers: map[string]string{}, tally: map[string]int{},
+	}
+	for _, v := range views {
+		s, _ := v.Service(testService)
+		for _, u := range s.Upstreams() {
+			if w.procs[u.ID()] == nil {
+				w.boot(u.ID(), views[0])
+			}
+		}
+	}
+	w.run(10 * time.Second)
+	return w
+}
+
+func (w *world) boot(id gdconf.UpstreamID, v *gdconf.View) {
+	if old := w.procs[id]; old != nil {
+		old.dead = true
+	}
+	p := &proc{reply: map[uint64]func(Action){}, keys: map[uint64]*call{}}
+	p.core = Core{Self: id, Incarnation: w.rnd.Uint32(), Signer: NewSigner([]byte("secret")), Rand: w.rnd}
+	w.procs[id] = p
+	w.act(p, p.core.SetView(w.now, v))
+	w.tick(p)
+}
+
+func (w *world) tick(p *proc) {
+	w.at(p.core.NextTick(), p, func() {
+		w.act(p, p.core.Tick(w.now))
+		w.tick(p)
+	})
+}
+
+func (w *world) at(t time.Time, p *proc, fn func()) {
+	w.seq++
+	heap.Push(&w.queue, event{t, w.seq, p, fn})
+}
+
+func (w *world) after(d time.Duration, p *proc, fn func()) { w.at(w.now.Add(d), p, fn) }
+
+// delay is one way between two hosts, now and then much longer.
+func (w *world) delay() time.Duration {
+	d := time.Duration(500+w.rnd.IntN(4000)) * time.Microsecond
+	if w.rnd.IntN(20) == 0 {
+		d *= 100
+	}
+	return d
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		switch {
+		case e.proc != nil && e.proc.dead:
+		case e.proc != nil && e.proc.wakes.After(w.now):
+			w.at(e.proc.wakes, e.proc, e.fn)
+		default:
+			e.fn()
+		}
+	}
+	w.now = end
+}
+
+// send delivers fn to the process that then has the identifier, or loses it.
+func (w *world) send(from, to gdconf.UpstreamID, fn func(*proc)) {
+	if w.rnd.Float64() < w.loss {
+		return
+	}
+	w.after(w.delay(), nil, func() {
+		if p := w.procs[to]; p != nil && !p.dead && w.side[from] == w.side[to] {
+			w.after(0, p, func() { fn(p) })
+		}
+	})
+}
+
+// attempt lets a caller send a request to one agent.
+func (w *world) attempt(key string, to gdconf.UpstreamID) {
+	c := &call{key: key}
+	w.after(w.delay(), nil, func() {
+		p := w.procs[to]
+		if p == nil || p.dead {
+			w.tally["no-answer"]++
+			return
+		}
+		w.after(0, p, func() { w.arrive(p, c, false, func(a Action) { w.answered(c, a) }) })
+	})
+}
+
+func (w *world) arrive(p *proc, c *call, relayed bool, reply func(Action)) {
+	p.next++
+	p.reply[p.next] = reply
+	p.keys[p.next] = c
+	r := Request{ID: p.next, Service: testService, Key: c.key, Digest: 1, Relayed: relayed}
+	w.act(p, p.core.Arrive(w.now, r))
+}
+
+// answered checks the final answer of an attempt.
+func (w *world) answered(c *call, a Action) {
+	switch a := a.(type) {
+	case AnswerDone:
+		w.tally["done"]++
+		if first, ok := w.answers[c.key]; ok && first != string(a.Answer.Body) {
+			w.fault("two answers for %s", c.key)
+		}
+		w.answers[c.key] = string(a.Answer.Body)
+	case AnswerNotRun:
+		w.tally["not-run"]++
+		c.notRun = true
+		if w.starts[c.key] > 0 {
+			w.fault("%s refused as not-run, but it ran", c.key)
+		}
+	case AnswerUnknown:
+		w.tally["unknown"]++
+		w.tally["unknown: "+string(a.Reason)]++
+	}
+}
+
+func (w *world) fault(format string, args ...any) {
+	w.faults = append(w.faults, fmt.Sprintf(format, args...))
+}
+
+func (w *world) act(p *proc, actions []Action) {
+	for _, a := range actions {
+		id := a.RequestID()
+		switch a := a.(type) {
+		case Run:
+			w.after(w.delay()/4, p, func() { w.start(p, id) })
+		case Relay:
+			w.relay(p, a)
+		case Ask:
+			w.ask(p, a)
+		case Wait:
+		default:
+			p.reply[id](a)
+			delete(p.reply, id)
+		}
+	}
+}
+
+func (w *world) start(p *proc, id uint64) {
+	c := p.keys[id]
+	kind := w.rnd.IntN(20)
+	if kind == 0 { // refused before the start
+		w.act(p, p.core.Finished(w.now, id, Outcome{Result: ResultNotRun}))
+		return
+	}
+	p.core.Started(w.now, id)
+	c.starts++
+	if w.starts[c.key]++; w.starts[c.key] > 1 {
+		w.fault("%s ran %d times", c.key, w.starts[c.key])
+	}
+	if c.notRun {
+		w.fault("attempt of %s ran after its refusal", c.key)
+	}
+	o := Outcome{Result: ResultDone, Answer: Stored{Status: 200, Body: fmt.Appendf(nil, "%d", w.rnd.Uint64())}}
+	if kind == 1 {
+		o = Outcome{Result: ResultUnknown}
+	}
+	d := time.Duration(5+w.rnd.IntN(300)) * time.Millisecond
+	w.after(d, p, func() { w.act(p, p.core.Finished(w.now, id, o)) })
+}
+
+func (w *world) relay(p *proc, a Relay) {
+	self, open := p.core.Self, true
+	end := func(ok bool, answer Action) {
+		if !open {
+			return
+		}
+		open = false
+		w.act(p, p.core.Relayed(w.now, a.ID, ok))
+		if ok {
+			p.reply[a.ID](answer)
+			delete(p.reply, a.ID)
+		}
+	}
+	w.send(self, a.Home, func(q *proc) {
+		w.arrive(q, p.keys[a.ID], true, func(answer Action) {
+			w.send(a.Home, self, func(to *proc) {
+				if to == p {
+					end(true, answer)
+				}
+			})
+		})
+	})
+	w.after(3*peerTimeout, p, func() { end(false, nil) })
+}
+
+func (w *world) ask(p *proc, a Ask) {
+	self, open := p.core.Self, true
+	end := func(ans Answer) {
+		if open {
+			open = false
+			w.act(p, p.core.Answered(w.now, a.ID, a.Peer, ans))
+		}
+	}
+	for range 1 + w.rnd.IntN(2) { // now and then duplicated
+		w.send(self, a.Peer, func(q *proc) {
+			ans := q.core.Asked(w.now, a.Question)
+			w.send(a.Peer, self, func(to *proc) {
+				if to == p {
+					end(ans)
+				}
+			})
+		})
+	}
+	w.after(peerTimeout, p, func() { end(Answer{Verdict: PeerFailed}) })
+}
+
+// stamped returns a fresh UUID of version 7.
+func (w *world) stamped() string {
+	var b [identBytes]byte
+	binary.BigEndian.PutUint64(b[:], uint64(w.now.UnixMilli())<<16|7<<12|uint64(w.rnd.IntN(1<<12)))
+	binary.BigEndian.PutUint64(b[8:], 1<<63|w.rnd.Uint64()>>2)
+	h := hex.EncodeToString(b[:])
+	return h[:8] + "-" + h[8:12] + "-" + h[12:16] + "-" + h[16:20] + "-" + h[20:]
+}
+
+func (w *world) ids() []gdconf.UpstreamID {
+	var ids []gdconf.UpstreamID
+	for id := range w.procs {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
