Run a caller's own key only with a quorum of grants

Cause: TestNeverTwice showed two runs of one key when the home answers late. No choice of home is enough: a partition, a pause or an uneven configuration lets two agents take themselves for the home at the same time. Change: each agent grants a key to one process only; a claim needs a quorum of the member set in force and a blocking share of each other known set; the answers carry the known sets. A floor from the time in the key covers restarts and pauses. Not-run closes the key and offers another one.

--- a/internal/core/gdonce/answer.go
+++ b/internal/core/gdonce/answer.go
@@ -20,25 +20,17 @@
 	return actions
 }
 
-func (c *Core) notRun(a AnswerNotRun) []Action {
-	c.stats.NotRun++
-	return []Action{a}
-}
-
-func (c *Core) notRunAll(ids []uint64, after time.Duration) []Action {
-	var actions []Action
+// refuse answers requests whose keys have not been run and never will be, and
+// offers a key for the next attempt of each.
+func (c *Core) refuse(now time.Time, reason Reason, after time.Duration, ids ...uint64) []Action {
+	actions := make([]Action, 0, len(ids))
 	for _, id := range ids {
-		actions = append(actions, c.notRun(AnswerNotRun{Subject{id}, ReasonRefused, after, Key{}})...)
+		actions = append(actions, AnswerNotRun{Subject{id}, reason, after, c.Issue(now, c.service)})
 	}
+	c.stats.NotRun += uint64(len(ids))
 	return actions
 }
 
-// refuse answers a request whose key no agent runs, and offers one that this
-// agent would.
-func (c *Core) refuse(now time.Time, r Request, reason Reason) []Action {
-	return c.notRun(AnswerNotRun{Subject{r.ID}, reason, 0, c.Issue(now, r.Service)})
-}
-
 func (c *Core) conflict(ids ...uint64) []Action {
 	actions := make([]Action, 0, len(ids))
 	for _, id := range ids {
--- a/internal/core/gdonce/claim.go
+++ b/internal/core/gdonce/claim.go
@@ -1,32 +1,213 @@
 package gdonce
 
 import (
+	"slices"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 )
 
-// claim runs a stamped key at its home without asking anybody.
-func (c *Core) claim(_ time.Time, r Request, k Key) []Action {
-	if c.ledger.full() {
+// claim collects grants for a stamped key. Grants are never taken back, so that
+// a later claim of the same process finds them again.
+type claim struct {
+	deadline time.Time
+	pending  []gdconf.UpstreamID
+	asked    []gdconf.UpstreamID
+	granted  []gdconf.UpstreamID
+	// failure is the reason to give when the grants don't suffice.
+	failure Reason
+}
+
+// vouches reports whether this process would know of any grant that this agent
+// ever gave for a key with the stamp. An earlier process granted only keys
+// whose stamp is at most FutureTolerance after its own end, which is before
+// the floor.
+func (c *Core) vouches(now, stamp time.Time) bool {
+	return stamp.After(c.floor) &&
+		!stamp.After(now.Add(FutureTolerance)) &&
+		now.Before(stamp.Add(c.Retention))
+}
+
+// claim starts to collect grants for a request.
+func (c *Core) claim(now time.Time, r Request, k Key) []Action {
+	rec := c.ledger.records[k.ident]
+	switch {
+	case rec != nil && rec.digest != r.Digest:
+		return c.conflict(r.ID)
+	case rec == nil && c.ledger.full():
 		c.stats.LedgerFull++
 		return c.unknown(ReasonLedgerFull, r.ID)
+	case rec == nil:
+		rec = c.newStamped(k.ident, r.Digest)
+		if c.vouches(now, k.stamp) {
+			rec.holder = c.process()
+		}
 	}
-	rec := &record{key: k.ident, expires: k.stamp.Add(c.Retention).UnixMilli(), digest: r.Digest, holder: c.process()}
+	cl := &claim{deadline: now.Add(ClaimTimeout), failure: ReasonNoQuorum}
+	if rec.holder == c.process() {
+		cl.granted = append(cl.granted, c.Self)
+	}
+	rec.state = stateClaiming
+	rec.attempts = &attempts{runner: r.ID, claim: cl}
+	c.claims[r.ID] = rec
+	return append(c.askPeers(rec), c.settle(rec)...)
+}
+
+// newStamped adds the record of a stamped key that nobody holds yet.
+func (c *Core) newStamped(key ident, digest uint64) *record {
+	rec := &record{key: key, digest: digest, expires: key.stamp().Add(c.Retention).UnixMilli()}
 	c.ledger.add(rec)
-	return c.run(rec, &attempts{runner: r.ID})
+	return rec
+}
+
+// askPeers asks the agents that have not been asked yet.
+func (c *Core) askPeers(rec *record) []Action {
+	cl := rec.attempts.claim
+	q := Question{Service: c.service, Key: rec.key, Digest: rec.digest, Asker: c.Self, Incarnation: c.Incarnation}
+	var actions []Action
+	for _, peer := range c.members.peers(c.Self) {
+		if slices.Contains(cl.asked, peer) {
+			continue
+		}
+		cl.asked = append(cl.asked, peer)
+		cl.pending = append(cl.pending, peer)
+		c.stats.Questions++
+		actions = append(actions, Ask{Subject{rec.attempts.runner}, peer, q})
+	}
+	return actions
 }
 
-// Asked answers a peer's question.
-func (c *Core) Asked(now time.Time, _ Question) Answer {
-	c.advance(now)
-	return Answer{Verdict: Granted}
+// Asked answers a peer's question. A key is granted to one process only.
+func (c *Core) Asked(now time.Time, q Question) Answer {
+	now = c.advance(now)
+	c.expire(now)
+	asker := process{q.Asker, q.Incarnation}
+	a := Answer{Sets: c.members.known()}
+	rec := c.ledger.records[q.Key]
+	if rec == nil {
+		a.Verdict = c.grant(now, q, asker)
+		return a
+	}
+	a.Verdict = rec.verdict(asker, q.Digest)
+	if a.Verdict == Done {
+		a.Stored = *rec.stored
+	}
+	return a
 }
 
-// Answered takes a peer's answer.
-func (c *Core) Answered(now time.Time, _ uint64, _ gdconf.UpstreamID, _ Answer) []Action {
-	c.advance(now)
-	return nil
+func (c *Core) grant(now time.Time, q Question, asker process) Verdict {
+	if !c.vouches(now, ident(q.Key).stamp()) {
+		return Refused
+	}
+	if c.ledger.full() {
+		c.stats.LedgerFull++
+		return Refused
+	}
+	rec := c.newStamped(q.Key, q.Digest)
+	rec.holder = asker
+	return Granted
 }
 
-func (c *Core) expireClaims(time.Time) []Action { return nil }
+// verdict says what a known key is to the asking process.
+func (r *record) verdict(asker process, digest uint64) Verdict {
+	switch {
+	case r.digest != digest:
+		return Mismatch
+	case r.state == stateDone:
+		return Done
+	case r.state == stateRunning:
+		return Busy
+	case r.state == stateUnknown:
+		return Lost
+	case r.state == stateClosed:
+		return Closed
+	case r.holder == asker:
+		return Granted
+	case r.holder == process{}:
+		return Refused
+	}
+	return Taken
+}
+
+// Answered takes the answer of a peer that was asked for the request.
+func (c *Core) Answered(now time.Time, id uint64, peer gdconf.UpstreamID, a Answer) []Action {
+	now = c.advance(now)
+	rec := c.claims[id]
+	if rec == nil {
+		return nil
+	}
+	cl := rec.attempts.claim
+	i := slices.Index(cl.pending, peer)
+	if i < 0 {
+		return nil
+	}
+	cl.pending = slices.Delete(cl.pending, i, i+1)
+	c.members.learn(now, a.Sets)
+	switch a.Verdict {
+	case Done:
+		return c.adopt(rec, a.Stored)
+	case Closed:
+		ids := c.endClaim(rec)
+		rec.state = stateClosed
+		return c.refuse(now, ReasonRefused, retryAfter, ids...)
+	case Mismatch:
+		return c.conflict(c.endClaim(rec)...)
+	case Granted:
+		cl.granted = append(cl.granted, peer)
+	case Busy:
+		cl.failure = ReasonInProgress
+	case Lost:
+		cl.failure = ReasonRunUnknown
+	}
+	return append(c.askPeers(rec), c.settle(rec)...)
+}
+
+// settle runs the request once the grants suffice, and gives up when no answer
+// is to come.
+func (c *Core) settle(rec *record) []Action {
+	a := rec.attempts
+	switch {
+	case c.members.decided(a.claim.granted):
+		delete(c.claims, a.runner)
+		a.claim = nil
+		return c.run(rec, a)
+	case len(a.claim.pending) > 0:
+		return nil
+	}
+	return c.unknown(a.claim.failure, c.endClaim(rec)...)
+}
+
+// adopt takes the answer of a run at another agent.
+func (c *Core) adopt(rec *record, s Stored) []Action {
+	ids := c.endClaim(rec)
+	rec.state = stateDone
+	c.ledger.keep(rec, s, c.MaxStoredBytes)
+	return c.done(s, ids...)
+}
+
+// endClaim ends a claim without a run and returns the requests that wait for it.
+func (c *Core) endClaim(rec *record) []uint64 {
+	ids := rec.attempts.all()
+	delete(c.claims, rec.attempts.runner)
+	rec.attempts = nil
+	rec.state = stateGranted
+	return ids
+}
+
+// expireClaims gives up on the claims whose time is over, the oldest first.
+func (c *Core) expireClaims(now time.Time) []Action {
+	var late []uint64
+	for id, rec := range c.claims {
+		if !now.Before(rec.attempts.claim.deadline) {
+			late = append(late, id)
+		}
+	}
+	slices.Sort(late)
+	var actions []Action
+	for _, id := range late {
+		rec := c.claims[id]
+		reason := rec.attempts.claim.failure
+		actions = append(actions, c.unknown(reason, c.endClaim(rec)...)...)
+	}
+	return actions
+}
--- a/internal/core/gdonce/core.go
+++ b/internal/core/gdonce/core.go
@@ -63,6 +63,7 @@
 
 	now     time.Time // the latest time seen; it never goes back
 	floor   time.Time // stamped keys up to it may have been granted and forgotten
+	closed  time.Time // issued keys made up to it and not in the ledger never run
 	service gdconf.ServiceID
 	members membership
 	ledger  ledger
@@ -141,13 +142,13 @@
 // Arrive takes a request.
 func (c *Core) Arrive(now time.Time, r Request) []Action {
 	now = c.advance(now)
-	c.ledger.expire(now)
+	c.expire(now)
 	k, err := c.Signer.Parse(r.Key)
 	switch {
 	case err == errForged:
 		return c.unknown(ReasonKeyForged, r.ID)
 	case err != nil:
-		return c.refuse(now, r, ReasonKeyKind)
+		return c.refuse(now, ReasonKeyKind, 0, r.ID)
 	case k.issued && k.service != r.Service:
 		return c.conflict(r.ID)
 	case r.Service != c.service:
@@ -172,10 +173,13 @@
 		return c.unknown(ReasonKeyExpired, r.ID)
 	}
 	if c.ledger.full() {
-		// Without a record in the only ledger that could hold it, an unexpired
-		// key has certainly not been run.
 		c.stats.LedgerFull++
-		return c.notRun(AnswerNotRun{Subject{r.ID}, ReasonLedgerFull, retryAfter, Key{}})
+		c.closed = now
+	}
+	if made := k.stamp.Add(-c.Retention); !made.After(c.closed) {
+		// Without a record in the only ledger that could hold it, the key has
+		// not been run, and from now on it is refused each time.
+		return c.refuse(now, ReasonLedgerFull, retryAfter, r.ID)
 	}
 	rec := &record{key: k.ident, expires: k.stamp.UnixMilli(), digest: r.Digest, issued: true, holder: c.process()}
 	c.ledger.add(rec)
@@ -196,6 +200,9 @@
 	if !now.Before(k.stamp.Add(c.Retention)) {
 		return c.unknown(ReasonKeyExpired, r.ID)
 	}
+	if k.stamp.After(now.Add(FutureTolerance)) {
+		return c.unknown(ReasonKeyEarly, r.ID)
+	}
 	home := c.members.home(k.ident)
 	if r.Relayed || home == c.Self || home == 0 {
 		return c.claim(now, r, k)
@@ -209,8 +216,8 @@
 		return c.conflict(r.ID)
 	}
 	switch rec.state {
-	case stateOpen:
-		return c.run(rec, &attempts{runner: r.ID})
+	case stateClosed:
+		return c.refuse(now, ReasonRefused, retryAfter, r.ID)
 	case stateDone:
 		return c.done(*rec.stored, r.ID)
 	case stateUnknown:
@@ -263,7 +270,7 @@
 
 // Finished takes the outcome of a run and answers all attempts that share it.
 func (c *Core) Finished(now time.Time, id uint64, o Outcome) []Action {
-	c.advance(now)
+	now = c.advance(now)
 	rec := c.running[id]
 	if rec == nil {
 		return nil
@@ -277,28 +284,24 @@
 		c.ledger.keep(rec, o.Answer, c.MaxStoredBytes)
 		return c.done(o.Answer, ids...)
 	case ResultNotRun:
-		c.reopen(rec)
-		return c.notRunAll(ids, o.RetryAfter)
+		rec.state = stateClosed
+		return c.refuse(now, ReasonRefused, o.RetryAfter, ids...)
 	}
 	rec.state = stateUnknown
 	return c.unknown(ReasonRunUnknown, ids...)
 }
 
-// reopen lets a later attempt run the key. For an issued key the lack of a
-// record says as much.
-func (c *Core) reopen(rec *record) {
-	rec.state = stateOpen
-	if rec.issued {
-		c.ledger.remove(rec)
-	}
-}
-
 // Tick expires records and gives up on claims that take too long.
 func (c *Core) Tick(now time.Time) []Action {
 	now = c.advance(now)
-	c.ledger.expire(now)
+	c.expire(now)
 	return c.expireClaims(now)
 }
 
+func (c *Core) expire(now time.Time) {
+	c.ledger.expire(now)
+	c.members.expire(now.Add(-c.Retention))
+}
+
 // NextTick returns the time by which Tick is to be called.
 func (c *Core) NextTick() time.Time { return c.now.Add(PauseLimit / 4) }
--- a/internal/core/gdonce/ledger.go
+++ b/internal/core/gdonce/ledger.go
@@ -12,8 +12,10 @@
 const (
 	// stateGranted: the key belongs to holder; nothing of it runs here.
 	stateGranted state = iota
-	// stateOpen: this process holds the key with a quorum and may run it.
-	stateOpen
+	// stateClosed: the key has not been run and never will be.
+	stateClosed
+	// stateClaiming: this process collects grants for a waiting request.
+	stateClaiming
 	// stateRunning: a run was ordered and has not ended.
 	stateRunning
 	// stateDone: the run ended, and stored holds its answer.
@@ -45,6 +47,7 @@
 type attempts struct {
 	runner  uint64
 	waiters []uint64
+	claim   *claim // nil unless claiming
 }
 
 func (a *attempts) all() []uint64 { return append([]uint64{a.runner}, a.waiters...) }
@@ -68,8 +71,7 @@
 	heap.Push(&l.queue, r)
 }
 
-// remove forgets a record that has expired, or that of an issued key that
-// certainly has not been run.
+// remove forgets a record.
 func (l *ledger) remove(r *record) {
 	heap.Remove(&l.queue, int(r.index))
 	delete(l.records, r.key)
--- a/internal/core/gdonce/net_test.go
+++ b/internal/core/gdonce/net_test.go
@@ -83,9 +83,7 @@
 
 // call is one attempt of a caller.
 type call struct {
-	key    string
-	notRun bool
-	starts int
+	key string
 }
 
 // world is a small net of agents in virtual time.
@@ -100,6 +98,7 @@
 	loss    float64
 	starts  map[string]int
 	answers map[string]string // the body of the first done answer
+	refused map[string]bool
 	faults  []string
 	tally   map[string]int
 }
@@ -108,7 +107,7 @@
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 7)), now: epoch, views: views, loss: 0.02,
 		procs: map[gdconf.UpstreamID]*proc{}, side: map[gdconf.UpstreamID]bool{},
-		starts: map[string]int{}, answers: map[string]string{}, tally: map[string]int{},
+		starts: map[string]int{}, refused: map[string]bool{}, answers: map[string]string{}, tally: map[string]int{},
 	}
 	for _, v := range views {
 		s, _ := v.Service(testService)
@@ -216,7 +215,7 @@
 		w.answers[c.key] = string(a.Answer.Body)
 	case AnswerNotRun:
 		w.tally["not-run"]++
-		c.notRun = true
+		w.refused[c.key] = true
 		if w.starts[c.key] > 0 {
 			w.fault("%s refused as not-run, but it ran", c.key)
 		}
@@ -256,12 +255,11 @@
 		return
 	}
 	p.core.Started(w.now, id)
-	c.starts++
 	if w.starts[c.key]++; w.starts[c.key] > 1 {
 		w.fault("%s ran %d times", c.key, w.starts[c.key])
 	}
-	if c.notRun {
-		w.fault("attempt of %s ran after its refusal", c.key)
+	if w.refused[c.key] {
+		w.fault("%s ran after its refusal as not-run", c.key)
 	}
 	o := Outcome{Result: ResultDone, Answer: Stored{Status: 200, Body: fmt.Appendf(nil, "%d", w.rnd.Uint64())}}
 	if kind == 1 {
--- a/internal/core/gdonce/types.go
+++ b/internal/core/gdonce/types.go
@@ -84,6 +84,8 @@
 	Busy
 	// Done says that the key was run, and carries the answer.
 	Done
+	// Closed says that the key was refused before a run and is never run.
+	Closed
 	// Lost says that the key may have been run, with an unknown outcome.
 	Lost
 	// Mismatch says that the key belongs to a request with another digest.
@@ -99,7 +101,7 @@
 	// Stored is the kept answer, with Done.
 	Stored Stored `cbor:"2,keyasint,omitempty"`
 	// Sets are the member sets that the answering agent knows for the service.
-	Sets [][]gdconf.UpstreamID `cbor:"3,keyasint,omitempty"`
+	Sets []MemberSet `cbor:"3,keyasint,omitempty"`
 }
 
 // Reason says why a request was not run or why its outcome is unknown.
@@ -168,12 +170,13 @@
 	Answer Stored
 }
 
-// AnswerNotRun refuses the request. Its key has certainly not been run.
+// AnswerNotRun refuses the request. Its key has not been run and never will be,
+// also when an earlier attempt arrives late.
 type AnswerNotRun struct {
 	Subject
 	Reason     Reason
 	RetryAfter time.Duration
-	// Offer, when set, is an issued key to use in place of the request's.
+	// Offer is an issued key for the caller's next attempt.
 	Offer Key
 }
 
