config: diff, reassembly of values, and every problem with its line

Ruled out: a decode per key, as the settings had it: it doesn't reach into tables. Change: package gdtoml gathers the faults of a document and knows the lines of its fields; config and gdsettings both stand on it, so the logic stands once. config gains Diff, CheckChange, Assemble, NewValue, Problem.Line and Problem.Value, and an Example for each user. Printed bytes are as before. Parse, ParseIndex and ParseService return a zero value beside an error. Conclusion: a wrong document is explained in one run, each fault with its line.

--- a/config/check.go
+++ b/config/check.go
@@ -4,49 +4,15 @@
 	"fmt"
 	"net/netip"
 	"regexp"
-	"sort"
 	"strings"
 )
 
-// Problem is one thing that is wrong with a deployment.
-type Problem struct {
-	place  string
-	reason string
-}
-
-// Place returns the path of the faulty field, such as
-// "services.booking.upstreams.booking-1.slots".
-func (p Problem) Place() string { return p.place }
-
-// Reason returns what is wrong there, as a clause without a full stop.
-func (p Problem) Reason() string { return p.reason }
-
-func (p Problem) Error() string { return p.place + ": " + p.reason }
-
-// Problems gathers everything that is wrong with a deployment, in the order of
-// the places.
-type Problems []Problem
-
-func (ps Problems) Error() string {
-	lines := make([]string, len(ps))
-	for i, p := range ps {
-		lines[i] = p.Error()
-	}
-	return strings.Join(lines, "\n")
-}
-
 // Check reports everything that is wrong with the deployment as [Problems], or
 // nil when nothing is.
 func (d Deployment) Check() error {
 	c := checker{services: newUnique(), ids: newUnique(), upstreams: newUnique()}
 	c.deployment(d)
-	if len(c.problems) == 0 {
-		return nil
-	}
-	sort.SliceStable(c.problems, func(i, j int) bool {
-		return c.problems[i].place < c.problems[j].place
-	})
-	return c.problems
+	return c.problems.orNil()
 }
 
 var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
--- /dev/null
+++ b/config/diagnose_test.go
@@ -0,0 +1,95 @@
+package config_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/config"
+)
+
+// part returns one part of an archive: parts start with "-- NAME --" lines.
+func part(archive, name string) string {
+	_, rest, _ := strings.Cut("\n"+archive, "\n-- "+name+" --\n")
+	body, _, _ := strings.Cut(rest, "\n-- ")
+	return strings.TrimSuffix(body, "\n")
+}
+
+func TestParseNamesEachProblemWithItsLine(t *testing.T) {
+	archive, err := os.ReadFile("testdata/check.txt")
+	require.NoError(t, err)
+	for _, name := range []string{"types", "syntax", "values"} {
+		_, err := config.Parse([]byte(part(string(archive), name)))
+		require.EqualError(t, err, part(string(archive), name+" problems"), name)
+	}
+}
+
+func TestAssembleIsTheInverseOfSplit(t *testing.T) {
+	values, err := config.Split(sample())
+	require.NoError(t, err)
+	d, err := config.Assemble(values)
+	require.NoError(t, err)
+	require.Equal(t, sample(), d)
+}
+
+func TestAssembleNamesTheValue(t *testing.T) {
+	values, err := config.Split(sample())
+	require.NoError(t, err)
+	service, index := string(values[0].Data()), string(values[1].Data())
+	wrong := strings.Replace(service, "slots = 3", "slots = 0", 1)
+	fixed := strings.Replace(index, config.Digest([]byte(service)), config.Digest([]byte(wrong)), 1)
+	fixed = strings.Replace(fixed, "revision = 12", "revision = 0", 1)
+	for _, c := range []struct {
+		service, index, want string
+	}{
+		{wrong, fixed, "index: line 2: revision: 0 is not allowed\n" +
+			"service-booking: line 11: services.booking.upstreams.booking-1.slots: 0 is not between 1 and 100000"},
+		{service + "colour = 1\n", index, "service-booking: the digest is "},
+		{service, "revision = 'x'", "index: line 1: revision: a value of type string is given, a positive integer is needed"},
+		{service, "", "service-booking: the index does not name this value"},
+	} {
+		_, err := config.Assemble([]config.Value{
+			config.NewValue(config.ServiceKey("booking"), []byte(c.service)),
+			config.NewValue(config.IndexKey, []byte(c.index)),
+		})
+		require.ErrorContains(t, err, c.want)
+	}
+	_, err = config.Assemble(nil)
+	require.EqualError(t, err, "index: the value is missing")
+}
+
+func TestDiffNamesEachChange(t *testing.T) {
+	a, b := sample(), sample()
+	require.Empty(t, config.Diff(a, b))
+	b.Services = append([]config.Service(nil), b.Services...)
+	b.Services[0].DrainSeconds = config.DefaultDrainSeconds // a default is no change
+	b.Services[0].Routes = []config.Route{{PathPrefix: "/pay", Priority: 1, AtMostOnce: true}}
+	b.Services[0].Upstreams = []config.Upstream{
+		{Name: "booking-1", ID: 101, Domain: "bilbao", Agent: "192.0.2.21:7000", Slots: 3, State: config.StateLeaving},
+		{Name: "booking-2", ID: 101, Domain: "bilbao", Agent: "192.0.2.22:7000", Slots: 2},
+	}
+	b.Domains = []config.Domain{{Name: "getxo"}}
+	b.TokenKeys = []config.TokenKey{{Phase: 1, Name: "2027-01"}}
+	var lines []string
+	for _, c := range config.Diff(a, b) {
+		lines = append(lines, c.String())
+	}
+	require.Equal(t, []string{
+		"- domains.bilbao: state in",
+		"~ domains.getxo.state: out -> in",
+		"+ services.booking.routes./pay: priority 1, at-most-once true",
+		"~ services.booking.upstreams.booking-1.state: in -> leaving",
+		"+ services.booking.upstreams.booking-2: id 101, domain bilbao, state in, agent 192.0.2.22:7000, slots 2, weight 1",
+		"~ token-keys: 2026-12 (phase 0) -> 2027-01 (phase 1)",
+	}, lines)
+	require.EqualError(t, config.CheckChange(a, b), strings.Join([]string{
+		"revision: 12 does not come after 12, so it would not come into force",
+		"services.booking.upstreams.booking-2.id: upstream id 101 was that of booking's booking-1, and flows may still name it",
+		"token-keys: key 2026-12 still issues tokens: make another key the first before it is dropped",
+		"token-keys.0: key 2027-01 must be published as the second key before it becomes the first",
+	}, "\n"))
+	a.Revision = 11
+	require.NoError(t, config.CheckChange(a, sample()))
+}
--- a/config/doc.go
+++ b/config/doc.go
@@ -25,11 +25,29 @@
 //	}
 //	err := config.Print(os.Stdout, d)
 //
-// # Layers
+// [Diff] lists what a change does, and [CheckChange] finds what would go wrong
+// with it although the new deployment is valid alone:
 //
-// The types of this file's package are plain data. [Deployment.Check] looks at
-// them without any input or output, and [Split] cuts a deployment into the
-// values that the platform stores: one index, and one value for each service.
-// Secrets never appear here: a token key is named, and each process derives
-// its bytes from the fleet key in its own settings.
+//	for _, c := range config.Diff(before, after) {
+//		fmt.Println(c) // ~ domains.getxo.state: in -> out
+//	}
+//	err := config.CheckChange(before, after)
+//
+// # Values
+//
+// [Split] cuts a deployment into the values that the platform stores: one index,
+// and one value for each service, all below a megabyte. The index goes last, so
+// that a reader who sees it finds the values that it names. [Assemble] puts them
+// together again.
+//
+// # Errors
+//
+// Every function that checks gathers all it finds in [Problems]. Each [Problem]
+// names the place, and the value and line where the deployment was read from
+// text.
+//
+// # Secrets
+//
+// Secrets never appear here: a token key is named, and each process derives its
+// bytes from the fleet key in its own settings.
 package config
--- a/config/print.go
+++ b/config/print.go
@@ -3,12 +3,12 @@
 import (
 	"bytes"
 	"io"
-	"strconv"
-	"strings"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pelletier/go-toml/v2"
 	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/text/gdtoml"
 )
 
 // IndexKey is the platform's key of the index value.
@@ -70,7 +70,19 @@
 	if err := decode(data, &d); err != nil {
 		return Deployment{}, err
 	}
-	return d, d.Check()
+	return d, located(d.Check(), gdtoml.PositionsOf(data))
+}
+
+// located adds the lines to what Check found.
+func located(err error, lines gdtoml.Positions) error {
+	var ps Problems
+	if !errors.As(err, &ps) {
+		return err
+	}
+	for i := range ps {
+		ps[i].line = lines.Line(ps[i].place)
+	}
+	return ps.orNil()
 }
 
 // Split checks the deployment and cuts it into the platform's values, the index
@@ -111,15 +123,19 @@
 // ParseIndex reads an index value. The services' values are read on their own.
 func ParseIndex(data []byte) (Index, error) {
 	var idx Index
-	err := decode(data, &idx)
-	return idx, err
+	if err := decode(data, &idx); err != nil {
+		return Index{}, err
+	}
+	return idx, nil
 }
 
 // ParseService reads one service's value.
 func ParseService(data []byte) (Service, error) {
 	var s Service
-	err := decode(data, &s)
-	return s, err
+	if err := decode(data, &s); err != nil {
+		return Service{}, err
+	}
+	return s, nil
 }
 
 // Join puts an index and its services' values together again and checks the
@@ -139,13 +155,10 @@
 	var ps Problems
 	for _, v := range values {
 		if len(v.data) > MaxValueBytes {
-			ps = append(ps, Problem{place: v.key, reason: "the value is larger than a megabyte"})
+			ps = append(ps, Problem{value: v.key, reason: "the value is larger than a megabyte"})
 		}
 	}
-	if len(ps) == 0 {
-		return nil
-	}
-	return ps
+	return ps.orNil()
 }
 
 func encode(v any) ([]byte, error) {
@@ -156,30 +169,12 @@
 	return buf.Bytes(), nil
 }
 
+// decode reads a document into v and gathers every unknown key and every value
+// of a wrong type.
 func decode(data []byte, v any) error {
-	dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	err := dec.Decode(v)
-	if err == nil {
-		return nil
-	}
-	var strict *toml.StrictMissingError
-	if errors.As(err, &strict) {
-		return unknownKeys(strict)
-	}
-	var de *toml.DecodeError
-	if errors.As(err, &de) {
-		row, col := de.Position()
-		return errors.Errorf("line %d, column %d: key %q: %s", row, col, strings.Join(de.Key(), "."), de.Error())
-	}
-	return errors.Wrap(err, "decode configuration")
-}
-
-func unknownKeys(strict *toml.StrictMissingError) error {
 	var ps Problems
-	for i := range strict.Errors {
-		row, _ := strict.Errors[i].Position()
-		place := "line " + strconv.Itoa(row)
-		ps = append(ps, Problem{place: place, reason: "unknown key " + strings.Join(strict.Errors[i].Key(), ".")})
+	for _, f := range gdtoml.Decode(data, v) {
+		ps = append(ps, Problem{line: f.Line(), place: f.Key(), reason: f.Reason()})
 	}
-	return ps
+	return ps.orNil()
 }
--- a/internal/operate/gdsettings/check.go
+++ b/internal/operate/gdsettings/check.go
@@ -8,6 +8,8 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+
+	"godwitdrift.example/godwitdrift/internal/text/gdtoml"
 )
 
 var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
@@ -16,7 +18,7 @@
 type checker struct {
 	file     string
 	dir      string
-	lines    map[string]int
+	lines    gdtoml.Positions
 	bad      map[string]bool
 	problems Problems
 }
@@ -34,13 +36,13 @@
 // has been reported already.
 func (k *checker) add(key, format string, args ...any) {
 	if !k.bad[key] {
-		k.problem(k.lines[key], key, format, args...)
+		k.problem(k.lines.Line(key), key, format, args...)
 	}
 }
 
 // missingOr reports a missing key, or the reason when the key is there.
 func (k *checker) missingOr(key, format string, args ...any) {
-	if _, ok := k.lines[key]; !ok {
+	if !k.lines.Has(key) {
 		k.add(key, "the key is missing")
 		return
 	}
