--- a/internal/rig/gdload/flow.go
+++ b/internal/rig/gdload/flow.go
@@ -19,7 +19,6 @@
 	keepAlive       = 3 * time.Second
 	connectTimeout  = 5 * time.Second
 	reconnectPause  = 100 * time.Millisecond
-	feedSilence     = 5 * time.Second
 	maxOnceAttempts = 4
 )
 
@@ -37,6 +36,7 @@
 }
 
 func newFlow(l *Load, t Target, k kind, n uint64) *flow {
+	t.OncePath = or(t.OncePath, defaultOnce)
 	return &flow{
 		load:   l,
 		target: t,
@@ -48,7 +48,7 @@
 
 // run connects and uses the connection, again and again, until ctx ends.
 func (f *flow) run(ctx context.Context) {
-	f.pause(ctx, f.load.Interval)
+	f.pause(ctx, f.load.interval())
 	for ctx.Err() == nil {
 		c, err := f.connect(ctx)
 		if err != nil {
--- a/internal/rig/gdload/load.go
+++ b/internal/rig/gdload/load.go
@@ -29,6 +29,8 @@
 	defaultTimeout  = 5 * time.Second
 	defaultBody     = 600 // bytes
 	defaultOnce     = "/unlock"
+
+	defaultFeedSilence = 5 * time.Second
 )
 
 // Target is one service with the flows that go to it.
@@ -58,6 +60,9 @@
 	Interval time.Duration
 	// Timeout bounds one request; 0 means 5 s.
 	Timeout time.Duration
+	// FeedSilence is the time without a line after which a feed is broken; 0
+	// means 5 s.
+	FeedSilence time.Duration
 	// Body is the size of a request's body; 0 means 600 bytes.
 	Body int
 	// Seed seeds the bodies and the intervals.
@@ -81,7 +86,6 @@
 
 // Run keeps all flows going until ctx ends, then closes them.
 func (l *Load) Run(ctx context.Context) error {
-	l.defaults()
 	var wg sync.WaitGroup
 	var n uint64
 	for _, t := range l.Targets {
@@ -100,23 +104,23 @@
 	return l.tally.result(l.Targets, l.Record)
 }
 
-func (l *Load) defaults() {
-	if l.Interval == 0 {
-		l.Interval = defaultInterval
-	}
-	if l.Timeout == 0 {
-		l.Timeout = defaultTimeout
-	}
-	if l.Body == 0 {
-		l.Body = defaultBody
-	}
-	for i := range l.Targets {
-		if l.Targets[i].OncePath == "" {
-			l.Targets[i].OncePath = defaultOnce
-		}
+// or returns the set value, or the default when it is not set.
+func or[T comparable](set, fallback T) T {
+	var zero T
+	if set == zero {
+		return fallback
 	}
+	return set
 }
 
+func (l *Load) interval() time.Duration { return or(l.Interval, defaultInterval) }
+
+func (l *Load) timeout() time.Duration { return or(l.Timeout, defaultTimeout) }
+
+func (l *Load) silence() time.Duration { return or(l.FeedSilence, defaultFeedSilence) }
+
+func (l *Load) body() int { return or(l.Body, defaultBody) }
+
 // kind is what a flow does.
 type kind string
 
--- a/internal/rig/gdload/probe.go
+++ b/internal/rig/gdload/probe.go
@@ -15,7 +15,6 @@
 // answer.
 func Probe(ctx context.Context, t Target, roots *x509.CertPool) error {
 	l := &Load{Targets: []Target{t}, Roots: roots, Timeout: probeTimeout}
-	l.defaults()
 	f := newFlow(l, t, "probe", uint64(time.Now().UnixNano()))
 	ctx, cancel := context.WithTimeout(ctx, 2*probeTimeout)
 	defer cancel()
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -22,7 +22,7 @@
 		if err := one(ctx, c); err != nil {
 			return err
 		}
-		f.pause(ctx, f.load.Interval)
+		f.pause(ctx, f.load.interval())
 		if c.dead() {
 			return context.Cause(c.quic.Context())
 		}
@@ -44,7 +44,7 @@
 		if err != nil || o != Unknown {
 			return err
 		}
-		f.pause(ctx, f.load.Interval)
+		f.pause(ctx, f.load.interval())
 	}
 	return nil
 }
@@ -77,7 +77,7 @@
 
 func (f *flow) send(ctx context.Context, c *conn, path, id, key string, body []byte) (answer, error) {
 	// The run's end must not cut a request in progress, only its timeout may.
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.load.Timeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.load.timeout())
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(path), bytes.NewReader(body))
 	if err != nil {
@@ -131,7 +131,7 @@
 }
 
 func (f *flow) body() []byte {
-	b := make([]byte, f.load.Body)
+	b := make([]byte, f.load.body())
 	for i := range b {
 		b[i] = 'a' + byte(f.rng.IntN(26))
 	}
@@ -144,7 +144,7 @@
 func (f *flow) feed(ctx context.Context, c *conn) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	silence := time.AfterFunc(feedSilence, func() { cancel(errors.New("the feed went silent")) })
+	silence := time.AfterFunc(f.load.silence(), func() { cancel(errors.New("the feed went silent")) })
 	defer silence.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url("/feed"), nil)
 	if err != nil {
@@ -198,7 +198,7 @@
 		if err != nil {
 			return err // a part of a line is no wrong line
 		}
-		silence.Reset(feedSilence)
+		silence.Reset(f.load.silence())
 		want := upstream + " " + strconv.Itoa(n) + "\n"
 		if line != want {
 			words := fmt.Sprintf("%s: feed line %q, want %q", f.name, line, want)
