Add gdrig demo: load while balancers, upstreams and domains change

Cause: the promises must be seen to hold through separate processes. Ruled out: nothing; admission and relay are not in the path yet. Change: gddemo kills and replaces a balancer, drains an upstream, takes a failure domain out and back, and prints one JSON line; the rig publishes each change.

--- /dev/null
+++ b/cmd/gdrig/demo.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gddemo"
+)
+
+const demoHelp = `Starts the deployment, runs its load, kills and replaces a balancer, drains an
+upstream, takes a failure domain out and brings it back. The steps go to
+standard error; the last line of standard output is one JSON object:
+
+   answered, wrong, misrouted, broken-flows, given-up, refused-not-run,
+   doubled, unknown, p50-ms, p99-ms, imbalance
+
+Flows that end with the failure domain are given up and not broken. The
+imbalance is the largest share of work over the mean one, among the upstreams
+that stay in service throughout. The exit code is 1 when wrong, misrouted,
+doubled or broken-flows is above 0.
+
+Example:
+   gdrig demo --deployment examples/kiosks --seconds 30 --seed 7`
+
+const defaultDemoSeconds = 30
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run load through a deployment while it changes",
+		Description: demoHelp,
+		Flags: append(rigFlags(),
+			&cli.IntFlag{Name: "seconds", Usage: "length of the load", Value: defaultDemoSeconds}),
+		Action: demo,
+	}
+}
+
+func demo(ctx context.Context, cmd *cli.Command) error {
+	rig, err := newRig(cmd)
+	if err != nil {
+		return err
+	}
+	if err := rig.Start(ctx); err != nil {
+		return err
+	}
+	defer rig.Stop()
+	d := &gddemo.Demo{
+		Rig:      rig,
+		Length:   time.Duration(cmd.Int("seconds")) * time.Second,
+		Seed:     rig.Spec.Settings.Seed,
+		Progress: progress,
+	}
+	r, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+		return errors.Wrap(err, "print result")
+	}
+	if r.Failed() {
+		return errors.New("the run broke a promise")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rig/gddemo/demo.go
@@ -0,0 +1,95 @@
+package gddemo
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/lo"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/rig/gdload"
+	"godwitdrift.example/godwitdrift/internal/rig/gdrigup"
+)
+
+// Demo is one run. Set its exported fields before Run.
+type Demo struct {
+	// Rig is a started rig.
+	Rig *gdrigup.Rig
+	// Length is the length of the whole run.
+	Length time.Duration
+	// Seed seeds the load.
+	Seed uint64
+	// Progress, when set, is called with each step in words.
+	Progress func(string)
+
+	load    *gdload.Load
+	upset   map[string]bool // upstreams that the run takes out of service
+	marks   []Mark
+	drained drained
+}
+
+// Mark is a step of the run, for plots.
+type Mark struct {
+	At   time.Time
+	Name string
+}
+
+// Marks returns the steps taken so far.
+func (d *Demo) Marks() []Mark { return append([]Mark{}, d.marks...) }
+
+// Samples returns the requests that have finished so far.
+func (d *Demo) Samples() []gdload.Sample { return d.load.Samples() }
+
+// Run runs the load and the steps and returns what was counted.
+func (d *Demo) Run(ctx context.Context) (gdload.Result, error) {
+	roots, err := gdload.LoadRoots(d.Rig.CAFile())
+	if err != nil {
+		return gdload.Result{}, err
+	}
+	d.choose()
+	d.load = &gdload.Load{Targets: d.targets(), Roots: roots, Record: d.Rig.Record, Seed: d.Seed}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan error, 1)
+	go func() { done <- d.load.Run(ctx) }()
+	err = d.steps(ctx)
+	cancel()
+	if e := <-done; err == nil {
+		err = e
+	}
+	d.report()
+	return d.load.Result(), err
+}
+
+// targets are the loads of rig.toml on the services' addresses.
+func (d *Demo) targets() []gdload.Target {
+	addrs := lo.KeyBy(d.Rig.Services(), func(s gdrigup.ServiceAddr) string { return s.Name })
+	services := lo.KeyBy(d.Rig.Deployment().Services, func(s config.Service) string { return s.Name })
+	return lo.Map(d.Rig.Spec.Settings.Load, func(row gdrigup.LoadRow, _ int) gdload.Target {
+		return gdload.Target{
+			Service: row.Service, Addr: addrs[row.Service].Addr,
+			Upstreams: d.steady(services[row.Service]),
+			Echo:      row.Echo, Feeds: row.Feeds, Once: row.Once, OncePath: row.OncePath,
+			Interval: time.Duration(row.IntervalMS * float64(time.Millisecond)),
+		}
+	})
+}
+
+// steady returns the names of the upstreams that stay in service, over which
+// the imbalance is taken.
+func (d *Demo) steady(s config.Service) []string {
+	return lo.FilterMap(s.Upstreams, func(u config.Upstream, _ int) (string, bool) {
+		return u.Name, !d.upset[u.Name]
+	})
+}
+
+func (d *Demo) say(words string) {
+	if d.Progress != nil {
+		d.Progress(words)
+	}
+}
+
+func (d *Demo) mark(name string) {
+	d.marks = append(d.marks, Mark{At: time.Now(), Name: name})
+	d.say(name)
+}
--- /dev/null
+++ b/internal/rig/gddemo/steps.go
@@ -0,0 +1,171 @@
+package gddemo
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"godwitdrift.example/godwitdrift/config"
+)
+
+const (
+	// fabricNotices is the time that the fabric goes on spraying to a dead
+	// balancer.
+	fabricNotices = time.Second
+	// settle is the time after which a leaving upstream gets no new work and a
+	// failure domain that is out gets no packet.
+	settle = 3 * time.Second
+)
+
+// step is one change at a share of the run's length.
+type step struct {
+	at   float64
+	name string
+	do   func(context.Context) error
+}
+
+// drained is what the run takes out of service, and what ran there afterwards.
+type drained struct {
+	upstream string
+	domain   string
+	members  []string // upstreams of the domain
+	late     []string // findings, in words
+}
+
+// choose picks the upstream that drains and the failure domain that goes out.
+func (d *Demo) choose() {
+	services := d.Rig.Deployment().Services
+	domains := d.Rig.Deployment().Domains
+	d.drained.upstream = services[0].Upstreams[0].Name
+	d.drained.domain = domains[min(2, len(domains)-1)].Name
+	d.upset = map[string]bool{d.drained.upstream: true}
+	for _, s := range services {
+		for _, u := range s.Upstreams {
+			if u.Domain == d.drained.domain {
+				d.upset[u.Name] = true
+				d.drained.members = append(d.drained.members, u.Name)
+			}
+		}
+	}
+}
+
+func (d *Demo) plan() []step {
+	return []step{
+		{0.15, "kill a balancer", d.killBalancer},
+		{0.25, "replace the balancer", d.replaceBalancer},
+		{0.35, "drain upstream " + d.drained.upstream, d.drain},
+		{0.55, "take failure domain " + d.drained.domain + " out", d.domainOut},
+		{0.75, "bring failure domain " + d.drained.domain + " back", d.domainIn},
+		{1, "end", func(context.Context) error { return nil }},
+	}
+}
+
+func (d *Demo) steps(ctx context.Context) error {
+	began := time.Now()
+	d.mark("steady load")
+	for _, s := range d.plan() {
+		if !sleep(ctx, time.Until(began.Add(time.Duration(s.at*float64(d.Length))))) {
+			return ctx.Err()
+		}
+		d.mark(s.name)
+		if err := s.do(ctx); err != nil {
+			return err
+		}
+		d.say(d.summary())
+	}
+	return nil
+}
+
+func (d *Demo) killBalancer(ctx context.Context) error {
+	name := d.Rig.Balancers()[0].Name
+	if err := d.Rig.KillBalancer(name); err != nil {
+		return err
+	}
+	sleep(ctx, fabricNotices)
+	d.Rig.RemoveBalancer(name)
+	return nil
+}
+
+func (d *Demo) replaceBalancer(context.Context) error {
+	_, err := d.Rig.AddBalancer()
+	return err
+}
+
+func (d *Demo) drain(ctx context.Context) error {
+	if err := d.Rig.SetUpstreamState(d.drained.upstream, config.StateLeaving); err != nil {
+		return err
+	}
+	d.watchLate(ctx, "leaving", []string{d.drained.upstream})
+	return nil
+}
+
+func (d *Demo) domainOut(ctx context.Context) error {
+	if err := d.Rig.SetDomainState(d.drained.domain, config.StateOut); err != nil {
+		return err
+	}
+	d.watchLate(ctx, "out", d.drained.members)
+	return nil
+}
+
+func (d *Demo) domainIn(context.Context) error {
+	return d.Rig.SetDomainState(d.drained.domain, config.StateIn)
+}
+
+// watchLate notes how much work started at the upstreams once the change must
+// be in force everywhere, until the time before the next step.
+func (d *Demo) watchLate(ctx context.Context, state string, upstreams []string) {
+	if !sleep(ctx, settle) {
+		return
+	}
+	before := d.starts(upstreams)
+	sleep(ctx, d.Length/10)
+	if n := d.starts(upstreams) - before; n > 0 {
+		d.drained.late = append(d.drained.late,
+			fmt.Sprintf("%d requests started at %v after it was %s for %s", n, upstreams, state, settle))
+	}
+}
+
+func (d *Demo) starts(upstreams []string) int {
+	n := 0
+	for _, name := range upstreams {
+		n += d.Rig.Record.StartsAt(name)
+	}
+	return n
+}
+
+func (d *Demo) summary() string {
+	r := d.load.Result()
+	return fmt.Sprintf("answered %d, refused %d, unknown %d, broken flows %d, given up %d, p99 %.1f ms",
+		r.Answered, r.RefusedNotRun, r.Unknown, r.BrokenFlows, r.GivenUp, r.P99)
+}
+
+// report says what the result line has no room for.
+func (d *Demo) report() {
+	r := d.load.Result()
+	d.say(fmt.Sprintf("connects %d, failed connects %d, feed lines %d", r.Connects, r.FailedConnects, r.FeedLines))
+	for _, words := range d.drained.late {
+		d.say("late work: " + words)
+	}
+	over, shed := 0, 0
+	for _, s := range d.Rig.Deployment().Services {
+		for _, u := range s.Upstreams {
+			c := d.Rig.Upstream(u.Name).Counts()
+			over += c.Over
+			shed += c.Shed
+		}
+	}
+	d.say(fmt.Sprintf("requests over what an upstream bore: %d, of them shed: %d", over, shed))
+	for _, words := range r.Faults {
+		d.say("fault: " + words)
+	}
+}
+
+// sleep reports false when ctx ended before the time had passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
--- a/internal/rig/gdload/flow.go
+++ b/internal/rig/gdload/flow.go
@@ -48,7 +48,7 @@
 
 // run connects and uses the connection, again and again, until ctx ends.
 func (f *flow) run(ctx context.Context) {
-	f.pause(ctx, f.load.interval())
+	f.pause(ctx, f.load.interval(f.target))
 	for ctx.Err() == nil {
 		c, err := f.connect(ctx)
 		if err != nil {
--- a/internal/rig/gdload/load.go
+++ b/internal/rig/gdload/load.go
@@ -44,6 +44,8 @@
 	Upstreams []string
 	// Echo, Feeds and Once are the numbers of flows of each kind.
 	Echo, Feeds, Once int
+	// Interval takes the place of the load's own interval unless it is 0.
+	Interval time.Duration
 	// OncePath is the path of at-most-once requests; empty means "/unlock".
 	OncePath string
 }
@@ -113,7 +115,9 @@
 	return set
 }
 
-func (l *Load) interval() time.Duration { return or(l.Interval, defaultInterval) }
+func (l *Load) interval(t Target) time.Duration {
+	return or(t.Interval, or(l.Interval, defaultInterval))
+}
 
 func (l *Load) timeout() time.Duration { return or(l.Timeout, defaultTimeout) }
 
@@ -121,6 +125,9 @@
 
 func (l *Load) body() int { return or(l.Body, defaultBody) }
 
+// Samples returns the requests that have finished so far, in that order.
+func (l *Load) Samples() []Sample { return l.tally.copySamples() }
+
 // kind is what a flow does.
 type kind string
 
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -22,7 +22,7 @@
 		if err := one(ctx, c); err != nil {
 			return err
 		}
-		f.pause(ctx, f.load.interval())
+		f.pause(ctx, f.load.interval(f.target))
 		if c.dead() {
 			return context.Cause(c.quic.Context())
 		}
@@ -44,7 +44,7 @@
 		if err != nil || o != Unknown {
 			return err
 		}
-		f.pause(ctx, f.load.interval())
+		f.pause(ctx, f.load.interval(f.target))
 	}
 	return nil
 }
@@ -84,6 +84,7 @@
 		return answer{}, err
 	}
 	req.Header.Set(gdupstreamsim.HeaderRequestID, id)
+	req.Header.Set(gdupstreamsim.HeaderTimeout, strconv.FormatInt(f.load.timeout().Milliseconds(), 10))
 	if key != "" {
 		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, key)
 	}
--- a/internal/rig/gdload/tally.go
+++ b/internal/rig/gdload/tally.go
@@ -57,13 +57,12 @@
 	latency  *hdrhistogram.Histogram
 	upstream map[string]int
 	samples  []Sample
-	start    time.Time
 	refused  []string // request ids that were refused as not run
 }
 
 // Sample is one finished request, for plots.
 type Sample struct {
-	At      time.Duration
+	At      time.Time
 	Service string
 	Kind    string
 	Latency time.Duration
@@ -119,13 +118,16 @@
 func (t *tally) sample(s Sample, end time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.start.IsZero() {
-		t.start = end
-	}
-	s.At = end.Sub(t.start)
+	s.At = end
 	t.samples = append(t.samples, s)
 }
 
+func (t *tally) copySamples() []Sample {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Sample{}, t.samples...)
+}
+
 func (t *tally) result(targets []Target, rec *gdupstreamsim.Record) Result {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -5,6 +5,7 @@
 	"crypto/x509"
 	"net/netip"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -142,12 +143,15 @@
 	return r.startProcess(gdplatsim.RoleAgent, s)
 }
 
+// balancerName returns the name of the balancer with the number.
+func balancerName(n int) string { return "balancer-" + strconv.Itoa(n+1) }
+
 // startBalancer starts the balancer with the number, in the failure domains'
 // order.
 func (r *Rig) startBalancer(n int) error {
 	host := loopback(firstBalancerHost + byte(n))
 	domains := r.deployment.Domains
-	s := r.common("balancer-"+string(rune('a'+n)), domains[n%len(domains)].Name)
+	s := r.common(balancerName(n), domains[n%len(domains)].Name)
 	s.NodeAddress = netip.AddrPortFrom(host, nodePort).String()
 	s.OperatorAddress = netip.AddrPortFrom(host, operatorPort).String()
 	s.ListenHost = host.String()
@@ -156,6 +160,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.started++
 	r.balancers = append(r.balancers, gdfabric.Balancer{Name: s.Name, Domain: s.Domain, Host: host})
 	return nil
 }
@@ -183,23 +188,6 @@
 	return nil
 }
 
-// announce gives the live hosts to the platform's list and the fabric.
-func (r *Rig) announce() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var hosts []gdplatsim.Host
-	for _, p := range r.processes {
-		hosts = append(hosts, gdplatsim.Host{
-			Name: p.Name(), Role: p.Role(), Domain: p.Domain(),
-			Address:         p.settings.NodeAddress,
-			OperatorAddress: p.settings.OperatorAddress,
-			State:           gdplatsim.StateLive,
-		})
-	}
-	r.Platform.SetHosts(hosts)
-	r.Fabric.SetBalancers(r.balancers)
-}
-
 func (r *Rig) awaitService(ctx context.Context, t gdload.Target, roots *x509.CertPool) error {
 	var last error
 	for {
--- a/internal/rig/gdrigup/rig.go
+++ b/internal/rig/gdrigup/rig.go
@@ -49,6 +49,7 @@
 	upstreams  map[string]*gdupstreamsim.Upstream
 	processes  map[string]*Process
 	balancers  []gdfabric.Balancer
+	started    int // balancers started so far
 	cancel     context.CancelFunc
 	wg         sync.WaitGroup
 }
--- a/internal/rig/gdupstreamsim/handler.go
+++ b/internal/rig/gdupstreamsim/handler.go
@@ -18,8 +18,8 @@
 	// HeaderService and HeaderUpstream name who answered.
 	HeaderService  = "X-Service"
 	HeaderUpstream = "X-Upstream"
-	// HeaderDeadline is the time left to answer, in milliseconds.
-	HeaderDeadline = "Godwitdrift-Deadline-Ms"
+	// HeaderTimeout is the time left to answer, in milliseconds.
+	HeaderTimeout = "Godwitdrift-Timeout-Ms"
 )
 
 // maxBody bounds the body that an upstream echoes.
@@ -116,7 +116,7 @@
 
 // withDeadline bounds the run by the deadline header.
 func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
-	ms, err := strconv.ParseInt(r.Header.Get(HeaderDeadline), 10, 64)
+	ms, err := strconv.ParseInt(r.Header.Get(HeaderTimeout), 10, 64)
 	if err != nil || ms <= 0 {
 		return context.WithCancel(r.Context())
 	}
