Mark the feeds of the examples as streams

Ruled out: taking every long answer for a stream, because a slow download does hold a slot. Change: the routes of /feed are streams; gallery and receipts, which have no feeds, get none as load.

--- a/examples/kiosks/main.go
+++ b/examples/kiosks/main.go
@@ -38,7 +38,7 @@
 			Name: "bay-control", ID: 1, Address: "192.0.2.10:443", Priority: 2,
 			Routes: []config.Route{
 				{PathPrefix: "/unlock", Priority: 1, AtMostOnce: true},
-				{PathPrefix: "/feed", Priority: 2},
+				{PathPrefix: "/feed", Priority: 2, Stream: true},
 			},
 			RampSeconds: 10,
 			Upstreams:   upstreams("bay-control", 100, 7),
--- a/examples/rejilla-norte/main.go
+++ b/examples/rejilla-norte/main.go
@@ -38,7 +38,7 @@
 			Name: "booking", ID: 1, Address: "192.0.2.10:443", Priority: 1,
 			Routes: []config.Route{
 				{PathPrefix: "/repairs", Priority: 1, AtMostOnce: true},
-				{PathPrefix: "/feed", Priority: 1},
+				{PathPrefix: "/feed", Priority: 1, Stream: true},
 			},
 			RampSeconds: 10,
 			Upstreams:   upstreams("booking", 100, 7),
