--- a/internal/core/gdadmit/model_test.go
+++ b/internal/core/gdadmit/model_test.go
@@ -32,6 +32,7 @@
 	arrived, good [4]int // by priority; index 0 is the sum
 	over          int    // starts beyond what a cold upstream bears
 	latency       []time.Duration
+	uncertain     [4]int          // by priority: not served and perhaps run
 	refusalWait   []time.Duration // from arrival to a refusal "not run"
 	// These count over the whole run. Passed are relays and retries; moved are
 	// the relays of a leaving upstream.
@@ -264,7 +265,12 @@
 		m.res.latency = append(m.res.latency, now.Sub(c.arrived))
 		delete(m.calls, c.req.id)
 	case o.kind != OutcomeOK:
-		actions = append(actions, n.core.Retry(now, c.req, o))
+		a := n.core.Retry(now, c.req, o)
+		if !a.NotRun() && c.measured {
+			m.res.uncertain[0]++
+			m.res.uncertain[c.req.priority]++
+		}
+		actions = append(actions, a)
 	}
 	m.apply(now, n, actions)
 }
--- a/internal/core/gdadmit/policy_test.go
+++ b/internal/core/gdadmit/policy_test.go
@@ -88,9 +88,9 @@
 		for _, s := range scenarios(slots) {
 			for _, p := range policies {
 				r := runModel(s, modelSeed, p.core)
-				fmt.Printf("| %d | %s | %s | %.0f | %.3f | %.3f | %.3f | %d | %d | %d | %d | %.3f | %d |\n", slots, s.name, p.name,
+				fmt.Printf("| %d | %s | %s | %.0f | %.3f | %.3f | %.3f | %d | %d | %d | %d | %d | %d | %.3f | %d |\n", slots, s.name, p.name,
 					float64(r.good[0])/(modelEnd-modelStart).Seconds(), r.ratio(1), r.ratio(2), r.ratio(3),
-					quantile(r.latency, 0.99), quantile(r.refusalWait, 0.5), quantile(r.refusalWait, 0.99), r.over, float64(r.passed)/float64(r.started), r.moved)
+					quantile(r.latency, 0.99), quantile(r.refusalWait, 0.5), quantile(r.refusalWait, 0.99), r.uncertain[0], r.uncertain[1], r.over, float64(r.passed)/float64(r.started), r.moved)
 			}
 		}
 	}
