Let the baseline follow growing latency while the upstream is warm

Ruled out: no fall-back on latency at all, which would miss a cold start. Change: the baseline rises with 5 s while the upstream counts as warm and with 60 s while it counts as cold; a jump is still one.

--- a/internal/core/gdadmit/baseline.go
+++ b/internal/core/gdadmit/baseline.go
@@ -10,10 +10,13 @@
 	windowSamples = 16
 	// baselineFall is the share by which the baseline follows a lower mean.
 	baselineFall = 1.0 / 8
-	// baselineRise is the time constant with which the baseline follows a higher
-	// mean. It is longer than a usual ramp, so that an upstream in cold start is
-	// not taken for a warm one that has become slower.
-	baselineRise = 60 * time.Second
+	// warmRise is the time constant with which the baseline follows a higher mean
+	// of a warm upstream, so that latency which grows bit by bit is accepted.
+	warmRise = 5 * time.Second
+	// coldRise is the same for an upstream that looks cold. It is longer than a
+	// usual ramp, so that a cold upstream is not soon taken for a warm one that
+	// has become slower.
+	coldRise = 60 * time.Second
 )
 
 // baseline estimates the mean latency of the warm upstream. It follows lower
@@ -27,8 +30,8 @@
 	known bool
 }
 
-// add takes in one latency.
-func (b *baseline) add(now time.Time, latency time.Duration) {
+// add takes in one latency. Rise is the time constant for higher means.
+func (b *baseline) add(now time.Time, latency, rise time.Duration) {
 	if b.n == 0 {
 		b.since = now
 	}
@@ -41,16 +44,16 @@
 	if b.n < windowSamples {
 		return
 	}
-	b.follow(window, now.Sub(b.since))
+	b.follow(window, now.Sub(b.since), rise)
 	b.known = true
 	b.sum, b.n = 0, 0
 }
 
 // follow moves the mean towards that of a window which lasted the given time.
-func (b *baseline) follow(window, lasted time.Duration) {
+func (b *baseline) follow(window, lasted, rise time.Duration) {
 	share := baselineFall
 	if window > b.mean {
-		share = 1 - math.Exp(-lasted.Seconds()/baselineRise.Seconds())
+		share = 1 - math.Exp(-lasted.Seconds()/rise.Seconds())
 	}
 	b.mean += time.Duration(share * float64(window-b.mean))
 }
--- a/internal/core/gdadmit/slowstart.go
+++ b/internal/core/gdadmit/slowstart.go
@@ -133,7 +133,11 @@
 
 func (s *slowStart) judgeLatency(now time.Time, latency time.Duration) verdict {
 	s.pause = 0
-	s.base.add(now, latency)
+	rise := time.Duration(warmRise)
+	if s.hold > 0 {
+		rise = coldRise
+	}
+	s.base.add(now, latency, rise)
 	s.recent.add(latency)
 	slow := s.SlowAfter()
 	switch {
