--- a/internal/core/gdadmit/slowstart.go
+++ b/internal/core/gdadmit/slowstart.go
@@ -125,10 +125,7 @@
 			return verdictNone
 		}
 	}
-	if s.limit == 1 {
-		s.rest(now)
-	}
-	return s.countBad(now, x.kind != OutcomeFailed)
+	return s.countBad(now, x.kind)
 }
 
 func (s *slowStart) judgeLatency(now time.Time, latency time.Duration) verdict {
@@ -146,7 +143,7 @@
 		s.Restart(now)
 		return verdictCold
 	case latency >= slow:
-		return s.countBad(now, false)
+		return s.countBad(now, OutcomeOK)
 	case s.recent.value > raisedFactor*s.base.mean:
 		s.bad = 0
 		return verdictRaised
@@ -158,7 +155,8 @@
 // countBad counts bad outcomes in a row. A single failed or slow answer may be
 // chance; a shed answer or a timeout says by itself that the upstream bears less
 // than its slots.
-func (s *slowStart) countBad(now time.Time, certain bool) verdict {
+func (s *slowStart) countBad(now time.Time, kind OutcomeKind) verdict {
+	certain := kind == OutcomeShed || kind == OutcomeTimeout
 	s.good = 0
 	s.bad++
 	if certain {
@@ -166,6 +164,9 @@
 	}
 	switch {
 	case s.bad >= collapseAfter:
+		if s.limit == 1 && kind != OutcomeOK {
+			s.rest(now)
+		}
 		s.Restart(now)
 		return verdictCold
 	case certain || s.bad > 1:
