Bound the wait of relayed requests and gate the gradient's growth

Cause: a relayed request could wait half of what its first wait had left, so a refusal could come after three quarters of its time; the gradient grew on raised latency while the upstream counted as cold. Change: a relayed request waits at most an eighth of the time left to it; on raised latency the gradient only falls.

--- a/internal/core/gdadmit/gradient.go
+++ b/internal/core/gdadmit/gradient.go
@@ -30,7 +30,8 @@
 	case verdictBad:
 		g.set(g.limit * badBackoff)
 	case verdictRaised:
-		g.move()
+		g.good = 0
+		g.set(min(g.limit, g.target()))
 	case verdictGood:
 		g.observeGood(now, s)
 	}
@@ -41,15 +42,16 @@
 	grows := g.step(now, s)
 	switch {
 	case g.hold == 0 && s.saturated:
-		g.move()
+		g.set(g.target())
 	case grows:
 		g.set(math.Floor(g.limit) + 1)
 	}
 }
 
-func (g *Gradient) move() {
+// target returns the limit that the latencies suggest, one smoothed step away.
+func (g *Gradient) target() float64 {
 	ratio := gradientTolerance * float64(g.base.mean) / float64(max(g.recent.value, 1))
 	ratio = min(max(ratio, gradientFloor), 1)
-	target := g.limit*ratio + gradientQueue
-	g.set(g.limit + gradientShare*(target-g.limit))
+	wanted := g.limit*ratio + gradientQueue
+	return g.limit + gradientShare*(wanted-g.limit)
 }
--- a/internal/core/gdadmit/job.go
+++ b/internal/core/gdadmit/job.go
@@ -21,13 +21,26 @@
 
 func (j job) before(other job) bool { return j.priority < other.priority }
 
-// lastStart returns the last useful moment for a start: not more than half of
-// the request's time may be gone, and not more than maxWait.
+const (
+	// waitShare is the share of a request's time, as its inverse, that may pass
+	// before its start.
+	waitShare = 2
+	// relayedShare is the same for a request that was relayed here, where there
+	// should be room: it has waited before.
+	relayedShare = 8
+)
+
+// lastStart returns the last useful moment for a start: only a share of the
+// request's time may be gone, and not more than maxWait.
 func lastStart(now time.Time, r Request, maxWait time.Duration) time.Time {
 	if r.deadline.IsZero() {
 		return now.Add(maxWait)
 	}
-	return now.Add(min(r.deadline.Sub(now)/2, maxWait))
+	share := time.Duration(waitShare)
+	if r.hops > 0 {
+		share = relayedShare
+	}
+	return now.Add(min(r.deadline.Sub(now)/share, maxWait))
 }
 
 // inTime reports whether a start at the given moment is of use, when serving
