Agree on the configuration between processes, relay to peers, run keyed requests once

Cause: configuration came by polling, so a process without the platform had none; a full or leaving upstream could only refuse; a request with a key ran like any other. Ruled out: asking about keys over a path of our own; the twirp service takes the question in the ledger's own codec instead of a second set of states.

--- a/internal/core/gdsync/member.go
+++ b/internal/core/gdsync/member.go
@@ -98,9 +98,17 @@
 	return len(m.list) + 1
 }
 
+// find returns the member with the name, or with the address when a message
+// only carried that.
 func (m *membership) find(name string) (Member, bool) {
-	i, ok := m.search(name)
-	if !ok || name == m.self {
+	if name == m.self {
+		return Member{}, false
+	}
+	if i, ok := m.search(name); ok {
+		return m.list[i], true
+	}
+	i := slices.IndexFunc(m.list, func(p Member) bool { return p.address == name })
+	if i < 0 {
 		return Member{}, false
 	}
 	return m.list[i], true
--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"crypto/tls"
-	"encoding/binary"
 	"net"
 	"net/http"
 	"net/netip"
@@ -57,6 +55,9 @@
 	NodeAddress netip.AddrPort
 	// Upstream is the upstream beside which the agent runs.
 	Upstream gdconf.UpstreamID
+	// Incarnation tells this process from earlier ones in its place. It is random
+	// for each run.
+	Incarnation uint32
 	// Requests serves what callers ask for.
 	Requests Requests
 	// Fleet is the key that all processes share.
@@ -70,10 +71,9 @@
 	// Counters counts decisions.
 	Counters gdnode.Counters
 
-	incarnation atomic.Uint32
-	node        *net.UDPConn
-	flows       flows
-	stopping    atomic.Bool
+	node     *net.UDPConn
+	flows    flows
+	stopping atomic.Bool
 }
 
 // Run serves until the context ends, then drains: it takes no new work and
@@ -110,11 +110,6 @@
 
 // open prepares what the duties share.
 func (a *Agent) open() error {
-	var b [4]byte
-	if _, err := rand.Read(b[:]); err != nil {
-		return errors.Wrap(err, "choose an incarnation")
-	}
-	a.incarnation.Store(binary.BigEndian.Uint32(b[:]))
 	node, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.NodeAddress))
 	if err != nil {
 		return errors.Wrap(err, "open the node address")
@@ -131,7 +126,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	conn := newCallerConn(a.node, sealer, 2*a.MaxFlows, uint64(a.incarnation.Load()))
+	conn := newCallerConn(a.node, sealer, 2*a.MaxFlows, uint64(a.Incarnation))
 	conn.counters = &a.Counters
 	conn.service = a.service
 	var reset quic.StatelessResetKey
@@ -244,10 +239,6 @@
 	return u.Service().Drain()
 }
 
-// Incarnation returns the number that tells this process from earlier ones in
-// its place. It is random for each run.
-func (a *Agent) Incarnation() uint32 { return a.incarnation.Load() }
-
 // State is the part of the dump that only agents have.
 type State struct {
 	Flows      int  `json:"flows"`
@@ -286,7 +277,7 @@
 		return quic.ConnectionID{}, errors.New("issue a route token: no configuration in force")
 	}
 	t.serial++
-	cid := gdtoken.NewSealer(ring).Seal(gdtoken.New(service, t.a.Upstream, t.a.incarnation.Load(), t.serial))
+	cid := gdtoken.NewSealer(ring).Seal(gdtoken.New(service, t.a.Upstream, t.a.Incarnation, t.serial))
 	return quic.ConnectionIDFromBytes(cid[:]), nil
 }
 
--- a/internal/process/gdagent/door.go
+++ b/internal/process/gdagent/door.go
@@ -41,7 +41,7 @@
 		opener:  gdenvelope.NewOpener(a.Fleet),
 		watcher: gdnode.Watcher{Fleet: a.Fleet, Config: a.Config},
 		core: gdroute.Door{
-			Self: a.Upstream, Incarnation: a.Incarnation(), Flows: a.MaxFlows, Idle: handshakeHold,
+			Self: a.Upstream, Incarnation: a.Incarnation, Flows: a.MaxFlows, Idle: handshakeHold,
 		},
 	}, nil
 }
--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"godwitdrift.example/godwitdrift/internal/core/gdadmit"
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 )
@@ -18,13 +21,19 @@
 	reasonRelay     = "relay-failed"
 	reasonUpstream  = "upstream-failed"
 	reasonKeyNeeded = "key-needed"
+	reasonBody      = "body-too-large"
+	reasonConflict  = "key-of-another-request"
+	reasonOmitted   = "answer-not-kept"
 
 	notReadyRetry = time.Second
 )
 
+var errNoPeer = errors.New("relay: the peer has no known address")
+
 // ServeHTTP serves one request of a caller.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	r.Header.Del(HeaderHops)
+	r.Header.Del(HeaderService)
 	s.serve(w, r)
 }
 
@@ -49,7 +58,11 @@
 	q := s.read(r, u.Service(), now)
 	ctx, cancel := q.bounded(r.Context())
 	defer cancel()
-	s.serveRepeatable(ctx, w, q)
+	if q.keyed() {
+		s.serveKeyed(ctx, w, q)
+		return
+	}
+	s.servePlain(ctx, w, q)
 }
 
 // sameService reports whether a relayed request is for the service. A caller's
@@ -59,8 +72,8 @@
 	return name == "" || name == strconv.Itoa(int(id))
 }
 
-// serveRepeatable serves a request without a ledger entry.
-func (s *Server) serveRepeatable(ctx context.Context, w http.ResponseWriter, q *request) {
+// servePlain serves a request that the ledger does not know.
+func (s *Server) servePlain(ctx context.Context, w http.ResponseWriter, q *request) {
 	a, ok := s.admit(ctx, q.admission())
 	if !ok {
 		s.note(q, "refuse", reasonBusy, 0)
@@ -139,24 +152,34 @@
 
 // relay passes the request on to a peer.
 func (s *Server) relay(ctx context.Context, w http.ResponseWriter, q *request, a gdadmit.Action) {
-	to, ok := s.Config.View().Upstream(a.Peer())
-	if !ok || s.Peers == nil {
+	rep := s.sendPeer(ctx, q, a.Peer(), q.Body)
+	switch {
+	case rep.err == nil:
+		answer(w, rep.response)
+	case rep.outcome.MayHaveStarted() && !q.safe():
+		unknown(reasonRelay).write(w)
+	default:
 		notRun(reasonRelay, notReadyRetry).write(w)
-		return
+	}
+}
+
+// sendPeer sends the request to the agent of a peer.
+func (s *Server) sendPeer(ctx context.Context, q *request, peer gdconf.UpstreamID, body io.ReadCloser) reply {
+	addr, ok := s.addressOf(peer)
+	if !ok || s.Peers == nil {
+		return reply{outcome: gdadmit.NewOutcome(gdadmit.OutcomeFailed, 0, false), err: errNoPeer}
 	}
 	out := q.Clone(ctx)
+	out.Body = body
 	prepare(ctx, out.Header)
 	out.Header.Set(HeaderHops, strconv.Itoa(q.hops+1))
 	out.Header.Set(HeaderService, strconv.Itoa(int(q.service.ID())))
-	res, reached, err := s.Peers.Relay(ctx, to, out)
-	switch {
-	case err == nil:
-		answer(w, res)
-	case reached && !q.safe():
-		unknown(reasonRelay).write(w)
-	default:
-		notRun(reasonRelay, notReadyRetry).write(w)
+	began := time.Now()
+	res, reached, err := s.Peers.Relay(ctx, addr, out)
+	if err != nil {
+		return reply{outcome: failure(ctx, time.Since(began), reached), err: err}
 	}
+	return reply{response: res}
 }
 
 func (s *Server) header(id uint64) {
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -11,19 +12,26 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gdadmit"
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
 	"godwitdrift.example/godwitdrift/internal/core/gdspread"
 	"godwitdrift.example/godwitdrift/internal/process/gdduty"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
 )
 
 // lookInterval is how often the admission core is told of a new configuration.
 const lookInterval = 100 * time.Millisecond
 
-// Peers is the port through which agents of one service reach each other.
+// Peers is the port through which agents of one service reach each other, by
+// the address of their control port.
 type Peers interface {
 	// Relay sends the request to a peer's agent and returns the response. It
 	// reports whether the peer may have got the request.
-	Relay(ctx context.Context, to *gdconf.Upstream, r *http.Request) (*http.Response, bool, error)
+	Relay(ctx context.Context, addr string, r *http.Request) (*http.Response, bool, error)
+	// Ask asks a peer about a key.
+	Ask(ctx context.Context, addr string, q gdonce.Question) (gdonce.Answer, error)
+	// ExchangeLoad tells a peer the own load and returns the peer's.
+	ExchangeLoad(ctx context.Context, addr string, l gdpeer.Load) (gdpeer.PeerLoad, error)
 }
 
 // Server serves requests. Its exported fields are set before Run.
@@ -34,6 +42,10 @@
 	Config gdnode.Config
 	// Target is the upstream's own address.
 	Target *url.URL
+	// Incarnation tells this process from earlier ones in its place.
+	Incarnation uint32
+	// Signer signs the keys that the system issues.
+	Signer *gdonce.Signer
 	// Peers is nil when nothing is relayed.
 	Peers Peers
 	// Rand is the random source of the decisions.
@@ -41,16 +53,20 @@
 	// Decided is called with each decision on a request, if it is set.
 	Decided func(Decision)
 
-	once       sync.Once
+	start      sync.Once
 	lastID     atomic.Uint64
 	inProgress atomic.Int64
 	stopping   atomic.Bool
 	proxy      *proxy
-	core       *gdadmit.Core
-	duty       *gdduty.Duty[gdadmit.Action]
-
-	mu      sync.Mutex
-	waiting map[uint64]chan gdadmit.Action
+	waiting    table[chan gdadmit.Action]
+	attempts   table[*attempt]
+	// addresses remembers where each agent of the service was last known.
+	addresses table[netip.AddrPort]
+
+	core   *gdadmit.Core
+	duty   *gdduty.Duty[gdadmit.Action]
+	once   *gdonce.Core
+	ledger *gdduty.Duty[gdonce.Action]
 }
 
 // Decision is the record of one decision on a request.
@@ -63,11 +79,10 @@
 }
 
 // init makes the parts that Run and the requests share; either may come first.
-func (s *Server) init() { s.once.Do(s.build) }
+func (s *Server) init() { s.start.Do(s.build) }
 
 func (s *Server) build() {
 	s.proxy = newProxy(s.Target)
-	s.waiting = make(map[uint64]chan gdadmit.Action)
 	s.core = &gdadmit.Core{
 		Slots:  1,
 		Limit:  &gdadmit.AIMD{},
@@ -79,13 +94,23 @@
 		NextTick: s.core.NextTick,
 		Deliver:  s.deliver,
 	}
+	s.once = &gdonce.Core{Self: s.Self, Incarnation: s.Incarnation, Signer: s.Signer, Rand: s.Rand}
+	s.ledger = &gdduty.Duty[gdonce.Action]{
+		Tick:     s.once.Tick,
+		NextTick: s.once.NextTick,
+		Deliver:  s.deliverLedger,
+	}
 }
 
 // Run serves until the context ends. Requests in progress go on.
 func (s *Server) Run(ctx context.Context) {
 	s.init()
-	go s.watch(ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() { s.watch(ctx) })
+	wg.Go(func() { s.exchangeLoads(ctx) })
+	wg.Go(func() { s.ledger.Run(ctx) })
 	s.duty.Run(ctx)
+	wg.Wait()
 }
 
 // watch tells the core when the configuration or the server's state changes.
@@ -98,7 +123,9 @@
 		v, stop := s.Config.View(), s.stopping.Load()
 		if v != nil && (v != view || stop != stopping) {
 			view, stopping = v, stop
+			s.remember(v)
 			s.duty.Post(func(now time.Time) []gdadmit.Action { return s.apply(now, v, stop) })
+			s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.SetView(now, v) })
 		}
 		select {
 		case <-ctx.Done():
@@ -108,6 +135,23 @@
 	}
 }
 
+// remember notes the addresses of the service's agents. Those that leave the
+// configuration are kept, because they may still know what became of a key.
+func (s *Server) remember(v *gdconf.View) {
+	self, ok := v.Upstream(s.Self)
+	if !ok {
+		return
+	}
+	for _, u := range self.Service().Upstreams() {
+		s.addresses.add(uint64(u.ID()), u.Agent())
+	}
+}
+
+func (s *Server) addressOf(id gdconf.UpstreamID) (string, bool) {
+	a, ok := s.addresses.get(uint64(id))
+	return a.String(), ok
+}
+
 // apply takes a configuration over. It runs in the duty's goroutine.
 func (s *Server) apply(now time.Time, v *gdconf.View, stopping bool) []gdadmit.Action {
 	u, ok := v.Upstream(s.Self)
@@ -146,39 +190,10 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
-// Load returns the upstream's load, for the peers. It waits for the core.
-func (s *Server) Load(ctx context.Context) (gdadmit.Load, bool) {
-	got := make(chan gdadmit.Load, 1)
-	ok := s.duty.Offer(func(now time.Time) []gdadmit.Action {
-		got <- s.core.Load(now)
-		return nil
-	})
-	if !ok {
-		return gdadmit.Load{}, false
-	}
-	select {
-	case l := <-got:
-		return l, true
-	case <-ctx.Done():
-		return gdadmit.Load{}, false
-	}
-}
-
-// PeerLoad notes the load that a peer reported.
-func (s *Server) PeerLoad(id gdconf.UpstreamID, l gdadmit.Load) {
-	s.duty.Offer(func(now time.Time) []gdadmit.Action {
-		s.core.PeerLoad(now, id, l)
-		return nil
-	})
-}
-
 // deliver hands an action to the request that waits for it.
 func (s *Server) deliver(a gdadmit.Action) {
-	s.mu.Lock()
-	ch := s.waiting[a.ID()]
-	delete(s.waiting, a.ID())
-	s.mu.Unlock()
-	if ch != nil {
+	ch, ok := s.waiting.take(a.ID())
+	if ok {
 		ch <- a
 	}
 }
@@ -187,11 +202,9 @@
 // gave up first, or when the core can't take the request.
 func (s *Server) admit(ctx context.Context, r gdadmit.Request) (gdadmit.Action, bool) {
 	ch := make(chan gdadmit.Action, 1)
-	s.mu.Lock()
-	s.waiting[r.ID()] = ch
-	s.mu.Unlock()
+	s.waiting.add(r.ID(), ch)
 	if !s.duty.Offer(func(now time.Time) []gdadmit.Action { return s.core.Arrive(now, r) }) {
-		s.forget(r.ID())
+		s.waiting.remove(r.ID())
 		return gdadmit.Action{}, false
 	}
 	select {
@@ -214,7 +227,7 @@
 	case <-done:
 	case <-time.After(lookInterval): // the duty has ended
 	}
-	s.forget(id)
+	s.waiting.remove(id)
 	select {
 	case a := <-ch:
 		return a, true
@@ -222,9 +235,3 @@
 		return gdadmit.Action{}, false
 	}
 }
-
-func (s *Server) forget(id uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.waiting, id)
-}
--- a/internal/process/gdserve/agent.go
+++ b/internal/process/gdserve/agent.go
@@ -4,66 +4,95 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net/http"
 	"net/url"
 
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
 	"godwitdrift.example/godwitdrift/internal/process/gdagent"
-	"godwitdrift.example/godwitdrift/internal/process/gdpoll"
+	"godwitdrift.example/godwitdrift/internal/process/gdconfsync"
 	"godwitdrift.example/godwitdrift/internal/process/gdrequest"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
 )
 
+// signerKeySize is the length in bytes of the key that signs issued keys.
+const signerKeySize = 32
+
+// peers reaches the other agents of the service.
+type peers struct {
+	*gdpeer.Dialer
+	*gdpeer.Relayer
+}
+
 // Agent runs an agent until the context ends, and then until it has drained. It
 // logs to w.
 func Agent(ctx context.Context, s gdsettings.Agent, w io.Writer) error {
 	inj := do.New()
 	provideCommon(inj, s.Common, roleAgent, w)
-	fleet, err := do.Invoke[gdkey.Fleet](inj)
+	do.ProvideValue(inj, s)
+	do.Provide(inj, provideRequests)
+	requests, err := do.Invoke[*gdrequest.Server](inj)
 	if err != nil {
 		return err
 	}
-	target, err := url.Parse(s.UpstreamURL)
-	if err != nil {
-		return errors.Wrap(err, "read the upstream's URL")
-	}
-	conf := do.MustInvoke[*gdpoll.Poller](inj)
 	certs := &gdagent.Certificates{
 		CertFile: s.CertFile,
 		KeyFile:  s.KeyFile,
 		Loaded:   logCertificate(do.MustInvoke[gdlog.Logger](inj)),
 	}
-	requests := &gdrequest.Server{
-		Self:   gdconf.UpstreamID(s.UpstreamID),
-		Config: conf,
-		Target: target,
-		Rand:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
 	a := &gdagent.Agent{
 		NodeAddress: s.NodeAddress,
 		Upstream:    gdconf.UpstreamID(s.UpstreamID),
+		Incarnation: uint32(do.MustInvoke[incarnation](inj)),
 		Requests:    requests,
-		Fleet:       fleet,
-		Config:      conf,
+		Fleet:       do.MustInvoke[gdkey.Fleet](inj),
+		Config:      do.MustInvoke[*gdconfsync.Syncer](inj),
 		Certificate: certs.Get,
 		MaxFlows:    s.MaxFlows,
 	}
-	p := &process{
-		settings:    s.Common,
-		role:        roleAgent,
-		incarnation: a.Incarnation,
-		config:      conf,
-		counters:    &a.Counters,
-		state:       func() any { return a.State() },
+	p := newProcess(inj, &a.Counters, func() any { return a.State() })
+	p.peers.Loads = requests
+	p.peers.Questions = requests
+	p.peers.Handlers = map[string]http.Handler{
+		gdpeer.RelayPrefix + "/": http.StripPrefix(gdpeer.RelayPrefix, http.HandlerFunc(requests.ServePeer)),
 	}
-	go requests.Run(context.WithoutCancel(ctx)) // ends with the process
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	go requests.Run(life) // goes on while the agent drains
 	return runProcess(ctx, inj, p, a.Run)
 }
 
+func provideRequests(inj do.Injector) (*gdrequest.Server, error) {
+	s := do.MustInvoke[gdsettings.Agent](inj)
+	target, err := url.Parse(s.UpstreamURL)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the upstream's URL")
+	}
+	conf, err := do.Invoke[*gdconfsync.Syncer](inj)
+	if err != nil {
+		return nil, err
+	}
+	fleet := do.MustInvoke[gdkey.Fleet](inj)
+	return &gdrequest.Server{
+		Self:        gdconf.UpstreamID(s.UpstreamID),
+		Incarnation: uint32(do.MustInvoke[incarnation](inj)),
+		Config:      conf,
+		Target:      target,
+		Signer:      gdonce.NewSigner(fleet.Derive("issued-keys", signerKeySize)),
+		Peers: peers{
+			Dialer:  do.MustInvoke[*gdpeer.Dialer](inj),
+			Relayer: &gdpeer.Relayer{Identity: do.MustInvoke[*gdpeer.Identity](inj)},
+		},
+		Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, nil
+}
+
 func logCertificate(log gdlog.Logger) func(error) {
 	return func(err error) {
 		if err != nil {
--- a/internal/process/gdserve/balancer.go
+++ b/internal/process/gdserve/balancer.go
@@ -3,13 +3,12 @@
 import (
 	"context"
 	"io"
-	"math/rand/v2"
 
 	"github.com/samber/do/v2"
 
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
 	"godwitdrift.example/godwitdrift/internal/process/gdbalancer"
-	"godwitdrift.example/godwitdrift/internal/process/gdpoll"
+	"godwitdrift.example/godwitdrift/internal/process/gdconfsync"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
 )
 
@@ -17,25 +16,16 @@
 func Balancer(ctx context.Context, s gdsettings.Balancer, w io.Writer) error {
 	inj := do.New()
 	provideCommon(inj, s.Common, roleBalancer, w)
-	fleet, err := do.Invoke[gdkey.Fleet](inj)
+	conf, err := do.Invoke[*gdconfsync.Syncer](inj)
 	if err != nil {
 		return err
 	}
-	conf := do.MustInvoke[*gdpoll.Poller](inj)
 	b := &gdbalancer.Balancer{
 		NodeAddress: s.NodeAddress,
 		ListenHost:  s.ListenHost,
-		Fleet:       fleet,
+		Fleet:       do.MustInvoke[gdkey.Fleet](inj),
 		Config:      conf,
 	}
-	incarnation := rand.Uint32()
-	p := &process{
-		settings:    s.Common,
-		role:        roleBalancer,
-		incarnation: func() uint32 { return incarnation },
-		config:      conf,
-		counters:    &b.Counters,
-		state:       func() any { return b.State() },
-	}
+	p := newProcess(inj, &b.Counters, func() any { return b.State() })
 	return runProcess(ctx, inj, p, b.Run)
 }
--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -3,29 +3,32 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
-	"sync"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 
-	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
+	"godwitdrift.example/godwitdrift/internal/process/gdconfsync"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
-	"godwitdrift.example/godwitdrift/internal/process/gdpoll"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
 )
 
 const (
 	roleBalancer = "balancer"
 	roleAgent    = "agent"
 
-	pollInterval    = time.Second
 	shutdownTimeout = 2 * time.Second
 	headerTimeout   = 5 * time.Second
 )
@@ -33,6 +36,9 @@
 // role is "balancer" or "agent".
 type role string
 
+// incarnation is a random number that differs with each start of a process.
+type incarnation uint32
+
 // provideCommon registers the parts that both roles have.
 func provideCommon(inj do.Injector, c gdsettings.Common, r role, w io.Writer) {
 	do.ProvideValue(inj, c)
@@ -40,6 +46,9 @@
 	log := gdlog.New(w, gdlog.ParseLevel(string(c.LogLevel)))
 	do.ProvideValue(inj, log.With("process", c.Name, "role", string(r)))
 	do.Provide(inj, provideFleet)
+	do.ProvideValue(inj, incarnation(rand.Uint32()))
+	do.Provide(inj, provideIdentity)
+	do.Provide(inj, provideDialer)
 	do.Provide(inj, provideConfig)
 	do.Provide(inj, provideMetrics)
 	do.ProvideValue(inj, gdoperator.NewRing(gdoperator.DefaultRecords))
@@ -53,9 +62,53 @@
 	return gdkey.New(key.Bytes())
 }
 
-func provideConfig(inj do.Injector) (*gdpoll.Poller, error) {
+func provideIdentity(inj do.Injector) (*gdpeer.Identity, error) {
+	fleet, err := do.Invoke[gdkey.Fleet](inj)
+	if err != nil {
+		return nil, err
+	}
+	return gdpeer.NewIdentity(fleet.Derive("peer", gdpeer.SeedBytes))
+}
+
+func provideDialer(inj do.Injector) (*gdpeer.Dialer, error) {
+	id, err := do.Invoke[*gdpeer.Identity](inj)
+	if err != nil {
+		return nil, err
+	}
+	return &gdpeer.Dialer{
+		Identity:    id,
+		Name:        do.MustInvoke[gdsettings.Common](inj).Name,
+		Incarnation: uint64(do.MustInvoke[incarnation](inj)),
+	}, nil
+}
+
+func provideConfig(inj do.Injector) (*gdconfsync.Syncer, error) {
+	dialer, err := do.Invoke[*gdpeer.Dialer](inj)
+	if err != nil {
+		return nil, err
+	}
 	c := do.MustInvoke[gdsettings.Common](inj)
-	return &gdpoll.Poller{Platform: c.Platform, Interval: pollInterval}, nil
+	s := &gdconfsync.Syncer{
+		Name:     c.Name,
+		Seed:     rand.Uint64(),
+		Platform: &gdplatform.Client{URL: c.Platform, Remember: []string{config.IndexKey}},
+		Peers:    dialer,
+		Observe:  observe(do.MustInvoke[gdlog.Logger](inj)),
+	}
+	dialer.Version = s.Version
+	return s, nil
+}
+
+// observe logs what the configuration core does.
+func observe(log gdlog.Logger) func(gdsync.Action) {
+	return func(a gdsync.Action) {
+		switch a := a.(type) {
+		case gdsync.InForce:
+			log.Event(gdlog.ConfigurationInForce, "version", a.State.Version().String())
+		case gdsync.Rejected:
+			log.Event(gdlog.ConfigurationInvalid, "revision", a.Revision, "reason", a.Problems.Error())
+		}
+	}
 }
 
 func provideMetrics(inj do.Injector) (*gdmetric.Metrics, error) {
@@ -67,75 +120,71 @@
 type process struct {
 	settings    gdsettings.Common
 	role        role
-	incarnation func() uint32
-	config      gdnode.Config
+	incarnation incarnation
+	config      *gdconfsync.Syncer
 	counters    *gdnode.Counters
 	state       func() any
+	// peers serves the other processes of the fleet.
+	peers *gdpeer.Server
+}
 
-	mu      sync.Mutex
-	version gdconf.Version
-	since   time.Time
+func newProcess(inj do.Injector, counters *gdnode.Counters, state func() any) *process {
+	s := do.MustInvoke[*gdconfsync.Syncer](inj)
+	p := &process{
+		settings:    do.MustInvoke[gdsettings.Common](inj),
+		role:        do.MustInvoke[role](inj),
+		incarnation: do.MustInvoke[incarnation](inj),
+		config:      s,
+		counters:    counters,
+		state:       state,
+	}
+	p.peers = &gdpeer.Server{
+		Identity:    do.MustInvoke[*gdpeer.Identity](inj),
+		Incarnation: uint64(p.incarnation),
+		Config:      s,
+	}
+	return p
 }
 
 // Status returns what the process says about itself.
 func (p *process) Status() gdoperator.Status {
+	c := p.config.Status()
 	st := gdoperator.Status{
 		Name:        p.settings.Name,
 		Role:        string(p.role),
 		Domain:      p.settings.Domain,
-		Incarnation: uint64(p.incarnation()),
+		Incarnation: uint64(p.incarnation),
+		Ready:       p.config.MayDecide(time.Now()),
+		Since:       c.Since,
 	}
-	v := p.config.View()
-	if v == nil {
-		return st
+	if p.config.View() != nil {
+		st.Version = c.Version
+		st.Seen = c.Version
+		st.Revision = c.Revision
 	}
-	st.Ready = p.config.MayDecide(time.Now())
-	st.Version = v.Version().String()
-	st.Seen = st.Version
-	st.Revision = v.Version().Revision()
-	st.Since = p.inForceSince(v.Version())
-	return st
-}
-
-// inForceSince remembers when a version was first noticed.
-func (p *process) inForceSince(v gdconf.Version) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if v != p.version {
-		p.version = v
-		p.since = time.Now()
+	if c.RejectedReason != "" {
+		st.Rejected = &gdoperator.Rejection{Version: strconv.FormatUint(c.RejectedRevision, 10), Reason: c.RejectedReason}
 	}
-	return p.since
+	return st
 }
 
 // dump is the state that every process shows.
 type dump struct {
-	Status   gdoperator.Status `json:"status"`
-	Counters []gdnode.Count    `json:"counters"`
-	State    any               `json:"state"`
+	Status        gdoperator.Status `json:"status"`
+	Configuration gdconfsync.Status `json:"configuration"`
+	RefusedPeers  int64             `json:"refused-peers"`
+	Counters      []gdnode.Count    `json:"counters"`
+	State         any               `json:"state"`
 }
 
 // Dump returns the state of the process.
 func (p *process) Dump() any {
-	return dump{Status: p.Status(), Counters: p.counters.Snapshot(), State: p.state()}
-}
-
-// watchVersions logs each new version until the context ends.
-func (p *process) watchVersions(ctx context.Context, log gdlog.Logger) {
-	t := time.NewTicker(100 * time.Millisecond)
-	defer t.Stop()
-	var last gdconf.Version
-	for {
-		if v := p.config.View(); v != nil && v.Version() != last {
-			last = v.Version()
-			p.inForceSince(last)
-			log.Event(gdlog.ConfigurationInForce, "version", last.String())
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
+	return dump{
+		Status:        p.Status(),
+		Configuration: p.config.Status(),
+		RefusedPeers:  p.peers.Refused(),
+		Counters:      p.counters.Snapshot(),
+		State:         p.state(),
 	}
 }
 
@@ -162,19 +211,32 @@
 	return nil
 }
 
+// servePeers serves the other processes of the fleet until the context ends.
+func servePeers(ctx context.Context, p *process) error {
+	l, err := net.Listen("tcp", p.settings.NodeAddress.String())
+	if err != nil {
+		return errors.Wrap(err, "open the node address for peers")
+	}
+	go func() { _ = p.peers.Serve(ctx, l) }() // ends with the context
+	return nil
+}
+
 // runProcess runs the main duty between the process's first and last event. The
-// operator port stays open while the duty drains.
+// operator port and the peer port stay open while the duty drains.
 func runProcess(ctx context.Context, inj do.Injector, p *process, duty func(context.Context) error) error {
 	log := do.MustInvoke[gdlog.Logger](inj)
-	poller := do.MustInvoke[*gdpoll.Poller](inj)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
 	defer end()
-	if err := serveOperator(life, inj, p); err != nil {
-		log.Failure(gdlog.ProcessFailed, err)
-		return err
+	for _, start := range []func() error{
+		func() error { return serveOperator(life, inj, p) },
+		func() error { return servePeers(life, p) },
+	} {
+		if err := start(); err != nil {
+			log.Failure(gdlog.ProcessFailed, err)
+			return err
+		}
 	}
-	go func() { _ = poller.Run(life) }()
-	go p.watchVersions(life, log)
+	go p.config.Run(life)
 	log.Event(gdlog.ProcessStarted)
 	if err := duty(ctx); err != nil {
 		log.Failure(gdlog.ProcessFailed, err)
--- a/internal/wire/gdpeer/dialer.go
+++ b/internal/wire/gdpeer/dialer.go
@@ -5,10 +5,12 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
 	"godwitdrift.example/godwitdrift/internal/core/gdsync"
 	"godwitdrift.example/godwitdrift/internal/wire/gdpeerpb"
 )
@@ -139,21 +141,19 @@
 	return PeerLoad{Load: toLoad(a.GetLoad()), Incarnation: a.GetIncarnation(), Version: toVersion(a.GetVersion())}, nil
 }
 
-// AskOutcome asks a peer what became of a request. On an error the outcome is
-// unknown.
-func (d *Dialer) AskOutcome(ctx context.Context, addr string, question Question) (Outcome, error) {
-	q := &gdpeerpb.AskOutcomeRequest{Sender: d.sender(), Key: question.Key, Digest: question.Digest}
-	a, err := call(ctx, d, "ask outcome", addr, gdpeerpb.Peer.AskOutcome, q)
+// Ask asks a peer about a key. On an error the peer may or may not have taken
+// the question in.
+func (d *Dialer) Ask(ctx context.Context, addr string, question gdonce.Question) (gdonce.Answer, error) {
+	data, err := cbor.Marshal(question)
 	if err != nil {
-		return Outcome{State: OutcomeUnknown}, err
+		return gdonce.Answer{}, errors.Wrap(err, "encode a question")
 	}
-	return Outcome{State: toState(a.GetState()), Answer: a.GetAnswer(), Incarnation: a.GetIncarnation()}, nil
-}
-
-// toState reads a state that this process does not know as unknown.
-func toState(s gdpeerpb.OutcomeState) OutcomeState {
-	if state := OutcomeState(s); state >= OutcomeUnknown && state <= OutcomeNeverSeen {
-		return state
+	q := &gdpeerpb.AskRequest{Sender: d.sender(), Question: data}
+	r, err := call(ctx, d, "ask about a key", addr, gdpeerpb.Peer.Ask, q)
+	if err != nil {
+		return gdonce.Answer{}, err
 	}
-	return OutcomeUnknown
+	var a gdonce.Answer
+	err = cbor.Unmarshal(r.GetAnswer(), &a)
+	return a, errors.Wrapf(err, "ask about a key at peer %s", addr)
 }
--- a/internal/wire/gdpeer/server.go
+++ b/internal/wire/gdpeer/server.go
@@ -8,10 +8,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
 	"godwitdrift.example/godwitdrift/internal/core/gdsync"
 	"godwitdrift.example/godwitdrift/internal/wire/gdpeerpb"
 )
@@ -43,9 +45,9 @@
 	ExchangeLoad(from Sender, peer Load) Load
 }
 
-// Outcomes knows what became of requests that run at most once.
-type Outcomes interface {
-	Outcome(ctx context.Context, from Sender, q Question) (Outcome, error)
+// Questions answers peers about the keys of requests that run at most once.
+type Questions interface {
+	Asked(ctx context.Context, q gdonce.Question) (gdonce.Answer, error)
 }
 
 // Server serves the peers of one process. Set the exported fields before Serve.
@@ -53,9 +55,9 @@
 	Identity    *Identity
 	Incarnation uint64
 	Config      Config
-	// Loads and Outcomes may be nil: their calls are then refused.
-	Loads    Loads
-	Outcomes Outcomes
+	// Loads and Questions may be nil: their calls are then refused.
+	Loads     Loads
+	Questions Questions
 	// Handlers are further handlers by their path pattern, as in http.ServeMux.
 	Handlers map[string]http.Handler
 
@@ -161,19 +163,25 @@
 	}, nil
 }
 
-// AskOutcome implements the generated service.
-func (s *service) AskOutcome(ctx context.Context, r *gdpeerpb.AskOutcomeRequest) (*gdpeerpb.AskOutcomeResponse, error) {
-	if s.server.Outcomes == nil {
+// Ask implements the generated service.
+func (s *service) Ask(ctx context.Context, r *gdpeerpb.AskRequest) (*gdpeerpb.AskResponse, error) {
+	if s.server.Questions == nil {
 		return nil, twirp.NewError(twirp.Unimplemented, "this process keeps no outcomes")
 	}
-	q := Question{Key: r.GetKey(), Digest: r.GetDigest()}
-	o, err := s.server.Outcomes.Outcome(ctx, s.sender(r.GetSender()), q)
+	var q gdonce.Question
+	if err := cbor.Unmarshal(r.GetQuestion(), &q); err != nil {
+		return nil, twirp.InvalidArgumentError("question", err.Error())
+	}
+	s.sender(r.GetSender())
+	a, err := s.server.Questions.Asked(ctx, q)
 	if err != nil {
 		return nil, twirp.NewError(twirp.Unavailable, err.Error())
 	}
-	return &gdpeerpb.AskOutcomeResponse{
-		State: gdpeerpb.OutcomeState(o.State), Answer: o.Answer, Incarnation: s.server.Incarnation,
-	}, nil
+	data, err := cbor.Marshal(a)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &gdpeerpb.AskResponse{Answer: data, Incarnation: s.server.Incarnation}, nil
 }
 
 // sender hands the sender's version to the configuration.
