--- a/internal/core/gdspread/spread.go
+++ b/internal/core/gdspread/spread.go
@@ -84,7 +84,7 @@
 // charges the budget. It reports false when no peer has room, or when the hops
 // or the budget are used up.
 func (c *Core) Relay(now time.Time, hops, priority int) (gdconf.UpstreamID, bool) {
-	i, ok := c.choose(now, hops)
+	i, ok := c.choose(now, hops, Load.takesRelay)
 	if !ok || !c.budget.Spend(now, priority) {
 		return 0, false
 	}
@@ -92,9 +92,10 @@
 }
 
 // Move chooses a peer like [Core.Relay] for work of a leaving upstream, without
-// a charge to the budget.
+// a charge to the budget. As such work has no other place, a short wait at the
+// peer is accepted.
 func (c *Core) Move(now time.Time, hops int) (gdconf.UpstreamID, bool) {
-	i, ok := c.choose(now, hops)
+	i, ok := c.choose(now, hops, Load.takesMove)
 	if !ok {
 		return 0, false
 	}
@@ -107,28 +108,28 @@
 	return c.peers[i].id
 }
 
-// choose returns the less loaded of two random peers with room.
-func (c *Core) choose(now time.Time, hops int) (int, bool) {
+// choose returns the less loaded of two random peers that take the request.
+func (c *Core) choose(now time.Time, hops int, takes func(Load) bool) (int, bool) {
 	if hops >= c.hops() {
 		return 0, false
 	}
-	first, ok := c.pick(now, -1)
+	first, ok := c.pick(now, -1, takes)
 	if !ok {
 		return 0, false
 	}
-	second, ok := c.pick(now, first)
+	second, ok := c.pick(now, first, takes)
 	if ok && c.peers[second].load.less(c.peers[first].load) {
 		return second, true
 	}
 	return first, true
 }
 
-// pick returns a random peer with room other than the one at index except. It
-// samples while it walks, so that it needs no memory.
-func (c *Core) pick(now time.Time, except int) (int, bool) {
+// pick returns a random peer other than the one at index except. It samples while
+// it walks, so that it needs no memory.
+func (c *Core) pick(now time.Time, except int, takes func(Load) bool) (int, bool) {
 	found, seen := 0, 0
 	for i, p := range c.peers {
-		if i == except || !c.hasRoom(now, p) {
+		if i == except || !c.isFresh(now, p) || !takes(p.load) {
 			continue
 		}
 		seen++
@@ -139,8 +140,8 @@
 	return found, seen > 0
 }
 
-func (c *Core) hasRoom(now time.Time, p peer) bool {
-	return !p.at.IsZero() && now.Sub(p.at) <= c.fresh() && p.load.Room() > 0
+func (c *Core) isFresh(now time.Time, p peer) bool {
+	return !p.at.IsZero() && now.Sub(p.at) <= c.fresh()
 }
 
 func (c *Core) index(id gdconf.UpstreamID) int {
