--- a/internal/rig/gdrigup/process.go
+++ b/internal/rig/gdrigup/process.go
@@ -74,6 +74,8 @@
 	p.cmd = exec.Command(binary, role, "--settings", file)
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
+	// An interrupt at the terminal goes to the rig alone, which ends its children.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := p.cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, "start "+s.Name)
 	}
@@ -98,8 +100,8 @@
 	<-p.ended
 }
 
-// terminate asks the process to end.
-func (p *Process) terminate() {
+// Terminate asks the process to end and does not wait for it.
+func (p *Process) Terminate() {
 	p.wanted.Store(true)
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
 }
