godwitdrift: the operator's command line

Ruled out: the whole configuration read for status; the index alone is one read of the platform's budget, whatever the number of services. The environment's proxy: commands talk straight to IP addresses. Change: config check, print and diff, status, dump, explain, balancer and agent, each in a file of its own with worked help; wire.go holds what they are built from (samber/do). balancer and agent read their settings and then say "not built yet" until the process is wired in. Exit codes 0 to 3. Tests: one file for each command line with its output and exit code, against a fake fleet. Conclusion: intended, accepted and in force stand side by side, with since when.

--- /dev/null
+++ b/cmd/godwitdrift/agent.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"context"
+
+	"github.com/samber/do/v2"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+)
+
+func agentCommand(i do.Injector) *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "run the agent beside an upstream",
+		Description: help(`An agent ends the callers' flows, admits or refuses each request and guards its
+upstream. SIGTERM or SIGINT begins the drain: no request in progress is cut.
+Settings: those of a balancer but for listen-host and sockets, and upstream-id,
+upstream-url, health-path, load-path, cert-file, key-file, max-flows,
+max-body-buffer-kib.`, `
+   godwitdrift agent --settings /etc/godwitdrift/agent.toml`),
+		Flags: []cli.Flag{settingsFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			s, err := gdsettings.Load[gdsettings.Agent](cmd.String("settings"))
+			if err != nil {
+				return err
+			}
+			return runError(do.MustInvoke[runAgent](i)(ctx, s))
+		},
+	}
+}
--- /dev/null
+++ b/cmd/godwitdrift/app.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+	"github.com/urfave/cli/v3"
+)
+
+// run runs one command line and returns its exit code.
+func run(ctx context.Context, i do.Injector, args []string) int {
+	c := do.MustInvoke[console](i)
+	err := newApp(i).Run(ctx, args)
+	if err != nil {
+		fmt.Fprintln(c.err, err)
+	}
+	return codeOf(err)
+}
+
+func newApp(i do.Injector) *cli.Command {
+	c := do.MustInvoke[console](i)
+	app := &cli.Command{
+		Name:  "godwitdrift",
+		Usage: "a layer-4 load balancer, and the operator's view of it",
+		Description: help(`Operators print a configuration with the config library, publish it on the
+platform, and see here what is intended, accepted and in force.`, `
+   godwitdrift config check deployment.toml
+   godwitdrift config diff published.toml deployment.toml
+   godwitdrift status --platform http://192.0.2.2:8080
+   godwitdrift balancer --settings balancer.toml`),
+		Commands: []*cli.Command{
+			configCommand(i),
+			statusCommand(i),
+			dumpCommand(i),
+			explainCommand(i),
+			balancerCommand(i),
+			agentCommand(i),
+		},
+		HideVersion:    true,
+		Suggest:        true,
+		Reader:         c.in,
+		Writer:         c.out,
+		ErrWriter:      c.err,
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	prepare(app)
+	return app
+}
+
+// prepare gives every command the same manners: usage errors are returned
+// without the whole help, and a group of commands refuses an unknown one.
+func prepare(cmd *cli.Command) {
+	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
+		return errors.Errorf("%s: %v (see --help)", cmd.FullName(), err)
+	}
+	if cmd.Action == nil {
+		cmd.HideHelpCommand = true
+		cmd.Action = func(_ context.Context, cmd *cli.Command) error {
+			if name := cmd.Args().First(); name != "" {
+				return errors.Errorf("%s: unknown command %q (see --help)", cmd.FullName(), name)
+			}
+			return cli.ShowSubcommandHelp(cmd)
+		}
+	}
+	for _, sub := range cmd.Commands {
+		prepare(sub)
+	}
+}
+
+// help lays out a command's description with its examples and the exit codes.
+func help(text, examples string) string {
+	return text + "\n\nExamples:" + examples + "\n" + strings.TrimRight(exitCodes, "\n")
+}
+
+// oneArg returns the only argument.
+func oneArg(cmd *cli.Command, what string) (string, error) {
+	if cmd.Args().Len() != 1 {
+		return "", errors.Errorf("%s: one argument is needed: %s", cmd.FullName(), what)
+	}
+	return cmd.Args().First(), nil
+}
--- /dev/null
+++ b/cmd/godwitdrift/config_check.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/samber/do/v2"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+// checked is the outcome of `config check` for a right configuration.
+type checked struct {
+	Name      string `json:"name"`
+	Version   string `json:"version"`
+	Domains   int    `json:"domains"`
+	Services  int    `json:"services"`
+	Upstreams int    `json:"upstreams"`
+}
+
+func configCheckCommand(i do.Injector) *cli.Command {
+	return &cli.Command{
+		Name:      "check",
+		Usage:     "find everything that is wrong with a configuration",
+		ArgsUsage: "SOURCE",
+		Description: help(sourceHelp+`
+
+Every problem is printed with its place, and with its value and line.`, `
+   godwitdrift config check deployment.toml
+   go run ./my-deployment | godwitdrift config check -`),
+		Flags: []cli.Flag{outputFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			name, err := oneArg(cmd, "SOURCE")
+			if err != nil {
+				return err
+			}
+			d, err := sourcesOf(i).read(ctx, name)
+			if err != nil {
+				return err
+			}
+			out, err := summary(d)
+			if err != nil {
+				return err
+			}
+			return emit(cmd, do.MustInvoke[console](i).out, out, out.text)
+		},
+	}
+}
+
+func summary(d config.Deployment) (checked, error) {
+	v, err := gdconf.New(d)
+	if err != nil {
+		return checked{}, err
+	}
+	return checked{
+		Name:      d.Name,
+		Version:   v.Version().String(),
+		Domains:   len(d.Domains),
+		Services:  v.Services(),
+		Upstreams: v.Upstreams(),
+	}, nil
+}
+
+func (c checked) text(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "%s: version %s is right: %d failure domains, %d services, %d upstreams\n",
+		c.Name, c.Version, c.Domains, c.Services, c.Upstreams)
+	return err
+}
--- /dev/null
+++ b/cmd/godwitdrift/fleet.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
+)
+
+// maxAsking is the number of processes that a command asks at the same time.
+const maxAsking = 32
+
+// stateLeaving is the state of a host that is about to go.
+const stateLeaving = "leaving"
+
+// target is one process to ask.
+type target struct {
+	name    string
+	address string
+	leaving bool
+}
+
+// fleetFlags choose the processes that a command asks.
+func fleetFlags() []cli.Flag {
+	return []cli.Flag{
+		&cli.StringSliceFlag{Name: "process", Usage: "operator `ADDRESS` of a process (may be repeated)"},
+		&cli.StringFlag{Name: "platform", Usage: "http `URL` of the platform, whose host list names the processes"},
+	}
+}
+
+// targetsOf returns the processes that the command line names. Without
+// --process it asks the platform for its hosts.
+func targetsOf(ctx context.Context, cmd *cli.Command, i do.Injector) ([]target, error) {
+	addresses := cmd.StringSlice("process")
+	if len(addresses) > 0 {
+		return lo.Map(addresses, func(a string, _ int) target { return target{name: a, address: a} }), nil
+	}
+	if cmd.String("platform") == "" {
+		return nil, errors.Errorf("%s: --process or --platform is needed (see --help)", cmd.FullName())
+	}
+	hosts, err := platformOf(cmd, i).hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	serving := lo.Filter(hosts, func(h host, _ int) bool { return h.OperatorAddress != "" })
+	return lo.Map(serving, func(h host, _ int) target {
+		return target{name: h.Name, address: h.OperatorAddress, leaving: h.State == stateLeaving}
+	}), nil
+}
+
+func platformOf(cmd *cli.Command, i do.Injector) platform {
+	return platform{url: cmd.String("platform"), http: do.MustInvoke[*http.Client](i)}
+}
+
+// reply is what one process answered.
+type reply[T any] struct {
+	target target
+	value  T
+	err    error
+}
+
+// askAll asks every process, a bounded number at a time, and returns the replies
+// in the order of the targets.
+func askAll[T any](
+	i do.Injector, targets []target, ask func(gdoperator.Client) (T, error),
+) []reply[T] {
+	replies := make([]reply[T], len(targets))
+	bar := newProgress(do.MustInvoke[console](i).err, len(targets))
+	slots := make(chan struct{}, maxAsking)
+	done := make(chan struct{}, len(targets))
+	var wg sync.WaitGroup
+	for n, t := range targets {
+		wg.Go(func() {
+			slots <- struct{}{}
+			v, err := ask(gdoperator.Client{Address: t.address, HTTP: do.MustInvoke[*http.Client](i)})
+			<-slots
+			replies[n] = reply[T]{target: t, value: v, err: err}
+			done <- struct{}{}
+		})
+	}
+	for n := range targets {
+		<-done
+		bar.show(n + 1)
+	}
+	wg.Wait()
+	bar.clear()
+	return replies
+}
--- /dev/null
+++ b/cmd/godwitdrift/main_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/stretchr/testify/require"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
+	"godwitdrift.example/godwitdrift/internal/text/gdarchive"
+)
+
+var update = flag.Bool("update", false, "write the outputs into testdata")
+
+var started = time.Date(2026, 12, 3, 9, 0, 0, 0, time.UTC)
+
+// fakeProcess is the state of one process behind an operator port.
+type fakeProcess struct {
+	gdoperator.Status
+	flows []string
+}
+
+func (p fakeProcess) Dump() any {
+	return struct {
+		Name  string    `json:"name"`
+		Limit *int      `json:"limit"`
+		Flows []string  `json:"flows"`
+		Peers []float64 `json:"peers"`
+	}{p.Name, nil, p.flows, []float64{}}
+}
+
+// serve runs a fake process and returns its address.
+func serve(t *testing.T, p fakeProcess) string {
+	ring := gdoperator.NewRing(4)
+	ring.Add(gdoperator.Record{
+		Time: p.Since.Add(time.Minute), Process: p.Name, Flow: "f-1", Request: "r-1",
+		Service: "booking", Action: "forward", Upstream: "booking-1", Reason: "token",
+	})
+	srv := httptest.NewServer(gdoperator.Port{
+		Status: statusFunc(func() gdoperator.Status { return p.Status }), Dumper: p,
+		Decisions: ring, Metrics: http.NotFoundHandler(),
+	}.Handler())
+	t.Cleanup(srv.Close)
+	return srv.Listener.Addr().String()
+}
+
+type statusFunc func() gdoperator.Status
+
+func (f statusFunc) Status() gdoperator.Status { return f() }
+
+// servePlatform publishes the deployment and the hosts.
+func servePlatform(t *testing.T, d config.Deployment, hosts []host) string {
+	values, err := config.Split(d)
+	require.NoError(t, err)
+	mux := http.NewServeMux()
+	for _, v := range values {
+		mux.HandleFunc("GET /v1/values/"+v.Key(), func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(v.Data())
+		})
+	}
+	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(struct {
+			Hosts []host `json:"hosts"`
+		}{hosts})
+	})
+	srv := httptest.NewServer(mux)
+	t.Cleanup(srv.Close)
+	return srv.URL
+}
+
+// fleet starts a platform and two processes, one of them behind, beside a host
+// that is gone. It returns what the $NAMES in arguments stand for.
+func fleet(t *testing.T) map[string]string {
+	data, err := os.ReadFile("testdata/deployment.toml")
+	require.NoError(t, err)
+	d, err := config.Parse(data)
+	require.NoError(t, err)
+	s, err := summary(d)
+	require.NoError(t, err)
+	names := map[string]string{
+		"$ENTRY1": serve(t, fakeProcess{Status: gdoperator.Status{
+			Name: "entry-1", Role: "balancer", Domain: "bilbao", Ready: true,
+			Version: s.Version, Revision: d.Revision, Since: started, Seen: s.Version,
+		}, flows: []string{"f-1", "f-2"}}),
+		"$ENTRY2": serve(t, fakeProcess{Status: gdoperator.Status{
+			Name: "entry-2", Role: "balancer", Domain: "getxo", Ready: true,
+			Version: "11-00000000000000ab", Revision: 11, Since: started.Add(-time.Hour),
+			Rejected: &gdoperator.Rejection{Version: s.Version, Reason: "services.booking.id: 0 is not allowed"},
+		}}),
+		"$GONE": "127.0.0.1:1", // nothing listens there
+	}
+	list := []host{
+		{Name: "entry-1", Role: "balancer", OperatorAddress: names["$ENTRY1"], State: "live"},
+		{Name: "entry-2", Role: "balancer", OperatorAddress: names["$ENTRY2"], State: "live"},
+		{Name: "entry-3", Role: "balancer", OperatorAddress: names["$GONE"], State: stateLeaving},
+	}
+	names["$PLATFORM"] = servePlatform(t, d, list)
+	return names
+}
+
+// TestCommands runs the command line of each file in testdata and compares its
+// output and exit code.
+func TestCommands(t *testing.T) {
+	names := fleet(t)
+	files, err := filepath.Glob("testdata/*.txt")
+	require.NoError(t, err)
+	require.NotEmpty(t, files)
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			require.NoError(t, err)
+			args := strings.TrimSpace(gdarchive.Part(string(data), "args"))
+			line := args
+			for name, value := range names {
+				line = strings.ReplaceAll(line, name, value)
+			}
+			var out, errs bytes.Buffer
+			i := newInjector(strings.NewReader(""), &out, &errs)
+			do.OverrideValue(i, clock(func() time.Time { return started.Add(90 * time.Second) }))
+			code := run(t.Context(), i, strings.Fields("godwitdrift "+line))
+			got := "-- args --\n" + args + "\n-- code --\n" + strconv.Itoa(code) +
+				"\n-- stdout --\n" + out.String() + "-- stderr --\n" + errs.String()
+			for name, value := range names {
+				got = strings.ReplaceAll(got, value, name)
+			}
+			if *update {
+				require.NoError(t, os.WriteFile(file, []byte(got), 0o644))
+			}
+			require.Equal(t, string(data), got)
+		})
+	}
+}
+
+// TestHelpIsWorked holds that each command shows examples and exit codes, and
+// that the examples name commands that exist.
+func TestHelpIsWorked(t *testing.T) {
+	app := newApp(newInjector(nil, nil, nil))
+	var walk func(cmd *cli.Command)
+	walk = func(cmd *cli.Command) {
+		require.Contains(t, cmd.Description, "Exit codes:", cmd.Name)
+		_, examples, ok := strings.Cut(cmd.Description, "Examples:\n")
+		require.True(t, ok, cmd.Name)
+		require.Contains(t, examples, "godwitdrift ", cmd.Name)
+		for _, sub := range cmd.Commands {
+			walk(sub)
+		}
+	}
+	walk(app)
+}
+
+// TestValuesGoRoundTheDirectory writes values and reads them back.
+func TestValuesGoRoundTheDirectory(t *testing.T) {
+	dir := t.TempDir()
+	var out, errs bytes.Buffer
+	i := newInjector(strings.NewReader(""), &out, &errs)
+	args := []string{"godwitdrift", "config", "print", "--values", dir, "testdata/deployment.toml"}
+	require.Equal(t, exitOK, run(t.Context(), i, args), errs.String())
+	require.Equal(t, exitOK, run(t.Context(), i, []string{"godwitdrift", "config", "print", dir}), errs.String())
+	want, err := os.ReadFile("testdata/deployment.toml")
+	require.NoError(t, err)
+	require.Equal(t, string(want), out.String())
+	service := filepath.Join(dir, "service-booking.toml")
+	require.NoError(t, os.WriteFile(service, []byte("name = 'booking'\n"), 0o600))
+	require.Equal(t, exitBadInput, run(t.Context(), i, []string{"godwitdrift", "config", "check", dir}))
+	require.Contains(t, errs.String(), dir+": service-booking: the digest is ")
+}
--- /dev/null
+++ b/cmd/godwitdrift/source.go
@@ -0,0 +1,127 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/config"
+)
+
+// sourceHelp says what stands for SOURCE in the help of the config commands.
+const sourceHelp = `SOURCE is a printed document (FILE, or - for standard input), a directory with
+one file KEY.toml for each value, or the platform's http URL.`
+
+// valueSuffix ends the names of files with values.
+const valueSuffix = ".toml"
+
+// stdinName is the source that stands for standard input.
+const stdinName = "-"
+
+// sources reads deployments from where operators have them.
+type sources struct {
+	in   io.Reader
+	http *http.Client
+}
+
+// read reads and checks the deployment. Its error names the source.
+func (s sources) read(ctx context.Context, name string) (config.Deployment, error) {
+	d, err := s.readPlain(ctx, name)
+	return d, inSource(name, err)
+}
+
+func (s sources) readPlain(ctx context.Context, name string) (config.Deployment, error) {
+	if strings.HasPrefix(name, "http://") {
+		values, err := platform{url: name, http: s.http}.values(ctx)
+		if err != nil {
+			return config.Deployment{}, err
+		}
+		return config.Assemble(values)
+	}
+	if name == stdinName {
+		data, err := io.ReadAll(s.in)
+		if err != nil {
+			return config.Deployment{}, errors.Wrap(err, "read standard input")
+		}
+		return config.Parse(data)
+	}
+	st, err := os.Stat(name)
+	if err != nil {
+		return config.Deployment{}, err
+	}
+	if st.IsDir() {
+		return readDir(name)
+	}
+	data, err := os.ReadFile(name)
+	if err != nil {
+		return config.Deployment{}, err
+	}
+	return config.Parse(data)
+}
+
+func readDir(dir string) (config.Deployment, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*"+valueSuffix))
+	if err != nil {
+		return config.Deployment{}, err
+	}
+	var values []config.Value
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		if err != nil {
+			return config.Deployment{}, err
+		}
+		key := strings.TrimSuffix(filepath.Base(file), valueSuffix)
+		values = append(values, config.NewValue(key, data))
+	}
+	return config.Assemble(values)
+}
+
+// sourceError is what is wrong with one source, each problem on its own line.
+type sourceError struct {
+	name string
+	err  error
+}
+
+func (e *sourceError) Error() string {
+	var ps config.Problems
+	if !errors.As(e.err, &ps) {
+		return e.name + ": " + e.err.Error()
+	}
+	lines := make([]string, len(ps))
+	for i, p := range ps {
+		lines[i] = e.name + ": " + p.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+func (e *sourceError) Unwrap() error { return e.err }
+
+func inSource(name string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &sourceError{name: name, err: err}
+}
+
+// writeValues writes the deployment's values as files, the index last.
+func writeValues(dir string, d config.Deployment) error {
+	values, err := config.Split(d)
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	for _, v := range values {
+		name := filepath.Join(dir, v.Key()+valueSuffix)
+		if err := os.WriteFile(name, v.Data(), 0o644); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/godwitdrift/status_view.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/lo"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
+)
+
+// fleetView is what `status` shows.
+type fleetView struct {
+	Intended  *intended     `json:"intended,omitempty"`
+	Accepted  *accepted     `json:"accepted,omitempty"`
+	Processes []processView `json:"processes"`
+	// NotAccepted says that the platform does not publish the intended revision.
+	NotAccepted bool `json:"not-accepted"`
+}
+
+type intended struct {
+	Version  string `json:"version"`
+	Revision uint64 `json:"revision"`
+}
+
+type accepted struct {
+	Revision uint64 `json:"revision,omitempty"`
+	Error    string `json:"error,omitempty"`
+}
+
+func (a accepted) version() string {
+	if a.Error != "" {
+		return "-"
+	}
+	return fmt.Sprintf("revision %d", a.Revision)
+}
+
+// processView is one process's status with what is to be said about it.
+type processView struct {
+	gdoperator.Status
+	Address string `json:"address"`
+	Behind  bool   `json:"behind"`
+	Leaving bool   `json:"leaving"`
+	Error   string `json:"error,omitempty"`
+}
+
+// judge fills in the processes and says which of them are behind.
+func (v *fleetView) judge(replies []reply[gdoperator.Status]) {
+	newest := mark{}
+	if v.Accepted != nil {
+		newest.revision = v.Accepted.Revision
+		v.NotAccepted = v.Intended != nil && v.Accepted.Error == "" && v.Intended.Revision != v.Accepted.Revision
+	}
+	for _, r := range replies {
+		newest = newest.later(markOf(r.value.Version)).later(markOf(r.value.Seen))
+	}
+	v.Processes = lo.Map(replies, func(r reply[gdoperator.Status], _ int) processView {
+		p := processView{Status: r.value, Address: r.target.address, Leaving: r.target.leaving}
+		if r.err != nil {
+			p.Name = r.target.name
+			p.Error = r.err.Error()
+			return p
+		}
+		p.Behind = markOf(p.Version).compare(newest) < 0
+		return p
+	})
+}
+
+// mark orders version strings. A version reads REVISION-DIGEST, the digest
+// having a fixed width.
+type mark struct {
+	revision uint64
+	version  string
+}
+
+func markOf(version string) mark {
+	digits, _, _ := strings.Cut(version, "-")
+	revision, err := strconv.ParseUint(digits, 10, 64)
+	if err != nil {
+		return mark{}
+	}
+	return mark{revision: revision, version: version}
+}
+
+func (m mark) compare(n mark) int {
+	return cmp.Or(cmp.Compare(m.revision, n.revision), cmp.Compare(m.version, n.version))
+}
+
+func (m mark) later(n mark) mark {
+	if m.compare(n) < 0 {
+		return n
+	}
+	return m
+}
+
+// found reports whether something is wrong with a process that answered. One
+// that is leaving need not be ready.
+func (p processView) found() bool {
+	return p.Error == "" && (p.Behind || p.Rejected != nil || !p.Ready && !p.Leaving)
+}
+
+func (v fleetView) findings() int {
+	n := lo.CountBy(v.Processes, processView.found)
+	if v.NotAccepted {
+		n++
+	}
+	return n
+}
+
+// missing counts what could not be reached, without hosts that are leaving.
+func (v fleetView) missing() int {
+	n := lo.CountBy(v.Processes, func(p processView) bool { return p.Error != "" && !p.Leaving })
+	if v.Accepted != nil && v.Accepted.Error != "" {
+		n++
+	}
+	return n
+}
+
+// text returns the writer of the readable form; ages are those at now.
+func (v fleetView) text(now time.Time) func(io.Writer) error {
+	return func(w io.Writer) error {
+		rows := [][]string{{"WHAT", "ROLE", "DOMAIN", "VERSION", "SINCE", "REMARKS"}}
+		if v.Intended != nil {
+			remark := lo.Ternary(v.NotAccepted, "not accepted yet", "")
+			rows = append(rows, []string{"intended", "-", "-", v.Intended.Version, "-", remark})
+		}
+		if v.Accepted != nil {
+			rows = append(rows, []string{"accepted", "-", "-", v.Accepted.version(), "-", v.Accepted.Error})
+		}
+		for _, p := range v.Processes {
+			rows = append(rows, p.row(now))
+		}
+		return table(w, rows)
+	}
+}
+
+func (p processView) row(now time.Time) []string {
+	if p.Error != "" {
+		return []string{p.Name, "-", "-", "-", "-", p.remarks()}
+	}
+	version, since := cmp.Or(p.Version, "none"), "-"
+	if p.Version != "" {
+		age := now.Sub(p.Since).Truncate(time.Second)
+		since = fmt.Sprintf("%s (%s ago)", p.Since.UTC().Format(time.RFC3339), age)
+	}
+	return []string{p.Name, p.Role, p.Domain, version, since, p.remarks()}
+}
+
+func (p processView) remarks() string {
+	var out []string
+	if p.Leaving {
+		out = append(out, "leaving")
+	}
+	if p.Error != "" {
+		return strings.Join(append(out, "unreachable: "+p.Error), ", ")
+	}
+	if p.Behind {
+		out = append(out, "behind")
+	}
+	if !p.Ready {
+		out = append(out, "not ready")
+	}
+	if p.Rejected != nil {
+		reason := strings.ReplaceAll(p.Rejected.Reason, "\n", "; ")
+		out = append(out, fmt.Sprintf("rejected %s: %s", cmp.Or(p.Rejected.Version, "unreadable version"), reason))
+	}
+	return strings.Join(out, ", ")
+}
--- /dev/null
+++ b/cmd/godwitdrift/wire.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+)
+
+// requestTimeout bounds each request of a command to a process or the platform.
+const requestTimeout = 5 * time.Second
+
+// runBalancer runs a balancer until the context ends.
+type runBalancer func(ctx context.Context, s gdsettings.Balancer) error
+
+// runAgent runs an agent until the context ends.
+type runAgent func(ctx context.Context, s gdsettings.Agent) error
+
+// clock returns the present time.
+type clock func() time.Time
+
+// console is where a command reads and writes.
+type console struct {
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+var errNotBuilt = errors.New("not built yet")
+
+// newInjector holds what the commands are built from.
+func newInjector(in io.Reader, out, err io.Writer) do.Injector {
+	i := do.New()
+	do.ProvideValue(i, console{in: in, out: out, err: err})
+	do.ProvideValue(i, clock(time.Now))
+	do.ProvideValue(i, newClient())
+	do.ProvideValue(i, runBalancer(func(context.Context, gdsettings.Balancer) error { return errNotBuilt }))
+	do.ProvideValue(i, runAgent(func(context.Context, gdsettings.Agent) error { return errNotBuilt }))
+	return i
+}
+
+// newClient returns a client that goes straight to the address it is given,
+// whatever proxy the environment names.
+func newClient() *http.Client {
+	return &http.Client{Timeout: requestTimeout, Transport: &http.Transport{}}
+}
--- a/config/diagnose_test.go
+++ b/config/diagnose_test.go
@@ -8,21 +8,15 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/text/gdarchive"
 )
 
-// part returns one part of an archive: parts start with "-- NAME --" lines.
-func part(archive, name string) string {
-	_, rest, _ := strings.Cut("\n"+archive, "\n-- "+name+" --\n")
-	body, _, _ := strings.Cut(rest, "\n-- ")
-	return strings.TrimSuffix(body, "\n")
-}
-
 func TestParseNamesEachProblemWithItsLine(t *testing.T) {
 	archive, err := os.ReadFile("testdata/check.txt")
 	require.NoError(t, err)
 	for _, name := range []string{"types", "syntax", "values"} {
-		_, err := config.Parse([]byte(part(string(archive), name)))
-		require.EqualError(t, err, part(string(archive), name+" problems"), name)
+		_, err := config.Parse([]byte(gdarchive.Part(string(archive), name)))
+		require.EqualError(t, err, strings.TrimSuffix(gdarchive.Part(string(archive), name+" problems"), "\n"), name)
 	}
 }
 
--- a/internal/operate/gdsettings/load_test.go
+++ b/internal/operate/gdsettings/load_test.go
@@ -12,23 +12,16 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+	"godwitdrift.example/godwitdrift/internal/text/gdarchive"
 )
 
-// part returns one file of an archive in testdata: parts start with lines of
-// the form "-- NAME --".
-func part(archive, name string) string {
-	_, rest, _ := strings.Cut("\n"+archive, "\n-- "+name+" --\n")
-	body, _, _ := strings.Cut(rest, "\n-- ")
-	return strings.TrimSuffix(body, "\n") + "\n"
-}
-
 // unpack writes the archive's settings beside a right key and certificate.
 func unpack(t *testing.T, archive string) string {
 	dir := t.TempDir()
 	write := func(name, data string) {
 		require.NoError(t, os.WriteFile(filepath.Join(dir, name), []byte(data), 0o600))
 	}
-	write("settings.toml", part(archive, "settings.toml"))
+	write("settings.toml", gdarchive.Part(archive, "settings.toml"))
 	write("fleet.key", strings.Repeat("ab", gdsettings.KeySize)+"\n")
 	write("short.key", "abcd\n")
 	write("cert.pem", "")
@@ -54,7 +47,7 @@
 			if err != nil {
 				got = strings.ReplaceAll(err.Error(), dir+string(filepath.Separator), "")
 			}
-			require.Equal(t, part(string(data), "problems"), got+"\n")
+			require.Equal(t, gdarchive.Part(string(data), "problems"), got+"\n")
 		})
 	}
 }
