--- a/cmd/godwitdrift/main_test.go
+++ b/cmd/godwitdrift/main_test.go
@@ -8,6 +8,8 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -143,16 +145,37 @@
 	}
 }
 
-// TestHelpIsWorked holds that each command shows examples and exit codes, and
-// that the examples name commands that exist.
+// requireCommand holds that a line such as "godwitdrift config check FILE" names
+// a command and flags that exist.
+func requireCommand(t *testing.T, app *cli.Command, line string) {
+	cmd := app
+	words := strings.Fields(line)[1:]
+	for len(words) > 0 && cmd.Command(words[0]) != nil {
+		cmd, words = cmd.Command(words[0]), words[1:]
+	}
+	require.Empty(t, cmd.Commands, "%s: no such command", line)
+	for _, word := range words {
+		name, isFlag := strings.CutPrefix(word, "--")
+		has := func(f cli.Flag) bool { return slices.Contains(f.Names(), name) }
+		require.True(t, !isFlag || slices.ContainsFunc(cmd.Flags, has), "%s: no such flag", line)
+	}
+}
+
+// TestHelpIsWorked holds that each command shows exit codes and right examples.
 func TestHelpIsWorked(t *testing.T) {
 	app := newApp(newInjector(nil, nil, nil))
 	var walk func(cmd *cli.Command)
 	walk = func(cmd *cli.Command) {
-		require.Contains(t, cmd.Description, "Exit codes:", cmd.Name)
-		_, examples, ok := strings.Cut(cmd.Description, "Examples:\n")
+		_, rest, _ := strings.Cut(cmd.Description, "Examples:\n")
+		examples, codes, ok := strings.Cut(rest, "\n\n")
 		require.True(t, ok, cmd.Name)
-		require.Contains(t, examples, "godwitdrift ", cmd.Name)
+		require.Contains(t, codes, "Exit codes:", cmd.Name)
+		for _, line := range strings.Split(examples, "\n") {
+			if _, piped, ok := strings.Cut(line, "| "); ok {
+				line = piped
+			}
+			requireCommand(t, app, line)
+		}
 		for _, sub := range cmd.Commands {
 			walk(sub)
 		}
@@ -160,6 +183,25 @@
 	walk(app)
 }
 
+// TestPagesNameCommandsThatExist reads the commands on the pages, which stand
+// indented or in back quotes.
+func TestPagesNameCommandsThatExist(t *testing.T) {
+	app := newApp(newInjector(nil, nil, nil))
+	command := regexp.MustCompile("(?m)^ +(godwitdrift .*)$|`(godwitdrift [^`]*)`")
+	pages, err := filepath.Glob("../../docs/*.md")
+	require.NoError(t, err)
+	found := 0
+	for _, page := range pages {
+		data, err := os.ReadFile(page)
+		require.NoError(t, err)
+		for _, m := range command.FindAllStringSubmatch(string(data), -1) {
+			requireCommand(t, app, m[1]+m[2])
+			found++
+		}
+	}
+	require.NotZero(t, found)
+}
+
 // TestValuesGoRoundTheDirectory writes values and reads them back.
 func TestValuesGoRoundTheDirectory(t *testing.T) {
 	dir := t.TempDir()
