--- a/cmd/godwitdrift/main.go
+++ b/cmd/godwitdrift/main.go
@@ -1,49 +1,28 @@
 // Command godwitdrift is the load balancer: the balancer and agent processes,
 // and the operator's commands.
+//
+// # Usage
+//
+//	godwitdrift config check deployment.toml
+//	godwitdrift status --platform http://192.0.2.2:8080
+//	godwitdrift agent --settings agent.toml
+//
+// `godwitdrift COMMAND --help` explains each command with examples. Each command
+// has a file of its own; wire.go says what they are built from.
 package main
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
-
-	"github.com/urfave/cli/v3"
-
-	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
-	"godwitdrift.example/godwitdrift/internal/process/gdserve"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	settings := &cli.StringFlag{Name: "settings", Required: true}
-	app := &cli.Command{
-		Name: "godwitdrift",
-		Commands: []*cli.Command{
-			{Name: "balancer", Flags: []cli.Flag{settings}, Action: runBalancer},
-			{Name: "agent", Flags: []cli.Flag{settings}, Action: runAgent},
-		},
-	}
-	if err := app.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(2)
-	}
-}
-
-func runBalancer(ctx context.Context, c *cli.Command) error {
-	s, err := gdsettings.Load[gdsettings.Balancer](c.String("settings"))
-	if err != nil {
-		return err
-	}
-	return gdserve.Balancer(ctx, s, os.Stderr)
-}
-
-func runAgent(ctx context.Context, c *cli.Command) error {
-	s, err := gdsettings.Load[gdsettings.Agent](c.String("settings"))
-	if err != nil {
-		return err
+	code := run(ctx, newInjector(os.Stdin, os.Stdout, os.Stderr), os.Args)
+	stop()
+	if code != exitOK {
+		os.Exit(code)
 	}
-	return gdserve.Agent(ctx, s, os.Stderr)
 }
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
@@ -31,16 +32,32 @@
 }
 
 func (f *flow) echo(ctx context.Context, c *conn) error {
-	_, err := f.request(ctx, c, "/", "")
+	_, err := f.request(ctx, c, "/", f.next(""))
 	return err
 }
 
+// ask is what a caller asks for. Each attempt of the same ask is the same request.
+type ask struct {
+	id   string
+	key  string
+	body []byte
+}
+
+func (f *flow) next(key string) ask {
+	f.sent++
+	return ask{id: fmt.Sprintf("%s-%d", f.name, f.sent), key: key, body: f.body()}
+}
+
 // once sends an at-most-once request, and repeats it under the same key while
 // its outcome is unknown.
 func (f *flow) once(ctx context.Context, c *conn) error {
-	key := fmt.Sprintf("%s-key-%d", f.name, f.sent)
+	key, err := uuid.NewV7()
+	if err != nil {
+		return errors.Wrap(err, "make a key")
+	}
+	a := f.next(key.String())
 	for range maxOnceAttempts {
-		o, err := f.request(ctx, c, f.target.OncePath, key)
+		o, err := f.request(ctx, c, f.target.OncePath, a)
 		if err != nil || o != Unknown {
 			return err
 		}
@@ -51,19 +68,16 @@
 
 // request sends one request and counts its outcome. An error means that the
 // connection has ended.
-func (f *flow) request(ctx context.Context, c *conn, path, key string) (Outcome, error) {
-	f.sent++
-	id := fmt.Sprintf("%s-%d", f.name, f.sent)
-	body := f.body()
+func (f *flow) request(ctx context.Context, c *conn, path string, a ask) (Outcome, error) {
 	began := time.Now()
-	a, err := f.send(ctx, c, path, id, key, body)
+	got, err := f.send(ctx, c, path, a)
 	end := time.Now()
-	o := f.judge(a, err, id, body, end.Sub(began))
+	o := f.judge(got, err, a.id, a.body, end.Sub(began))
 	f.load.tally.sample(Sample{
 		Service: f.target.Service, Kind: string(f.kind), Latency: end.Sub(began), Outcome: o,
 	}, end)
 	if err != nil && c.dead() {
-		return o, errors.Wrap(err, "request "+id)
+		return o, errors.Wrap(err, "request "+a.id)
 	}
 	return o, nil
 }
@@ -75,18 +89,18 @@
 	body   []byte
 }
 
-func (f *flow) send(ctx context.Context, c *conn, path, id, key string, body []byte) (answer, error) {
+func (f *flow) send(ctx context.Context, c *conn, path string, a ask) (answer, error) {
 	// The run's end must not cut a request in progress, only its timeout may.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.load.timeout())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(path), bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(path), bytes.NewReader(a.body))
 	if err != nil {
 		return answer{}, err
 	}
-	req.Header.Set(gdupstreamsim.HeaderRequestID, id)
+	req.Header.Set(gdupstreamsim.HeaderRequestID, a.id)
 	req.Header.Set(gdupstreamsim.HeaderTimeout, strconv.FormatInt(f.load.timeout().Milliseconds(), 10))
-	if key != "" {
-		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, key)
+	if a.key != "" {
+		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, a.key)
 	}
 	res, err := c.http.RoundTrip(req)
 	if err != nil {
