Drop packets of an address that now belongs to another service

Cause: when an address was given from one service to another, a balancer with the old view placed new flows of the address on agents of the former service, and these took them: the envelope named the service they expected. Ruled out: trusting the certificate check of the caller, which would only end the flow; refusing every address but the service's own, which would cut flows when an address is changed and given to nobody. Change: the envelope carries the service address at which the datagram arrived (6 bytes more with IPv4); the agent drops it when its view gives that address to another service. Conclusion: the agent is the last door for addresses as well.

--- a/internal/core/gdroute/door.go
+++ b/internal/core/gdroute/door.go
@@ -1,6 +1,7 @@
 package gdroute
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -59,7 +60,7 @@
 	if !ok {
 		return drop(UnknownUpstream)
 	}
-	if p.service != self.Service().ID() {
+	if p.service != self.Service().ID() || d.foreign(self, p.address) {
 		return drop(WrongService)
 	}
 	if self.DomainOut() {
@@ -71,6 +72,14 @@
 	return d.admitKey(now, self, p)
 }
 
+// foreign reports whether the address belongs to another service in this view.
+// A balancer that still holds an older view may have sent the packet of an
+// address that was given to another service since.
+func (d *Door) foreign(self *gdconf.Upstream, address netip.AddrPort) bool {
+	owner, ok := d.view.ServiceAt(address)
+	return ok && owner.ID() != self.Service().ID()
+}
+
 // admitToken lets in the flows of this incarnation and passes on those of other
 // agents, which a balancer with an old view may have sent here.
 func (d *Door) admitToken(p Packet) Decision {
--- a/internal/core/gdroute/packet.go
+++ b/internal/core/gdroute/packet.go
@@ -32,6 +32,7 @@
 // Packet is what the cores need to know of a datagram.
 type Packet struct {
 	token    gdtoken.Token
+	address  netip.AddrPort
 	key      FlowKey
 	service  gdconf.ServiceID
 	hops     uint8
@@ -57,6 +58,12 @@
 	return p
 }
 
+// At returns the packet with the service address at which it arrived.
+func (p Packet) At(address netip.AddrPort) Packet {
+	p.address = address
+	return p
+}
+
 // WithHops returns the packet with the number of times that agents passed it on.
 func (p Packet) WithHops(n uint8) Packet {
 	p.hops = n
--- a/internal/core/gdroute/route_test.go
+++ b/internal/core/gdroute/route_test.go
@@ -1,6 +1,7 @@
 package gdroute_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -122,6 +123,26 @@
 	}
 }
 
+// TestReassignedAddressIsNotMisrouted gives one service's address to another one
+// while a balancer still holds the old view. Its packets must not come in at the
+// agents of the address's former service.
+func TestReassignedAddressIsNotMisrouted(t *testing.T) {
+	before := gdfix.Deployment(2, 3)
+	after := before
+	after.Revision++
+	after.Services = append([]config.Service(nil), before.Services...)
+	moved := before.Services[0].Address
+	after.Services[0].Address = "10.9.9.9:443"
+	after.Services[1].Address = moved
+	d := balancer(gdfix.View(before)).Route(start, gdroute.NewPacket(1, 7).Opening())
+	require.Equal(t, gdroute.Forward, d.Verdict())
+	door := gdroute.Door{Self: d.Upstream().ID(), Incarnation: 7, Flows: 10, Idle: time.Minute}
+	door.SetView(gdfix.View(after))
+	p := gdroute.NewPacket(1, 7).Opening().At(netip.MustParseAddrPort(moved))
+	require.Equal(t, gdroute.WrongService, door.Admit(start, p).Reason())
+	require.Equal(t, gdroute.Accept, door.Admit(start, p.At(netip.MustParseAddrPort("10.9.9.9:443"))).Verdict())
+}
+
 // fleet is one balancer core and the doors of one service, each with a view that
 // may be older than the others'.
 type fleet struct {
--- a/internal/process/gdagent/door.go
+++ b/internal/process/gdagent/door.go
@@ -118,10 +118,10 @@
 		return gdroute.Packet{}, false
 	}
 	if t, ok := d.tokens.Open(h.ConnectionID()); ok {
-		return gdroute.NewPacket(e.Service, 0).WithToken(t).WithHops(e.Hops), true
+		return gdroute.NewPacket(e.Service, 0).WithToken(t).WithHops(e.Hops).At(e.Arrived), true
 	}
 	key := gdroute.KeyOf(e.Caller, h.ConnectionID())
-	p := gdroute.NewPacket(e.Service, key).WithHops(e.Hops)
+	p := gdroute.NewPacket(e.Service, key).WithHops(e.Hops).At(e.Arrived)
 	if h.MayOpen() {
 		p = p.Opening()
 	}
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -46,8 +46,11 @@
 // callerSocket is the socket on which one service's callers are served.
 type callerSocket struct {
 	conn *net.UDPConn
-	addr netip.AddrPort
-	done chan struct{}
+	// addr is where the socket listens, and service the address in the
+	// configuration. They differ when ListenHost is set.
+	addr    netip.AddrPort
+	service netip.AddrPort
+	done    chan struct{}
 }
 
 // Run serves until the context ends. It returns an error when the node address
@@ -120,7 +123,7 @@
 	defer b.mu.Unlock()
 	for id, c := range b.callers {
 		s, ok := v.Service(id)
-		if ok && b.listenAddress(s) == c.addr {
+		if ok && b.listenAddress(s) == c.addr && s.Address() == c.service {
 			continue
 		}
 		c.conn.Close()
@@ -142,7 +145,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "open service %s at %s", s.Name(), addr)
 	}
-	c := &callerSocket{conn: conn, addr: addr, done: make(chan struct{})}
+	c := &callerSocket{conn: conn, addr: addr, service: s.Address(), done: make(chan struct{})}
 	r, err := newReader(b, c, s.ID())
 	if err != nil {
 		conn.Close()
--- a/internal/process/gdbalancer/bound_test.go
+++ b/internal/process/gdbalancer/bound_test.go
@@ -112,7 +112,7 @@
 	addr := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	v := benchView(tb, addr, sink.address())
 	b := &Balancer{Fleet: fleet, Config: fixedConfig{v}, node: node}
-	r, err := newReader(b, &callerSocket{conn: conn, addr: addr, done: make(chan struct{})}, 1)
+	r, err := newReader(b, &callerSocket{conn: conn, addr: addr, service: addr, done: make(chan struct{})}, 1)
 	require.NoError(tb, err)
 	return r, tokenDatagram(tb, fleet, v)
 }
--- a/internal/process/gdbalancer/forward.go
+++ b/internal/process/gdbalancer/forward.go
@@ -114,6 +114,7 @@
 		Service:  r.service,
 		Caller:   caller,
 		Balancer: r.self,
+		Arrived:  r.socket.service,
 		Payload:  datagram,
 	})
 	if err != nil {
--- a/internal/wire/gdenvelope/doc.go
+++ b/internal/wire/gdenvelope/doc.go
@@ -17,13 +17,14 @@
 //	26  8   digest of that configuration
 //	34  2   service
 //	36  1   hops
-//	37  1   flags: 1 the caller's address is IPv6, 2 the balancer's is
+//	37  1   flags: 1 the caller's address is IPv6, 2 the balancer's, 4 the service's
 //	38      caller: address (4 or 16) and port (2)
 //	        balancer: address (4 or 16) and port (2)
+//	        service address at which it arrived: address (4 or 16) and port (2)
 //	        payload
 //	        tag (16)
 //
-// Numbers are big endian. An envelope adds 66 bytes to a payload when both
+// Numbers are big endian. An envelope adds 72 bytes to a payload when all
 // addresses are IPv4.
 //
 // # Usage
--- a/internal/wire/gdenvelope/envelope.go
+++ b/internal/wire/gdenvelope/envelope.go
@@ -38,23 +38,28 @@
 
 	callerIs6   = 1
 	balancerIs6 = 2
+	arrivedIs6  = 4
 
-	minSize = addrOffset + 2*ipv4Addr + tagSize
+	minSize = addrOffset + 3*ipv4Addr + tagSize
 	// MaxPayload is the largest datagram that an envelope carries.
 	MaxPayload = 1500
 	// MaxSize is the largest envelope in bytes.
-	MaxSize = addrOffset + 2*ipv6Addr + MaxPayload + tagSize
+	MaxSize = addrOffset + 3*ipv6Addr + MaxPayload + tagSize
 )
 
 // Envelope is one datagram with the facts that travel with it.
 type Envelope struct {
-	Kind     Kind
-	Version  gdconf.Version
-	Service  gdconf.ServiceID
-	Hops     uint8
-	Caller   netip.AddrPort
+	Kind    Kind
+	Version gdconf.Version
+	Service gdconf.ServiceID
+	Hops    uint8
+	// Caller is where the datagram comes from, or goes to.
+	Caller netip.AddrPort
+	// Balancer is where agents send the answers.
 	Balancer netip.AddrPort
-	Payload  []byte
+	// Arrived is the service address at which the caller's datagram arrived.
+	Arrived netip.AddrPort
+	Payload []byte
 }
 
 // Errors of Open. Each names one way in which a datagram can be unfit; they are
@@ -78,7 +83,8 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(e.Service))
 	b = append(b, e.Hops, addrFlags(e))
 	b = appendAddr(b, e.Caller)
-	return appendAddr(b, e.Balancer)
+	b = appendAddr(b, e.Balancer)
+	return appendAddr(b, e.Arrived)
 }
 
 func addrFlags(e Envelope) byte {
@@ -89,6 +95,9 @@
 	if !is4(e.Balancer) {
 		f |= balancerIs6
 	}
+	if !is4(e.Arrived) {
+		f |= arrivedIs6
+	}
 	return f
 }
 
@@ -141,17 +150,17 @@
 	}
 	e.Caller, rest = readAddr(rest, flags&callerIs6 != 0)
 	e.Balancer, rest = readAddr(rest, flags&balancerIs6 != 0)
+	e.Arrived, rest = readAddr(rest, flags&arrivedIs6 != 0)
 	e.Payload = rest
 	return e, nil
 }
 
 func addrsSize(flags byte) int {
-	n := 2 * ipv4Addr
-	if flags&callerIs6 != 0 {
-		n += ipv6Addr - ipv4Addr
-	}
-	if flags&balancerIs6 != 0 {
-		n += ipv6Addr - ipv4Addr
+	n := 3 * ipv4Addr
+	for _, bit := range []byte{callerIs6, balancerIs6, arrivedIs6} {
+		if flags&bit != 0 {
+			n += ipv6Addr - ipv4Addr
+		}
 	}
 	return n
 }
