--- a/internal/core/gdroute/packet.go
+++ b/internal/core/gdroute/packet.go
@@ -73,6 +73,9 @@
 // Service returns the service at whose address the packet arrived.
 func (p Packet) Service() gdconf.ServiceID { return p.service }
 
+// MayOpen reports whether the packet may open a flow.
+func (p Packet) MayOpen() bool { return p.opening }
+
 // Key returns the flow key.
 func (p Packet) Key() FlowKey { return p.key }
 
@@ -97,6 +100,10 @@
 	Reset
 )
 
+var verdictNames = [...]string{Drop: "drop", Forward: "forward", Accept: "accept", Reset: "reset"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Reason says why a packet was dropped, or why it went where it went.
 type Reason uint8
 
--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -16,6 +16,7 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/core/gdtoken"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
 	"godwitdrift.example/godwitdrift/internal/wire/gdenvelope"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
@@ -36,6 +37,10 @@
 	// watchInterval is how often the agent compares its state with the
 	// configuration.
 	watchInterval = 100 * time.Millisecond
+	// drainInterval is how often a draining agent looks whether it is done.
+	drainInterval = 10 * time.Millisecond
+	// maxNamedFlows bounds the callers that the log names when a drain is held.
+	maxNamedFlows = 20
 	// streamsPerFlow bounds the requests that one caller has open on a flow.
 	streamsPerFlow = 100
 )
@@ -70,6 +75,11 @@
 	MaxFlows int
 	// Counters counts decisions.
 	Counters gdnode.Counters
+	// Decided is called with the decisions on packets that open a flow and on
+	// dropped ones, within a rate. It may be nil.
+	Decided func(gdnode.Decision)
+	// Log takes the events.
+	Log gdlog.Logger
 
 	node     *net.UDPConn
 	flows    flows
@@ -195,9 +205,15 @@
 func (a *Agent) watch(ctx context.Context) {
 	t := time.NewTicker(watchInterval)
 	defer t.Stop()
+	var was bool
 	for {
-		if a.domainOut() {
-			a.flows.closeAll(CodeDomainOut, "failure domain out")
+		out := a.domainOut()
+		if out {
+			a.giveUp()
+		}
+		if out != was {
+			was = out
+			a.logDomain(out)
 		}
 		select {
 		case <-ctx.Done():
@@ -207,6 +223,20 @@
 	}
 }
 
+func (a *Agent) giveUp() {
+	if n := a.flows.closeAll(CodeDomainOut, "failure domain out"); n > 0 {
+		a.Log.Event(gdlog.FlowGivenUp, "flows", n)
+	}
+}
+
+func (a *Agent) logDomain(out bool) {
+	if out {
+		a.Log.Event(gdlog.DomainOut)
+		return
+	}
+	a.Log.Event(gdlog.DomainIn)
+}
+
 func (a *Agent) domainOut() bool {
 	v := a.Config.View()
 	if v == nil {
@@ -216,15 +246,21 @@
 	return ok && u.DomainOut()
 }
 
-// drain waits for the requests in progress, at most the service's drain time.
+// drain waits for the requests in progress, at most the service's drain time,
+// and then closes the flows.
 func (a *Agent) drain() {
 	a.stopping.Store(true)
 	a.Requests.Stop()
+	a.Log.Event(gdlog.DrainStarted, "requests", a.Requests.InProgress(), "flows", a.flows.count())
 	limit := time.Now().Add(a.drainTime())
 	for a.Requests.InProgress() > 0 && time.Now().Before(limit) {
-		time.Sleep(watchInterval / 10)
+		time.Sleep(drainInterval)
+	}
+	if n := a.Requests.InProgress(); n > 0 {
+		a.Log.Event(gdlog.DrainHeld, "requests", n, "callers", a.flows.callers(maxNamedFlows))
 	}
 	a.flows.closeAll(CodeStopping, "agent stopping")
+	a.Log.Event(gdlog.DrainEnded)
 }
 
 func (a *Agent) drainTime() time.Duration {
--- a/internal/process/gdagent/door.go
+++ b/internal/process/gdagent/door.go
@@ -25,6 +25,8 @@
 	sealer  *gdenvelope.Sealer
 	tokens  *gdtoken.Opener
 	out     gdnode.Buffer
+	// recorder keeps decisions for the explain command.
+	recorder gdnode.Recorder
 }
 
 // handshakeHold is how long the door remembers the first packets of a flow, so
@@ -38,8 +40,9 @@
 	}
 	return &door{
 		a: a, conn: conn, sealer: sealer,
-		opener:  gdenvelope.NewOpener(a.Fleet),
-		watcher: gdnode.Watcher{Fleet: a.Fleet, Config: a.Config},
+		opener:   gdenvelope.NewOpener(a.Fleet),
+		watcher:  gdnode.Watcher{Fleet: a.Fleet, Config: a.Config},
+		recorder: gdnode.Recorder{Decided: a.Decided},
 		core: gdroute.Door{
 			Self: a.Upstream, Incarnation: a.Incarnation, Flows: a.MaxFlows, Idle: handshakeHold,
 		},
@@ -82,6 +85,7 @@
 	}
 	dec := d.core.Admit(now, p)
 	d.a.Counters.Decided(dec.Reason())
+	d.recorder.Note(now, e.Caller, p, dec)
 	switch dec.Verdict() {
 	case gdroute.Accept, gdroute.Reset:
 		// The transport answers a packet of an unknown flow with a stateless
--- a/internal/process/gdagent/flows.go
+++ b/internal/process/gdagent/flows.go
@@ -56,3 +56,17 @@
 	}
 	return len(conns)
 }
+
+// callers returns the addresses of at most limit open flows.
+func (f *flows) callers(limit int) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []string
+	for c := range f.open {
+		if len(out) == limit {
+			break
+		}
+		out = append(out, c.RemoteAddr().String())
+	}
+	return out
+}
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
 )
@@ -36,6 +37,11 @@
 	Config gdnode.Config
 	// Counters counts decisions.
 	Counters gdnode.Counters
+	// Decided is called with the decisions on packets that open a flow and on
+	// dropped ones, within a rate. It may be nil.
+	Decided func(gdnode.Decision)
+	// Log takes the events.
+	Log gdlog.Logger
 
 	node *net.UDPConn
 	mu   sync.RWMutex
@@ -110,6 +116,7 @@
 			continue
 		}
 		if err := b.open(s); err != nil {
+			b.Log.Failure(gdlog.ProcessFailed, err)
 			ok = false
 		}
 	}
--- a/internal/process/gdbalancer/forward.go
+++ b/internal/process/gdbalancer/forward.go
@@ -22,9 +22,11 @@
 	core    gdroute.Balancer
 	tokens  *gdtoken.Opener
 	sealer  *gdenvelope.Sealer
-	self    netip.AddrPort
-	in      *gdbatch.Reader
-	out     *gdbatch.Writer
+	// recorder keeps decisions for the explain command.
+	recorder gdnode.Recorder
+	self     netip.AddrPort
+	in       *gdbatch.Reader
+	out      *gdbatch.Writer
 }
 
 func newReader(b *Balancer, c *callerSocket, s gdconf.ServiceID) (*reader, error) {
@@ -34,10 +36,11 @@
 	}
 	return &reader{
 		b: b, socket: c, service: s, sealer: sealer,
-		in:      gdbatch.NewReader(c.conn, gdenvelope.MaxPayload+1),
-		out:     gdbatch.NewWriter(b.node, gdenvelope.MaxSize),
-		watcher: gdnode.Watcher{Fleet: b.Fleet, Config: b.Config},
-		self:    b.node.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort(),
+		in:       gdbatch.NewReader(c.conn, gdenvelope.MaxPayload+1),
+		out:      gdbatch.NewWriter(b.node, gdenvelope.MaxSize),
+		watcher:  gdnode.Watcher{Fleet: b.Fleet, Config: b.Config},
+		recorder: gdnode.Recorder{Decided: b.Decided},
+		self:     b.node.LocalAddr().(interface{ AddrPort() netip.AddrPort }).AddrPort(),
 	}, nil
 }
 
@@ -71,6 +74,7 @@
 	}
 	d := r.core.Route(now, p)
 	r.b.Counters.Decided(d.Reason())
+	r.recorder.Note(now, caller, p, d)
 	if d.Verdict() == gdroute.Forward {
 		r.send(caller, d.Upstream(), datagram)
 	}
--- a/internal/process/gdrequest/headers.go
+++ b/internal/process/gdrequest/headers.go
@@ -20,6 +20,8 @@
 	HeaderReason = "Godwitdrift-Reason"
 	// HeaderKey offers a key of the system's own for a request that needs one.
 	HeaderKey = "Godwitdrift-Key"
+	// HeaderRequest names the request, for the explain command.
+	HeaderRequest = "Godwitdrift-Request"
 	// HeaderHops is set between agents: how often the request was relayed.
 	HeaderHops = "Godwitdrift-Hops"
 	// HeaderService is set between agents: the identifier of the service.
@@ -61,6 +63,7 @@
 
 func copyHeader(to, from http.Header) {
 	removeHopHeaders(from)
+	from.Del(HeaderRequest) // a peer that served the request names it its own way
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
 	}
--- a/internal/process/gdrequest/request.go
+++ b/internal/process/gdrequest/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strconv"
 	"strings"
@@ -16,6 +17,7 @@
 type request struct {
 	*http.Request
 	id       uint64
+	name     string
 	service  *gdconf.Service
 	priority int
 	once     bool
@@ -35,6 +37,7 @@
 		hops:     hopsOf(r),
 		deadline: deadlineOf(r, now),
 	}
+	q.name = fmt.Sprintf("%d-%08x-%d", s.Self, s.Incarnation, q.id)
 	if route, ok := routeOf(svc, r.URL.Path); ok {
 		q.priority = route.Priority
 		q.once = route.AtMostOnce
--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -56,6 +56,7 @@
 		return
 	}
 	q := s.read(r, u.Service(), now)
+	w.Header().Set(HeaderRequest, q.name)
 	ctx, cancel := q.bounded(r.Context())
 	defer cancel()
 	if q.keyed() {
@@ -194,5 +195,5 @@
 	if s.Decided == nil {
 		return
 	}
-	s.Decided(Decision{Request: q.id, Path: q.URL.Path, Action: action, Reason: reason, Peer: peer})
+	s.Decided(Decision{Request: q.name, Service: q.service.Name(), Action: action, Reason: reason, Peer: peer})
 }
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -14,6 +14,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/core/gdonce"
 	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdduty"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
 	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
@@ -50,8 +51,13 @@
 	Peers Peers
 	// Rand is the random source of the decisions.
 	Rand *rand.Rand
+	// HealthPath is the path of the upstream's health endpoint. An empty one is
+	// not asked.
+	HealthPath string
 	// Decided is called with each decision on a request, if it is set.
 	Decided func(Decision)
+	// Log takes the events.
+	Log gdlog.Logger
 
 	start      sync.Once
 	lastID     atomic.Uint64
@@ -71,8 +77,9 @@
 
 // Decision is the record of one decision on a request.
 type Decision struct {
-	Request uint64
-	Path    string
+	// Request is the identifier that the caller got in HeaderRequest.
+	Request string
+	Service string
 	Action  string
 	Reason  string
 	Peer    gdconf.UpstreamID
@@ -108,6 +115,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { s.watch(ctx) })
 	wg.Go(func() { s.exchangeLoads(ctx) })
+	wg.Go(func() { s.probe(ctx) })
 	wg.Go(func() { s.ledger.Run(ctx) })
 	s.duty.Run(ctx)
 	wg.Wait()
--- a/internal/process/gdserve/agent.go
+++ b/internal/process/gdserve/agent.go
@@ -55,6 +55,8 @@
 		Config:      do.MustInvoke[*gdconfsync.Syncer](inj),
 		Certificate: certs.Get,
 		MaxFlows:    s.MaxFlows,
+		Decided:     recordPacket(inj),
+		Log:         do.MustInvoke[gdlog.Logger](inj),
 	}
 	p := newProcess(inj, &a.Counters, func() any { return a.State() })
 	p.peers.Loads = requests
@@ -84,6 +86,9 @@
 		Incarnation: uint32(do.MustInvoke[incarnation](inj)),
 		Config:      conf,
 		Target:      target,
+		HealthPath:  s.HealthPath,
+		Decided:     recordRequest(inj),
+		Log:         do.MustInvoke[gdlog.Logger](inj),
 		Signer:      gdonce.NewSigner(fleet.Derive("issued-keys", signerKeySize)),
 		Peers: peers{
 			Dialer:  do.MustInvoke[*gdpeer.Dialer](inj),
--- a/internal/process/gdserve/balancer.go
+++ b/internal/process/gdserve/balancer.go
@@ -6,6 +6,7 @@
 
 	"github.com/samber/do/v2"
 
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
 	"godwitdrift.example/godwitdrift/internal/process/gdbalancer"
 	"godwitdrift.example/godwitdrift/internal/process/gdconfsync"
@@ -25,6 +26,8 @@
 		ListenHost:  s.ListenHost,
 		Fleet:       do.MustInvoke[gdkey.Fleet](inj),
 		Config:      conf,
+		Decided:     recordPacket(inj),
+		Log:         do.MustInvoke[gdlog.Logger](inj),
 	}
 	p := newProcess(inj, &b.Counters, func() any { return b.State() })
 	return runProcess(ctx, inj, p, b.Run)
--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -13,7 +13,6 @@
 	"github.com/samber/do/v2"
 
 	"godwitdrift.example/godwitdrift/config"
-	"godwitdrift.example/godwitdrift/internal/core/gdsync"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
@@ -93,24 +92,12 @@
 		Seed:     rand.Uint64(),
 		Platform: &gdplatform.Client{URL: c.Platform, Remember: []string{config.IndexKey}},
 		Peers:    dialer,
-		Observe:  observe(do.MustInvoke[gdlog.Logger](inj)),
+		Observe:  logConfiguration(do.MustInvoke[gdlog.Logger](inj)),
 	}
 	dialer.Version = s.Version
 	return s, nil
 }
 
-// observe logs what the configuration core does.
-func observe(log gdlog.Logger) func(gdsync.Action) {
-	return func(a gdsync.Action) {
-		switch a := a.(type) {
-		case gdsync.InForce:
-			log.Event(gdlog.ConfigurationInForce, "version", a.State.Version().String())
-		case gdsync.Rejected:
-			log.Event(gdlog.ConfigurationInvalid, "revision", a.Revision, "reason", a.Problems.Error())
-		}
-	}
-}
-
 func provideMetrics(inj do.Injector) (*gdmetric.Metrics, error) {
 	r := do.MustInvoke[role](inj)
 	return gdmetric.New("godwitdrift", map[string]string{"role": string(r)}), nil
@@ -237,6 +224,7 @@
 		}
 	}
 	go p.config.Run(life)
+	go countDecisions(life, do.MustInvoke[*gdmetric.Metrics](inj), p.counters)
 	log.Event(gdlog.ProcessStarted)
 	if err := duty(ctx); err != nil {
 		log.Failure(gdlog.ProcessFailed, err)
