Name an agent's process after its upstream in the rig

Cause: the dump of a process showed 25 members in a fleet of 14: the host list and the configuration named each agent differently. Change: the rig's agents have the name of their upstream, and the settings say that an agent's name is its upstream's. Conclusion: names are the identity of a process towards its peers.

--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -34,7 +34,8 @@
 
 // Common holds the settings that every process has.
 type Common struct {
-	// Name is the process's own name in kebab case.
+	// Name is the process's own name in kebab case. An agent has the name of its
+	// upstream, by which the configuration tells the other processes of it.
 	Name string `toml:"name"`
 	// Domain is the name of the failure domain in which the process runs.
 	Domain string `toml:"domain"`
--- a/internal/rig/gddemo/actions.go
+++ b/internal/rig/gddemo/actions.go
@@ -137,7 +137,7 @@
 	})
 }
 
-func (d *Demo) agent() string { return "agent-" + d.drained.upstream }
+func (d *Demo) agent() string { return d.drained.upstream }
 
 func (d *Demo) stopAgent(context.Context) error {
 	p := d.Rig.Process(d.agent())
--- a/internal/rig/gdrigup/control.go
+++ b/internal/rig/gdrigup/control.go
@@ -73,7 +73,7 @@
 // RestartAgent starts the agent of the named upstream again, once its process
 // has ended.
 func (r *Rig) RestartAgent(upstream string) error {
-	if p := r.Process("agent-" + upstream); p != nil {
+	if p := r.Process(upstream); p != nil {
 		p.end(endTimeout)
 	}
 	for _, s := range r.Deployment().Services {
--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -131,7 +131,7 @@
 
 func (r *Rig) startAgent(service string, u config.Upstream) error {
 	addr := netip.MustParseAddrPort(u.Agent)
-	s := r.common("agent-"+u.Name, u.Domain)
+	s := r.common(u.Name, u.Domain)
 	s.NodeAddress = u.Agent
 	s.OperatorAddress = netip.AddrPortFrom(addr.Addr(), addr.Port()+operatorPort-nodePort).String()
 	s.UpstreamID = u.ID
