Measure what flows, feeds and requests cost each process

Cause: the capacity page needs slopes from runs, and nothing measured them. Ruled out: measuring in one process, where the callers' share can't be told from the agent's. Change: the dump shows the process's own usage; gdrig capacity starts one agent and one balancer, brings about several sizes and fits lines.

--- /dev/null
+++ b/cmd/gdrig/capacity.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdcapacity"
+)
+
+const capacityHelp = `Measures what flows, feeds and requests cost a balancer and an agent, at several
+sizes, and prints for each cost the slope of the line through the measurements,
+its value at size 0, the share of the variance that it explains, and the
+measurements. docs/CAPACITY.md is worked out from these slopes.
+
+Example:
+   gdrig capacity --flows 500 --flows 1000 --flows 2000`
+
+func capacityCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "capacity",
+		Usage:       "measure the cost of flows, feeds and requests",
+		Description: capacityHelp,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "binary", Usage: "godwitdrift program (default: beside gdrig)"},
+			&cli.IntSliceFlag{Name: "flows", Usage: "numbers of idle flows", Value: []int{250, 500, 1000, 2000}},
+			&cli.IntSliceFlag{Name: "feeds", Usage: "numbers of open feeds", Value: []int{250, 500, 1000}},
+			&cli.IntSliceFlag{Name: "requests", Usage: "numbers of requests", Value: []int{1000, 2000, 4000}},
+		},
+		Action: capacity,
+	}
+}
+
+func capacity(ctx context.Context, cmd *cli.Command) error {
+	binary := cmd.String("binary")
+	if binary == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return errors.Wrap(err, "find own program")
+		}
+		binary = filepath.Join(filepath.Dir(self), "godwitdrift")
+	}
+	m := &gdcapacity.Meter{
+		Binary:   binary,
+		Flows:    cmd.IntSlice("flows"),
+		Feeds:    cmd.IntSlice("feeds"),
+		Requests: cmd.IntSlice("requests"),
+		Progress: progress,
+	}
+	lines, err := m.Measure(ctx)
+	for _, l := range lines {
+		fmt.Println(l)
+	}
+	return err
+}
--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -113,6 +113,8 @@
 	state       func() any
 	// peers serves the other processes of the fleet.
 	peers *gdpeer.Server
+	// listener is where peers call.
+	listener countingListener
 }
 
 func newProcess(inj do.Injector, counters *gdnode.Counters, state func() any) *process {
@@ -160,6 +162,7 @@
 	Status        gdoperator.Status `json:"status"`
 	Configuration gdconfsync.Status `json:"configuration"`
 	RefusedPeers  int64             `json:"refused-peers"`
+	Usage         usage             `json:"usage"`
 	Counters      []gdnode.Count    `json:"counters"`
 	State         any               `json:"state"`
 }
@@ -170,6 +173,7 @@
 		Status:        p.Status(),
 		Configuration: p.config.Status(),
 		RefusedPeers:  p.peers.Refused(),
+		Usage:         usageNow(p.listener.bytes.Load()),
 		Counters:      p.counters.Snapshot(),
 		State:         p.state(),
 	}
@@ -204,7 +208,8 @@
 	if err != nil {
 		return errors.Wrap(err, "open the node address for peers")
 	}
-	go func() { _ = p.peers.Serve(ctx, l) }() // ends with the context
+	p.listener.Listener = l
+	go func() { _ = p.peers.Serve(ctx, &p.listener) }() // ends with the context
 	return nil
 }
 
--- /dev/null
+++ b/internal/rig/gdcapacity/meter.go
@@ -0,0 +1,201 @@
+package gdcapacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/rig/gdrigup"
+)
+
+const (
+	serviceName  = "booking"
+	upstreamName = "booking-1"
+	feedRoute    = "/feed"
+	slots        = 64
+	// settle is the time that a process gets to come to rest before its usage is
+	// read.
+	settle = 3 * time.Second
+	// atOnce is the number of requests in progress while requests are measured.
+	atOnce = 8
+)
+
+// Meter measures. Set its exported fields before Measure.
+type Meter struct {
+	// Binary is the file of the godwitdrift program.
+	Binary string
+	// Flows are the numbers of open flows to measure at, rising.
+	Flows []int
+	// Feeds are the numbers of open feeds to measure at, rising.
+	Feeds []int
+	// Requests are the numbers of requests to measure.
+	Requests []int
+	// Progress is called with each step in words.
+	Progress func(string)
+}
+
+// Measure returns the lines of all costs.
+func (m *Meter) Measure(ctx context.Context) ([]Line, error) {
+	var out []Line
+	for _, part := range []func(context.Context) ([]Line, error){m.flows, m.feeds, m.requests} {
+		lines, err := part(ctx)
+		if err != nil {
+			return out, err
+		}
+		out = append(out, lines...)
+	}
+	return out, nil
+}
+
+// spec is one service with one upstream behind one balancer.
+func spec(maxFlows int) gdrigup.Spec {
+	return gdrigup.Spec{
+		Deployment: config.Deployment{
+			Name: "capacity", Revision: 1,
+			TokenKeys: []config.TokenKey{{Phase: 0, Name: "first"}},
+			Domains:   []config.Domain{{Name: "north"}},
+			Services: []config.Service{{
+				Name: serviceName, ID: 1, Address: "192.0.2.10:443", Priority: 1, DrainSeconds: 1,
+				Routes: []config.Route{{PathPrefix: feedRoute, Priority: 1, Stream: true}},
+				Upstreams: []config.Upstream{{
+					Name: upstreamName, ID: 101, Domain: "north", Agent: "192.0.2.51:7000", Slots: slots,
+				}},
+			}},
+		},
+		Settings: gdrigup.Settings{Balancers: 1, MaxFlows: maxFlows, Seed: 1},
+	}
+}
+
+// bench is a running deployment with callers.
+type bench struct {
+	rig      *gdrigup.Rig
+	callers  *callers
+	agent    *gdrigup.Process
+	balancer *gdrigup.Process
+}
+
+func (m *Meter) start(ctx context.Context, maxFlows int) (*bench, error) {
+	rig := &gdrigup.Rig{Spec: spec(maxFlows), Binary: m.Binary, Progress: m.Progress}
+	if err := rig.Start(ctx); err != nil {
+		return nil, err
+	}
+	c, err := newCallers(serviceName, rig.Services()[0].Addr, rig.CAFile())
+	if err != nil {
+		rig.Stop()
+		return nil, err
+	}
+	return &bench{rig: rig, callers: c, agent: rig.Process(upstreamName), balancer: rig.Process("balancer-1")}, nil
+}
+
+func (b *bench) stop() {
+	b.callers.close()
+	b.rig.Stop()
+}
+
+// flows measures what open flows without a request cost the agent and the
+// balancer, and what opening them costs.
+func (m *Meter) flows(ctx context.Context) ([]Line, error) {
+	b, err := m.start(ctx, 2*m.Flows[len(m.Flows)-1])
+	if err != nil {
+		return nil, err
+	}
+	defer b.stop()
+	mem := Line{Name: "agent memory, idle flow", Unit: "bytes/flow"}
+	heap := Line{Name: "agent heap, idle flow", Unit: "bytes/flow"}
+	stack := Line{Name: "agent stacks, idle flow", Unit: "bytes/flow"}
+	goroutines := Line{Name: "agent goroutines, idle flow", Unit: "goroutines/flow"}
+	opening := Line{Name: "agent cpu, opened flow", Unit: "seconds/flow"}
+	balancer := Line{Name: "balancer memory, idle flow", Unit: "bytes/flow"}
+	balancerCPU := Line{Name: "balancer cpu, opened flow", Unit: "seconds/flow"}
+	for _, n := range m.Flows {
+		if err := b.callers.grow(ctx, n, false); err != nil {
+			return nil, errors.Wrapf(err, "at %d flows", n)
+		}
+		time.Sleep(settle)
+		a, err := usageOf(ctx, b.agent)
+		if err != nil {
+			return nil, err
+		}
+		e, err := usageOf(ctx, b.balancer)
+		if err != nil {
+			return nil, err
+		}
+		size := float64(n)
+		mem.Points = append(mem.Points, Point{size, a.ResidentBytes})
+		heap.Points = append(heap.Points, Point{size, a.HeapBytes})
+		stack.Points = append(stack.Points, Point{size, a.StackBytes})
+		goroutines.Points = append(goroutines.Points, Point{size, a.Goroutines})
+		opening.Points = append(opening.Points, Point{size, a.CPUSeconds})
+		balancer.Points = append(balancer.Points, Point{size, e.ResidentBytes})
+		balancerCPU.Points = append(balancerCPU.Points, Point{size, e.CPUSeconds})
+	}
+	return []Line{mem, heap, stack, goroutines, opening, balancer, balancerCPU}, nil
+}
+
+// feeds measures what an open feed costs the agent.
+func (m *Meter) feeds(ctx context.Context) ([]Line, error) {
+	b, err := m.start(ctx, 2*m.Feeds[len(m.Feeds)-1])
+	if err != nil {
+		return nil, err
+	}
+	defer b.stop()
+	mem := Line{Name: "agent memory, open feed", Unit: "bytes/feed"}
+	goroutines := Line{Name: "agent goroutines, open feed", Unit: "goroutines/feed"}
+	for _, n := range m.Feeds {
+		if err := b.callers.grow(ctx, n, true); err != nil {
+			return nil, errors.Wrapf(err, "at %d feeds", n)
+		}
+		time.Sleep(settle)
+		a, err := usageOf(ctx, b.agent)
+		if err != nil {
+			return nil, err
+		}
+		mem.Points = append(mem.Points, Point{float64(n), a.ResidentBytes})
+		goroutines.Points = append(goroutines.Points, Point{float64(n), a.Goroutines})
+	}
+	return []Line{mem, goroutines}, nil
+}
+
+// requests measures the processor time of requests on open flows.
+func (m *Meter) requests(ctx context.Context) ([]Line, error) {
+	b, err := m.start(ctx, 0)
+	if err != nil {
+		return nil, err
+	}
+	defer b.stop()
+	if err := b.callers.grow(ctx, atOnce, false); err != nil {
+		return nil, err
+	}
+	agent := Line{Name: "agent cpu, small request", Unit: "seconds/request"}
+	balancer := Line{Name: "balancer cpu, small request", Unit: "seconds/request"}
+	for _, n := range m.Requests {
+		before, err := b.both(ctx)
+		if err != nil {
+			return nil, err
+		}
+		if err := b.callers.requests(ctx, n, atOnce); err != nil {
+			return nil, errors.Wrapf(err, "at %d requests", n)
+		}
+		after, err := b.both(ctx)
+		if err != nil {
+			return nil, err
+		}
+		agent.Points = append(agent.Points, Point{float64(n), after.agent.CPUSeconds - before.agent.CPUSeconds})
+		balancer.Points = append(balancer.Points, Point{float64(n), after.balancer.CPUSeconds - before.balancer.CPUSeconds})
+	}
+	return []Line{agent, balancer}, nil
+}
+
+// pair is the usage of both processes at one moment.
+type pair struct{ agent, balancer Usage }
+
+func (b *bench) both(ctx context.Context) (pair, error) {
+	a, err := usageOf(ctx, b.agent)
+	if err != nil {
+		return pair{}, err
+	}
+	e, err := usageOf(ctx, b.balancer)
+	return pair{agent: a, balancer: e}, err
+}
--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -140,6 +140,7 @@
 	s.LoadPath = "/load"
 	s.CertFile = r.authority.certFile(service)
 	s.KeyFile = r.authority.keyFile(service)
+	s.MaxFlows = r.Spec.Settings.MaxFlows
 	return r.startProcess(gdplatsim.RoleAgent, s)
 }
 
--- a/internal/rig/gdrigup/process.go
+++ b/internal/rig/gdrigup/process.go
@@ -28,6 +28,7 @@
 	LoadPath        string `toml:"load-path,omitempty"`
 	CertFile        string `toml:"cert-file,omitempty"`
 	KeyFile         string `toml:"key-file,omitempty"`
+	MaxFlows        int    `toml:"max-flows,omitempty"`
 }
 
 // Process is one balancer or agent that the rig has started.
--- a/internal/rig/gdrigup/spec.go
+++ b/internal/rig/gdrigup/spec.go
@@ -38,6 +38,9 @@
 	WarmUpSeconds float64 `toml:"warm-up-seconds"`
 	// PlatformLagMS is the age at which a published value can be read.
 	PlatformLagMS float64 `toml:"platform-lag-ms"`
+	// MaxFlows is the number of flows that an agent holds at most; zero means the
+	// agent's own default.
+	MaxFlows int `toml:"max-flows"`
 	// Seed seeds all random choices of the stand-ins.
 	Seed uint64 `toml:"seed"`
 	// Load is the load of a demo, one row for each service.
