Hold the promises under random pairs of faults

Change: a property over the model draws two faults, the load and the seed; the budget, the time of refusals and what cold upstreams get are bounded.

--- a/internal/core/gdadmit/policy_test.go
+++ b/internal/core/gdadmit/policy_test.go
@@ -1,6 +1,7 @@
 package gdadmit
 
 import (
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -8,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdspread"
 )
@@ -179,15 +182,20 @@
 	}
 }
 
+// checkAlways asserts the bounds that hold under every fault.
+func checkAlways(t assert.TestingT, name string, r result) {
+	// Relays and retries: a tenth of the work and the floor.
+	floor := modelTargets * modelEnd.Seconds() / 10
+	assert.LessOrEqual(t, float64(r.passed), float64(r.started)/10+floor, name)
+	// A request that is given up gets its answer well before its deadline: after
+	// half its time, or a little more when it was relayed then.
+	assert.LessOrEqual(t, quantile(r.refusalWait, 1), (modelWait * 5 / 8).Milliseconds(), name)
+}
+
 // checkBounds asserts what the users' pages promise.
 func checkBounds(t *testing.T, results map[string]result) {
 	for name, r := range results {
-		// Relays and retries: a tenth of the work and the floor.
-		floor := modelTargets * modelEnd.Seconds() / 10
-		assert.LessOrEqual(t, float64(r.passed), float64(r.started)/10+floor, name)
-		// A request that is given up gets its answer well before its deadline:
-		// after half its time, or a little more when it was relayed then.
-		assert.LessOrEqual(t, quantile(r.refusalWait, 1), (modelWait * 5 / 8).Milliseconds(), name)
+		checkAlways(t, name, r)
 	}
 	// Goodput doesn't fall as the offered load grows, and urgent work goes first.
 	full := results["1x"]
@@ -219,3 +227,23 @@
 		assert.LessOrEqual(t, r.over, collapseAfter*modelTargets, "seed %d", seed)
 	}
 }
+
+// TestTwoFaultsAtOnce holds the promises under random pairs of faults.
+func TestTwoFaultsAtOnce(t *testing.T) {
+	require.NoError(t, flag.Set("rapid.checks", "12"))
+	defer func() { require.NoError(t, flag.Set("rapid.checks", propertyChecks)) }()
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(2, 3).Draw(t, "slots")
+		faults := scenarios(slots)[3:]
+		i := rapid.IntRange(0, len(faults)-1).Draw(t, "first")
+		k := rapid.IntRange(0, len(faults)-1).Draw(t, "second")
+		load := rapid.SampledFrom([]float64{0.5, 1, 3}).Draw(t, "load")
+		s := scenario{"", slots, load, func(m *model, now time.Time) {
+			faults[i].fault(m, now)
+			faults[k].fault(m, now)
+		}}
+		r := runModel(s, rapid.Uint64().Draw(t, "seed"), guard[AIMD])
+		checkAlways(t, faults[i].name+", "+faults[k].name, r)
+		assert.LessOrEqual(t, r.over, collapseAfter*modelTargets)
+	})
+}
--- a/internal/core/gdadmit/property_test.go
+++ b/internal/core/gdadmit/property_test.go
@@ -14,9 +14,12 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdspread"
 )
 
+// propertyChecks is the number of random runs of a property.
+const propertyChecks = "1000"
+
 // TestMain fixes the seed, so that each run gives the same verdict.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "1000", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": propertyChecks, "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
 			panic(err)
 		}
