Say whether a new flow should stay

Cause: a new flow that an agent can't bear is to be passed to a peer with room, and the agent needs one answer for that. Change: TakesFlow, by the same rule by which peers take moved requests. Conclusion: the passing itself is the agent's.

--- a/internal/core/gdadmit/core.go
+++ b/internal/core/gdadmit/core.go
@@ -185,6 +185,12 @@
 	return gdspread.NewLoad(len(c.running), c.waiting.len(), limit, started)
 }
 
+// TakesFlow reports whether a new flow should stay here. Otherwise it should be
+// passed to a peer by [gdspread.Core.Move], and stay when there is none.
+func (c *Guard[L]) TakesFlow(now time.Time) bool {
+	return len(c.streams) < c.streamBound() && c.Load(now).TakesMove()
+}
+
 // OpenStreams returns the number of open streams.
 func (c *Guard[L]) OpenStreams() int { return len(c.streams) }
 
--- a/internal/core/gdadmit/core_test.go
+++ b/internal/core/gdadmit/core_test.go
@@ -115,6 +115,7 @@
 	require.Equal(t, 3, c.Load(ms(2020)).Room())
 	full := c.Arrive(ms(2020), NewRequest(1, 2, time.Time{}, Stream()))
 	require.Equal(t, ReasonStreams, full[0].Reason())
+	require.False(t, c.TakesFlow(ms(2020)))
 	for id := range uint64(4) {
 		c.Finish(ms(9000), 1e6+id, NewOutcome(OutcomeOK, 0, true))
 	}
@@ -157,7 +158,9 @@
 		arrive(id, Established())
 	}
 	require.Equal(t, map[Kind]int{KindStart: 3, KindRelay: 1, KindRefuse: 1}, kinds)
+	require.True(t, c.TakesFlow(ms(2110)))
 	c.SetMode(ms(2110), ModeLeaving)
+	require.False(t, c.TakesFlow(ms(2110)))
 	arrive(10, Established())
 	arrive(11, Repeatable())
 	require.Equal(t, map[Kind]int{KindStart: 3, KindRelay: 2, KindRefuse: 2}, kinds)
--- a/internal/core/gdspread/load.go
+++ b/internal/core/gdspread/load.go
@@ -35,9 +35,9 @@
 // takesRelay reports whether a relayed request would start at once.
 func (l Load) takesRelay() bool { return l.Room() > 0 }
 
-// takesMove reports whether a moved request would wait for no more than about the
+// TakesMove reports whether a moved request would wait for no more than about the
 // time of one request.
-func (l Load) takesMove() bool { return l.limit > 0 && l.Room() > -l.limit }
+func (l Load) TakesMove() bool { return l.limit > 0 && l.Room() > -l.limit }
 
 // less reports whether l is less loaded than m, relative to their limits. Both
 // limits are above 0.
--- a/internal/core/gdspread/spread.go
+++ b/internal/core/gdspread/spread.go
@@ -91,11 +91,12 @@
 	return c.take(i), true
 }
 
-// Move chooses a peer like [Core.Relay] for work of a leaving upstream, without
-// a charge to the budget. As such work has no other place, a short wait at the
+// Move chooses a peer like [Core.Relay], without a charge to the budget. It is
+// meant for requests of a leaving upstream's flows and for new flows that an
+// upstream can't bear. As a moved request has no other place, a short wait at the
 // peer is accepted.
 func (c *Core) Move(now time.Time, hops int) (gdconf.UpstreamID, bool) {
-	i, ok := c.choose(now, hops, Load.takesMove)
+	i, ok := c.choose(now, hops, Load.TakesMove)
 	if !ok {
 		return 0, false
 	}
