Bring the limit back with the first warm answer after an idle time

Cause: after 10 s without an outcome the limit began at 1 and had to grow by runs of good answers, which takes long where requests are slow and few. Ruled out: no check after an idle time, which sends a burst to an upstream that has turned cold unseen. Change: one answer within twice the warm latency brings the former limit back; any other outcome begins at 1; a cancellation says nothing. The test of the warm answer failed before.

--- a/internal/core/gdadmit/core_test.go
+++ b/internal/core/gdadmit/core_test.go
@@ -70,6 +70,9 @@
 		{"a caller's short deadline", func(c *Core) { outcomes(c, 2010, OutcomeTimeout, 5, 5, 5) }, 2100, 3},
 		{"callers give up", func(c *Core) { outcomes(c, 2010, OutcomeCancelled, 1, 1, 1) }, 2100, 3},
 		{"idle", func(*Core) {}, 13_000, 1},
+		{"idle, then a warm answer", func(c *Core) { outcomes(c, 13_000, OutcomeOK, 15) }, 13_020, 3},
+		{"idle, then a doubtful answer", func(c *Core) { outcomes(c, 13_000, OutcomeOK, 25) }, 13_030, 1},
+		{"idle, then a failure", func(c *Core) { outcomes(c, 13_000, OutcomeFailed, 5) }, 13_030, 1},
 		{"no answers at all", func(c *Core) {
 			for id := range uint64(3) {
 				c.Arrive(ms(2010), NewRequest(1e6+id, 1, time.Time{}))
--- a/internal/core/gdadmit/slowstart.go
+++ b/internal/core/gdadmit/slowstart.go
@@ -112,14 +112,15 @@
 // judge says what the sample means and keeps count. It restarts the slow start
 // when the upstream looks cold.
 func (s *slowStart) judge(now time.Time, x Sample) verdict {
-	if s.idle(now) {
+	if x.kind == OutcomeCancelled {
+		return verdictNone
+	}
+	if s.idle(now) && !s.isWarm(x) {
 		s.limit = 1
 		s.good = 0
 	}
 	s.seen = now
 	switch x.kind {
-	case OutcomeCancelled:
-		return verdictNone
 	case OutcomeOK:
 		return s.judgeLatency(now, x.latency)
 	case OutcomeTimeout:
@@ -131,6 +132,11 @@
 	return s.countBad(now, x.kind)
 }
 
+// isWarm reports whether one sample alone shows a warm upstream.
+func (s *slowStart) isWarm(x Sample) bool {
+	return x.kind == OutcomeOK && s.base.known && x.latency < raisedFactor*s.base.mean
+}
+
 func (s *slowStart) judgeLatency(now time.Time, latency time.Duration) verdict {
 	s.pause = 0
 	rise := time.Duration(warmRise)
