--- a/internal/core/gdadmit/core_test.go
+++ b/internal/core/gdadmit/core_test.go
@@ -70,6 +70,9 @@
 		{"a caller's short deadline", func(c *Core) { outcomes(c, 2010, OutcomeTimeout, 5, 5, 5) }, 2100, 3},
 		{"callers give up", func(c *Core) { outcomes(c, 2010, OutcomeCancelled, 1, 1, 1) }, 2100, 3},
 		{"idle", func(*Core) {}, 13_000, 1},
+		{"idle, then a warm answer", func(c *Core) { outcomes(c, 13_000, OutcomeOK, 15) }, 13_020, 3},
+		{"idle, then a doubtful answer", func(c *Core) { outcomes(c, 13_000, OutcomeOK, 25) }, 13_030, 1},
+		{"idle, then a failure", func(c *Core) { outcomes(c, 13_000, OutcomeFailed, 5) }, 13_030, 1},
 		{"no answers at all", func(c *Core) {
 			for id := range uint64(3) {
 				c.Arrive(ms(2010), NewRequest(1e6+id, 1, time.Time{}))
@@ -115,6 +118,7 @@
 	require.Equal(t, 3, c.Load(ms(2020)).Room())
 	full := c.Arrive(ms(2020), NewRequest(1, 2, time.Time{}, Stream()))
 	require.Equal(t, ReasonStreams, full[0].Reason())
+	require.False(t, c.TakesFlow(ms(2020)))
 	for id := range uint64(4) {
 		c.Finish(ms(9000), 1e6+id, NewOutcome(OutcomeOK, 0, true))
 	}
@@ -157,7 +161,9 @@
 		arrive(id, Established())
 	}
 	require.Equal(t, map[Kind]int{KindStart: 3, KindRelay: 1, KindRefuse: 1}, kinds)
+	require.True(t, c.TakesFlow(ms(2110)))
 	c.SetMode(ms(2110), ModeLeaving)
+	require.False(t, c.TakesFlow(ms(2110)))
 	arrive(10, Established())
 	arrive(11, Repeatable())
 	require.Equal(t, map[Kind]int{KindStart: 3, KindRelay: 2, KindRefuse: 2}, kinds)
