--- a/internal/core/gdonce/net_test.go
+++ b/internal/core/gdonce/net_test.go
@@ -83,7 +83,8 @@
 
 // call is one attempt of a caller.
 type call struct {
-	key string
+	key  string
+	last Action // the final answer
 }
 
 // world is a small net of agents in virtual time.
@@ -100,14 +101,15 @@
 	answers map[string]string // the body of the first done answer
 	refused map[string]bool
 	faults  []string
-	tally   map[string]int
+	runner  map[string]gdconf.UpstreamID // the agent that ran a key
+	clean   bool                         // upstreams neither refuse nor fail
 }
 
 func newWorld(seed uint64, views ...*gdconf.View) *world {
 	w := &world{
 		rnd: rand.New(rand.NewPCG(seed, 7)), now: epoch, views: views, loss: 0.02,
 		procs: map[gdconf.UpstreamID]*proc{}, side: map[gdconf.UpstreamID]bool{},
-		starts: map[string]int{}, refused: map[string]bool{}, answers: map[string]string{}, tally: map[string]int{},
+		starts: map[string]int{}, refused: map[string]bool{}, answers: map[string]string{}, runner: map[string]gdconf.UpstreamID{},
 	}
 	for _, v := range views {
 		s, _ := v.Service(testService)
@@ -121,10 +123,9 @@
 	return w
 }
 
+// boot puts a new process in the place of the agent's earlier one, which goes on
+// with what it has received when nobody has marked it dead.
 func (w *world) boot(id gdconf.UpstreamID, v *gdconf.View) {
-	if old := w.procs[id]; old != nil {
-		old.dead = true
-	}
 	p := &proc{reply: map[uint64]func(Action){}, keys: map[uint64]*call{}}
 	p.core = Core{Self: id, Incarnation: w.rnd.Uint32(), Signer: NewSigner([]byte("secret")), Rand: w.rnd}
 	w.procs[id] = p
@@ -184,16 +185,16 @@
 }
 
 // attempt lets a caller send a request to one agent.
-func (w *world) attempt(key string, to gdconf.UpstreamID) {
+func (w *world) attempt(key string, to gdconf.UpstreamID) *call {
 	c := &call{key: key}
 	w.after(w.delay(), nil, func() {
 		p := w.procs[to]
 		if p == nil || p.dead {
-			w.tally["no-answer"]++
 			return
 		}
 		w.after(0, p, func() { w.arrive(p, c, false, func(a Action) { w.answered(c, a) }) })
 	})
+	return c
 }
 
 func (w *world) arrive(p *proc, c *call, relayed bool, reply func(Action)) {
@@ -206,22 +207,18 @@
 
 // answered checks the final answer of an attempt.
 func (w *world) answered(c *call, a Action) {
+	c.last = a
 	switch a := a.(type) {
 	case AnswerDone:
-		w.tally["done"]++
 		if first, ok := w.answers[c.key]; ok && first != string(a.Answer.Body) {
 			w.fault("two answers for %s", c.key)
 		}
 		w.answers[c.key] = string(a.Answer.Body)
 	case AnswerNotRun:
-		w.tally["not-run"]++
 		w.refused[c.key] = true
 		if w.starts[c.key] > 0 {
 			w.fault("%s refused as not-run, but it ran", c.key)
 		}
-	case AnswerUnknown:
-		w.tally["unknown"]++
-		w.tally["unknown: "+string(a.Reason)]++
 	}
 }
 
@@ -250,6 +247,9 @@
 func (w *world) start(p *proc, id uint64) {
 	c := p.keys[id]
 	kind := w.rnd.IntN(20)
+	if w.clean {
+		kind = 2
+	}
 	if kind == 0 { // refused before the start
 		w.act(p, p.core.Finished(w.now, id, Outcome{Result: ResultNotRun}))
 		return
@@ -261,6 +261,7 @@
 	if w.refused[c.key] {
 		w.fault("%s ran after its refusal as not-run", c.key)
 	}
+	w.runner[c.key] = p.core.Self
 	o := Outcome{Result: ResultDone, Answer: Stored{Status: 200, Body: fmt.Appendf(nil, "%d", w.rnd.Uint64())}}
 	if kind == 1 {
 		o = Outcome{Result: ResultUnknown}
--- a/internal/core/gdonce/once_test.go
+++ b/internal/core/gdonce/once_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"flag"
+	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
@@ -15,7 +18,7 @@
 // run gives the same verdict.
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.checks": "300", "rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.steps": "40"} {
+	for name, value := range map[string]string{"rapid.checks": "1000", "rapid.seed": "20261203", "rapid.nofailfile": "true", "rapid.steps": "40"} {
 		if f := flag.Lookup(name); f != nil && f.Value.String() == f.DefValue {
 			_ = f.Value.Set(value)
 		}
@@ -23,9 +26,17 @@
 	os.Exit(m.Run())
 }
 
-// testViews are successive configurations: one agent replaced, another one
-// replaced, and a failure domain taken out.
-func testViews() []*gdconf.View {
+// testViews are successive configurations of a service of 4 and of one of 7:
+// one agent replaced, another one replaced, and a failure domain taken out.
+func testViews(large bool) []*gdconf.View {
+	if large {
+		return []*gdconf.View{
+			testView(1, -1, 1, 2, 3, 4, 5, 6, 7),
+			testView(2, -1, 1, 2, 3, 4, 5, 6, 8),
+			testView(3, -1, 1, 2, 3, 4, 5, 9, 8),
+			testView(4, 1, 1, 2, 3, 4, 5, 9, 8),
+		}
+	}
 	return []*gdconf.View{
 		testView(1, -1, 1, 2, 3, 4),
 		testView(2, -1, 1, 2, 3, 5),
@@ -72,7 +83,19 @@
 
 func (h *history) kill(t *rapid.T) { h.procs[h.agent(t)].dead = true }
 
-func (h *history) restart(t *rapid.T) { h.boot(h.agent(t), h.views[h.version]) }
+func (h *history) restart(t *rapid.T) {
+	id := h.agent(t)
+	h.procs[id].dead = true
+	h.boot(id, h.views[h.version])
+}
+
+// replace boots a process while its predecessor sleeps, to wake up later.
+func (h *history) replace(t *rapid.T) {
+	id := h.agent(t)
+	h.procs[id].wakes = h.now.Add(time.Duration(rapid.IntRange(3, 9).Draw(t, "s")) * time.Second)
+	h.run(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
+	h.boot(id, h.views[h.version])
+}
 
 func (h *history) pause(t *rapid.T) {
 	h.procs[h.agent(t)].wakes = h.now.Add(time.Duration(rapid.IntRange(1, 9).Draw(t, "s")) * time.Second)
@@ -104,14 +127,88 @@
 
 func TestNeverTwice(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &history{world: newWorld(rapid.Uint64().Draw(t, "seed"), testViews()...)}
+		h := &history{world: newWorld(rapid.Uint64().Draw(t, "seed"), testViews(rapid.Bool().Draw(t, "large"))...)}
 		t.Repeat(map[string]func(*rapid.T){
 			"fresh": h.fresh, "fresh-2": h.fresh, "again": h.again, "again-2": h.again,
 			"advance": h.advance, "advance-2": h.advance, "wait": h.wait,
-			"kill": h.kill, "restart": h.restart, "pause": h.pause,
+			"kill": h.kill, "restart": h.restart, "replace": h.replace, "pause": h.pause,
 			"partition": h.partition, "heal": h.heal, "publish": h.publish, "": h.check,
 		})
 		h.run(20 * time.Second)
 		h.check(t)
 	})
 }
+
+// claimBy lets an agent claim the key while it reaches the given peers only,
+// and reports whether it would run the request.
+func claimBy(cores map[gdconf.UpstreamID]*Core, now time.Time, key string, self gdconf.UpstreamID, reached ...gdconf.UpstreamID) bool {
+	c := cores[self]
+	queue := c.Arrive(now, Request{ID: 1, Service: testService, Key: key, Relayed: true})
+	for len(queue) > 0 {
+		switch a := queue[0].(type) {
+		case Run:
+			return true
+		case Ask:
+			ans := Answer{Verdict: PeerFailed}
+			if slices.Contains(reached, a.Peer) {
+				ans = cores[a.Peer].Asked(now, a.Question)
+			}
+			queue = append(queue, c.Answered(now, a.ID, a.Peer, ans)...)
+		}
+		queue = queue[1:]
+	}
+	return false
+}
+
+// coresOf starts one core for each agent, with the views that it has seen.
+func coresOf(seen map[gdconf.UpstreamID][]*gdconf.View) map[gdconf.UpstreamID]*Core {
+	cores := map[gdconf.UpstreamID]*Core{}
+	for id, views := range seen {
+		c := &Core{Self: id, Incarnation: uint32(id), Signer: NewSigner(nil), Rand: rand.New(rand.NewPCG(1, 1))}
+		for _, v := range views {
+			c.SetView(epoch, v)
+		}
+		for d := time.Duration(0); d < 10*time.Second; d += time.Second {
+			c.Tick(epoch.Add(d))
+		}
+		cores[id] = c
+	}
+	return cores
+}
+
+const laterKey = "01a22ee6-cf40-7000-8000-000000000001" // made at 8 s
+
+func TestTwoClaimants(t *testing.T) {
+	now := epoch.Add(9 * time.Second)
+	s1, s3 := testView(1, -1, 1, 2, 3, 4), testView(3, -1, 1, 2, 5, 6)
+	seven, other := testView(1, -1, 1, 2, 3, 4, 5, 6, 7), testView(2, -1, 1, 2, 3, 4, 5, 6, 8)
+	t.Run("a configuration was skipped", func(t *testing.T) {
+		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {s1}, 2: {s1, s3}, 3: {s1}, 4: {s1}, 5: {s3}, 6: {s3}})
+		require.True(t, claimBy(cores, now, laterKey, 3, 1, 4))
+		require.False(t, claimBy(cores, now, laterKey, 5, 2, 6), "2 tells 5 of the set that it never saw")
+	})
+	t.Run("one of seven was replaced", func(t *testing.T) {
+		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{
+			1: {seven}, 2: {seven}, 3: {seven}, 7: {seven}, 4: {other}, 5: {other}, 6: {other}, 8: {other},
+		})
+		first := claimBy(cores, now, laterKey, 1, 2, 3, 7)
+		second := claimBy(cores, now, laterKey, 8, 4, 5, 6)
+		require.False(t, first && second)
+	})
+	t.Run("each knows the other's set", func(t *testing.T) {
+		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {s3, s1}, 2: {s1, s3}, 3: {s1}, 4: {s1}, 5: {s3}, 6: {s3}})
+		require.True(t, claimBy(cores, now, laterKey, 2, 1, 5, 6))
+		require.False(t, claimBy(cores, now, laterKey, 1, 2, 3, 4))
+	})
+}
+
+// A process that slept does not answer what its successor may have answered
+// otherwise in the meantime.
+func TestPauseRaisesFloor(t *testing.T) {
+	cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {testView(1, -1, 1, 2, 3)}})
+	k, err := NewSigner(nil).Parse(laterKey)
+	require.NoError(t, err)
+	q := Question{Service: testService, Key: k.ident, Asker: 2, Incarnation: 9}
+	require.Equal(t, Refused, cores[1].Asked(epoch.Add(20*time.Second), q).Verdict)
+	require.EqualValues(t, 1, cores[1].Stats().Pauses)
+}
