Keep the outcome of a run at two peers, and fuzz the keys

Cause: a key whose home was killed after the run ended as unknown, though the run was done and its answer had existed. Ruled out: copies before the answer goes to the caller (another round trip for each request; the loss is only that of the moment in between). Change: a runner tells two peers of each run that is done; an issued key whose home does not answer is looked up at the peers, which never leads to a run. Fuzz target for key decoding; unit tests of the answers and of the full ledger; benchmarks of time and memory.

--- a/internal/core/gdonce/claim.go
+++ b/internal/core/gdonce/claim.go
@@ -63,7 +63,7 @@
 // askPeers asks the agents that have not been asked yet.
 func (c *Core) askPeers(rec *record) []Action {
 	cl := rec.attempts.claim
-	q := Question{Service: c.service, Key: rec.key, Digest: rec.digest, Asker: c.Self, Incarnation: c.Incarnation}
+	q := Question{c.service, rec.key, rec.digest, c.Self, c.Incarnation, rec.issued}
 	var actions []Action
 	for _, peer := range c.members.peers(c.Self) {
 		if slices.Contains(cl.asked, peer) {
@@ -96,7 +96,7 @@
 }
 
 func (c *Core) grant(now time.Time, q Question, asker process) Verdict {
-	if !c.vouches(now, ident(q.Key).stamp()) {
+	if q.Lookup || !c.vouches(now, ident(q.Key).stamp()) {
 		return Refused
 	}
 	if c.ledger.full() {
@@ -167,7 +167,7 @@
 func (c *Core) settle(rec *record) []Action {
 	a := rec.attempts
 	switch {
-	case c.members.decided(a.claim.granted):
+	case !rec.issued && c.members.decided(a.claim.granted):
 		delete(c.claims, a.runner)
 		a.claim = nil
 		return c.run(rec, a)
@@ -180,8 +180,10 @@
 // adopt takes the answer of a run at another agent.
 func (c *Core) adopt(rec *record, s Stored) []Action {
 	ids := c.endClaim(rec)
-	rec.state = stateDone
-	c.ledger.keep(rec, s, c.MaxStoredBytes)
+	if !rec.issued { // a lookup has no record of its own
+		rec.state = stateDone
+		c.ledger.keep(rec, s, c.MaxStoredBytes)
+	}
 	return c.done(s, ids...)
 }
 
--- a/internal/core/gdonce/core.go
+++ b/internal/core/gdonce/core.go
@@ -69,7 +69,7 @@
 	ledger  ledger
 	running map[uint64]*record // by the request that is run
 	claims  map[uint64]*record // by the request that collects grants
-	relays  map[uint64]Request // stamped requests at their home
+	relays  map[uint64]Request // by the request that is relayed
 	stats   Stats
 }
 
@@ -161,10 +161,10 @@
 
 func (c *Core) arriveIssued(now time.Time, r Request, k Key) []Action {
 	if k.home != c.Self {
-		return c.relayIssued(r, k)
+		return c.relayIssued(now, r, k)
 	}
 	if k.process != c.Incarnation {
-		return c.unknown(ReasonHomeRestarted, r.ID)
+		return c.lookup(now, r, k, ReasonHomeRestarted)
 	}
 	if rec := c.ledger.records[k.ident]; rec != nil {
 		return c.join(now, r, rec)
@@ -186,9 +186,9 @@
 	return c.run(rec, &attempts{runner: r.ID})
 }
 
-func (c *Core) relayIssued(r Request, k Key) []Action {
+func (c *Core) relayIssued(now time.Time, r Request, k Key) []Action {
 	if r.Relayed || !c.members.reachable(k.home) {
-		return c.unknown(ReasonHomeGone, r.ID)
+		return c.lookup(now, r, k, ReasonHomeGone)
 	}
 	return c.relay(r, k.home)
 }
@@ -258,7 +258,7 @@
 	}
 	k, err := c.Signer.Parse(r.Key)
 	if err != nil || k.issued {
-		return c.unknown(ReasonHomeGone, id)
+		return c.lookup(now, r, k, ReasonHomeGone)
 	}
 	// The grants tell whether the home began: if it did, they are its own.
 	r.Relayed = true
@@ -282,7 +282,7 @@
 	case ResultDone:
 		rec.state = stateDone
 		c.ledger.keep(rec, o.Answer, c.MaxStoredBytes)
-		return c.done(o.Answer, ids...)
+		return append(c.done(o.Answer, ids...), c.tell(id, rec, o.Answer)...)
 	case ResultNotRun:
 		rec.state = stateClosed
 		return c.refuse(now, ReasonRefused, o.RetryAfter, ids...)
--- /dev/null
+++ b/internal/core/gdonce/core_test.go
@@ -0,0 +1,135 @@
+package gdonce
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// lone returns the core of a service with one agent, past its floor.
+func lone(maxRecords int) *Core {
+	c := &Core{Self: 1, Incarnation: 5, Signer: NewSigner([]byte("secret")), Rand: rand.New(rand.NewPCG(1, 2)), MaxRecords: maxRecords}
+	for d := -5 * time.Second; d <= 0; d += time.Second {
+		c.SetView(epoch.Add(d), testView(1, -1, 1))
+	}
+	return c
+}
+
+func (c *Core) arrive(id uint64, key string, digest uint64) Action {
+	return c.Arrive(c.now, Request{ID: id, Service: testService, Key: key, Digest: digest})[0]
+}
+
+func TestAnswers(t *testing.T) {
+	c := lone(0)
+	key := c.Issue(epoch, testService).String()
+	small := Stored{Status: 201, Body: []byte("booked")}
+	require.Equal(t, Run{Subject{1}}, c.arrive(1, key, 7))
+	require.Equal(t, Wait{Subject{2}}, c.arrive(2, key, 7))
+	require.Equal(t, AnswerConflict{Subject{3}}, c.arrive(3, key, 8))
+	require.Equal(t, []Action{AnswerDone{Subject{1}, small}, AnswerDone{Subject{2}, small}},
+		c.Finished(epoch, 1, Outcome{Result: ResultDone, Answer: small}))
+	require.Equal(t, AnswerDone{Subject{4}, small}, c.arrive(4, `"`+key+`"`, 7), "quotes of a structured field")
+	require.Equal(t, AnswerUnknown{Subject{5}, ReasonKeyForged}, c.arrive(5, key[:len(key)-4]+"AAAA", 7))
+
+	refused := c.arrive(6, "order-17", 7).(AnswerNotRun)
+	require.Equal(t, ReasonKeyKind, refused.Reason)
+	require.Equal(t, Run{Subject{7}}, c.arrive(7, refused.Offer.String(), 7), "the offered key runs")
+	again := c.Finished(epoch, 7, Outcome{Result: ResultNotRun, RetryAfter: time.Minute})[0].(AnswerNotRun)
+	require.Equal(t, time.Minute, again.RetryAfter)
+	require.IsType(t, AnswerNotRun{}, c.arrive(8, refused.Offer.String(), 7), "not-run is final for its key")
+
+	big := c.Issue(epoch, testService).String()
+	c.arrive(9, big, 7)
+	c.Finished(epoch, 9, Outcome{Result: ResultDone, Answer: Stored{Body: make([]byte, MaxBodyBytes+1)}})
+	require.Equal(t, AnswerDone{Subject{10}, Stored{Omitted: true}}, c.arrive(10, big, 7))
+	require.Equal(t, len(small.Body), c.Stats().StoredBytes)
+
+	late := epoch.Add(DefaultRetention + time.Second)
+	require.Equal(t, []Action{AnswerUnknown{Subject{11}, ReasonKeyExpired}},
+		c.Arrive(late, Request{ID: 11, Service: testService, Key: key, Digest: 7}))
+	require.Zero(t, c.Stats().Records)
+	require.Zero(t, c.Stats().StoredBytes)
+}
+
+// A full ledger refuses a key for good, also once it has room again.
+func TestLedgerFull(t *testing.T) {
+	c := lone(1)
+	first, second := c.Issue(epoch, testService).String(), c.Issue(epoch, testService).String()
+	require.IsType(t, Run{}, c.arrive(1, first, 0))
+	require.Equal(t, ReasonLedgerFull, c.arrive(2, second, 0).(AnswerNotRun).Reason)
+	c.ledger.remove(c.running[1])
+	require.Equal(t, ReasonLedgerFull, c.arrive(3, second, 0).(AnswerNotRun).Reason)
+	require.EqualValues(t, 1, c.Stats().LedgerFull)
+	c.advance(epoch.Add(time.Second))
+	require.IsType(t, Run{}, c.arrive(4, c.Issue(c.now, testService).String(), 0))
+}
+
+// FuzzParse checks that no key panics, and that a key that parses is printed
+// as it was read and is stable under a second parse.
+func FuzzParse(f *testing.F) {
+	c := lone(0)
+	for _, s := range []string{"", `"`, "gd1-", laterKey, strings.ToUpper(laterKey), c.Issue(epoch, 1).String(), "order-17"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, s string) {
+		k, err := c.Signer.Parse(s)
+		if err != nil {
+			return
+		}
+		again, err := c.Signer.Parse(k.String())
+		require.NoError(t, err)
+		require.Equal(t, k, again)
+	})
+}
+
+// measure times step for each item and reports the memory that each leaves behind.
+func measure[T any](b *testing.B, c *Core, items []T, step func(int, T)) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	b.ResetTimer()
+	for i, item := range items {
+		step(i, item)
+	}
+	b.StopTimer()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/float64(b.N), "B/record")
+	require.Equal(b, b.N, c.Stats().Records)
+	runtime.KeepAlive(items)
+}
+
+// BenchmarkRecord measures a key from its arrival to its kept answer with a
+// body of 64 bytes.
+func BenchmarkRecord(b *testing.B) {
+	c := lone(b.N + 1)
+	keys := make([]string, b.N)
+	for i := range keys {
+		keys[i] = c.Issue(epoch, testService).String()
+	}
+	measure(b, c, keys, func(i int, key string) {
+		c.arrive(uint64(i), key, 1)
+		c.Finished(epoch, uint64(i), Outcome{Result: ResultDone, Answer: Stored{Status: 200, Body: make([]byte, 64)}})
+	})
+}
+
+// BenchmarkGrant measures a grant to a peer.
+func BenchmarkGrant(b *testing.B) {
+	c := lone(b.N + 1)
+	k, err := c.Signer.Parse(laterKey)
+	require.NoError(b, err)
+	questions := make([]Question, b.N)
+	for i := range questions {
+		questions[i] = Question{Service: testService, Key: k.ident, Asker: 2}
+		binary.BigEndian.PutUint32(questions[i].Key[12:], uint32(i))
+	}
+	for d := range 9 {
+		c.Tick(epoch.Add(time.Duration(d) * time.Second))
+	}
+	measure(b, c, questions, func(_ int, q Question) { c.Asked(epoch.Add(9*time.Second), q) })
+}
--- a/internal/core/gdonce/members.go
+++ b/internal/core/gdonce/members.go
@@ -153,10 +153,12 @@
 
 // home returns the first agent of the key in weighted rendezvous order, or zero
 // when there is none. It is where attempts meet; the promise rests on grants.
-func (m *membership) home(key ident) gdconf.UpstreamID {
+func (m *membership) home(key ident) gdconf.UpstreamID { return first(m.homes, key) }
+
+func first(members []member, key ident) gdconf.UpstreamID {
 	var best gdconf.UpstreamID
 	bestScore := math.Inf(-1)
-	for _, p := range m.homes {
+	for _, p := range members {
 		if s := p.score(key); s > bestScore {
 			best, bestScore = p.id, s
 		}
--- a/internal/core/gdonce/types.go
+++ b/internal/core/gdonce/types.go
@@ -68,6 +68,8 @@
 	Digest      uint64            `cbor:"3,keyasint"`
 	Asker       gdconf.UpstreamID `cbor:"4,keyasint"`
 	Incarnation uint32            `cbor:"5,keyasint"`
+	// Lookup asks about an issued key; it is never granted.
+	Lookup bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Verdict is the kind of an answer to a question.
@@ -161,6 +163,13 @@
 	Question Question
 }
 
+// Tell sends a notice to a peer, without an answer.
+type Tell struct {
+	Subject
+	Peer   gdconf.UpstreamID
+	Notice Notice
+}
+
 // Wait leaves the request open; a later event brings its answer.
 type Wait struct{ Subject }
 
