--- /dev/null
+++ b/internal/core/gdsync/bench_test.go
@@ -0,0 +1,176 @@
+package gdsync
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+// benchSizes are the services and upstreams of the benchmarks; the last is the
+// largest deployment that must be borne.
+var benchSizes = []struct{ services, upstreams int }{{18, 79}, {180, 790}, {900, 3950}, {1800, 7900}}
+
+// sized returns a deployment with as many upstreams as wanted.
+func sized(revision uint64, services, upstreams, salt int) config.Deployment {
+	each := upstreams / services
+	d := deployment(revision, services, each, salt)
+	id := services * each
+	for i := range upstreams - id {
+		s := &d.Services[i]
+		id++
+		s.Upstreams = append(s.Upstreams, config.Upstream{
+			Name: fmt.Sprintf("service-%d-%d", i, each), ID: uint32(id), Domain: "getxo", Slots: 3, Agent: agentAddress(id),
+		})
+	}
+	return d
+}
+
+func benchStates(b *testing.B, services, upstreams int) (base, next *State) {
+	b.Helper()
+	var states [2]*State
+	for i := range states {
+		values := split(sized(uint64(i+1), services, upstreams, i))
+		idx, err := config.ParseIndex(values[config.IndexKey])
+		require.NoError(b, err)
+		states[i] = assemble(b, idx, values)
+	}
+	return states[0], states[1]
+}
+
+func assemble(b *testing.B, idx config.Index, values map[string][]byte) *State {
+	var entries []*entry
+	for _, row := range idx.Services {
+		e, err := newEntry(row.Name, values[config.ServiceKey(row.Name)])
+		require.NoError(b, err)
+		entries = append(entries, e)
+	}
+	s, err := newState(idx, entries)
+	require.NoError(b, err)
+	return s
+}
+
+func eachSize(b *testing.B, f func(b *testing.B, services, upstreams int)) {
+	for _, s := range benchSizes {
+		b.Run(fmt.Sprintf("%d-%d", s.services, s.upstreams), func(b *testing.B) {
+			b.ReportAllocs()
+			f(b, s.services, s.upstreams)
+		})
+	}
+}
+
+func BenchmarkParse(b *testing.B) {
+	eachSize(b, func(b *testing.B, services, upstreams int) {
+		values := split(sized(1, services, upstreams, 0))
+		total := 0
+		for _, v := range values {
+			total += len(v)
+		}
+		for b.Loop() {
+			idx, err := config.ParseIndex(values[config.IndexKey])
+			require.NoError(b, err)
+			for _, row := range idx.Services {
+				_, err := newEntry(row.Name, values[config.ServiceKey(row.Name)])
+				require.NoError(b, err)
+			}
+		}
+		b.ReportMetric(float64(len(values[config.IndexKey])), "index-B")
+		b.ReportMetric(float64(total), "values-B")
+	})
+}
+
+func BenchmarkView(b *testing.B) {
+	eachSize(b, func(b *testing.B, services, upstreams int) {
+		d := sized(1, services, upstreams, 0)
+		for b.Loop() {
+			_, err := gdconf.New(d)
+			require.NoError(b, err)
+		}
+	})
+}
+
+// BenchmarkDelta is the cost of one changed service from the arrival of the
+// update to the new view.
+func BenchmarkDelta(b *testing.B) {
+	eachSize(b, func(b *testing.B, services, upstreams int) {
+		base, next := benchStates(b, services, upstreams)
+		data, err := Encode(next.update(base))
+		require.NoError(b, err)
+		for b.Loop() {
+			u, err := Decode(data)
+			require.NoError(b, err)
+			_, err = base.apply(u)
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(len(data)), "delta-B")
+	})
+}
+
+// BenchmarkMakeDelta is the cost of finding the difference.
+func BenchmarkMakeDelta(b *testing.B) {
+	eachSize(b, func(b *testing.B, services, upstreams int) {
+		base, next := benchStates(b, services, upstreams)
+		for b.Loop() {
+			_ = next.update(base)
+		}
+		data, err := Encode(next.update(nil))
+		require.NoError(b, err)
+		b.ReportMetric(float64(len(data)), "snapshot-B")
+	})
+}
+
+// BenchmarkMemory reports the heap that one configuration holds, and what a
+// core with all its former states holds.
+func BenchmarkMemory(b *testing.B) {
+	eachSize(b, func(b *testing.B, services, upstreams int) {
+		for b.Loop() {
+			before := heapBytes()
+			values := split(sized(1, services, upstreams, 0))
+			idx, err := config.ParseIndex(values[config.IndexKey])
+			require.NoError(b, err)
+			s := assemble(b, idx, values)
+			clear(values)
+			one := heapBytes()
+			c := warmNet(1, 1, deployment(1, 1, 1, 0), nil).cores[0]
+			c.state = s
+			for i := range keptStates + 1 {
+				next, err := c.state.apply(changed(c.state, uint64(i+2)))
+				require.NoError(b, err)
+				c.enter(c.status.Since, "", next)
+			}
+			s, idx = nil, config.Index{}
+			b.ReportMetric(float64(one-before), "state-B")
+			b.ReportMetric(float64(heapBytes()-before), "core-B")
+			runtime.KeepAlive(c)
+		}
+	})
+}
+
+// changed returns an update that changes the last service.
+func changed(s *State, revision uint64) Update {
+	d := s.View().Deployment()
+	services := append([]config.Service(nil), d.Services...)
+	services[len(services)-1].DrainSeconds = int(revision)
+	d.Services, d.Revision = services, revision
+	v, err := gdconf.New(d)
+	if err != nil {
+		panic(err)
+	}
+	u := s.update(s)
+	u.Revision, u.Digest = revision, v.Version().Digest()
+	name := services[len(services)-1].Name
+	u.Values = []ServiceValue{{Name: name, Data: split(d)[config.ServiceKey(name)]}}
+	return u
+}
+
+func heapBytes() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/core/gdsync/core.go
+++ b/internal/core/gdsync/core.go
@@ -23,6 +23,8 @@
 	// pullRetry is the time after which a pull that brought nothing is sent to
 	// another peer.
 	pullRetry = 300 * time.Millisecond
+	// snapshotRetry is the same for a new process, which gets a snapshot.
+	snapshotRetry = 2 * time.Second
 	// pullTries bounds the peers that are asked for one version.
 	pullTries = 8
 	// pushAgain is the least time between two corrections of the same peer.
@@ -98,7 +100,7 @@
 	c.joinBy = now.Add(joinWait)
 	c.nextDigest = now.Add(c.digestInterval())
 	c.nextHosts = now.Add(c.hostsInterval())
-	return append([]Action{ReadHosts{}}, c.askPeers(c.Fanout)...)
+	return append([]Action{ReadHosts{}}, c.sendDigests(c.Fanout)...)
 }
 
 func (c *Core) setDefaults() {
@@ -117,11 +119,11 @@
 	c.corrected = map[string]time.Time{}
 }
 
-// askPeers pulls from up to n random peers.
-func (c *Core) askPeers(n int) []Action {
+// sendDigests asks up to n random peers for their versions.
+func (c *Core) sendDigests(n int) []Action {
 	var acts []Action
 	for _, m := range c.members.sample(c.Rand, n, "") {
-		acts = append(acts, Pull{From: m, Have: c.state.Version()})
+		acts = append(acts, Digest{To: m, Version: c.state.Version()})
 	}
 	return acts
 }
@@ -138,7 +140,7 @@
 		return nil
 	}
 	c.joinBy = now.Add(joinWait)
-	return c.askPeers(c.Fanout)
+	return c.sendDigests(c.Fanout)
 }
 
 // HostsFailed takes in that the list of hosts could not be read. The last list
@@ -152,8 +154,7 @@
 		c.confirmBy = time.Time{}
 	}
 	if due(now, c.joinBy) {
-		c.joinBy = time.Time{}
-		c.nextRead = now.Add(c.firstRead())
+		c.peersSilent(now)
 	}
 	if due(now, c.nextRead) {
 		c.nextRead = now.Add(c.readInterval())
@@ -173,6 +174,17 @@
 	return acts
 }
 
+// peersSilent turns a new process to the platform, unless a peer's answer is
+// under way.
+func (c *Core) peersSilent(now time.Time) {
+	if !c.pulling.retryAt.IsZero() {
+		c.joinBy = now.Add(joinWait)
+		return
+	}
+	c.joinBy = time.Time{}
+	c.nextRead = now.Add(c.firstRead())
+}
+
 // NextTick returns the time at which Tick has something to do.
 func (c *Core) NextTick() time.Time {
 	next := c.nextDigest
@@ -195,11 +207,7 @@
 	c.resumedAt = now
 	c.confirmAt = gdconf.Version{}
 	c.confirmBy = now.Add(c.ConfirmWithin)
-	var acts []Action
-	for _, m := range c.members.sample(c.Rand, c.Fanout, "") {
-		acts = append(acts, Digest{To: m, Version: c.state.Version()})
-	}
-	return acts
+	return c.sendDigests(c.Fanout)
 }
 
 // Ready reports whether a configuration is in force.
--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -125,6 +125,20 @@
 	require.Equal(t, 100, n.agreed(1))
 }
 
+func TestNewProcessFetchesOneSnapshot(t *testing.T) {
+	n := settle(t, 18, 100)
+	pulls := 0
+	n.onPull = func(i int) {
+		if i == 40 {
+			pulls++
+		}
+	}
+	n.start(40)
+	n.run(inForceWithin)
+	require.Equal(t, 100, n.agreed(1))
+	require.Equal(t, 1, pulls)
+}
+
 func TestPartitionHeals(t *testing.T) {
 	n := settle(t, 15, 100)
 	far := func(i int) bool { return i%2 == 1 }
--- a/internal/core/gdsync/net_test.go
+++ b/internal/core/gdsync/net_test.go
@@ -101,6 +101,9 @@
 	queue    eventQueue
 	cores    []*Core
 	index    map[string]int
+	onPull   func(i int) // told of each pull that a process makes
+	encoded  map[[2]gdconf.Version]int
+	spans    map[int]int // the part of the ring that a broadcast tree gave a process
 	hosts    []Member
 	platform *fakePlatform
 	loss     float64
@@ -143,10 +146,13 @@
 }
 
 const (
-	agents       = 8   // processes that are agents of the usual deployment
-	smallMessage = 120 // bytes of a digest or a pull with its headers
-	minHop       = 5 * time.Millisecond
-	maxHop       = 25 * time.Millisecond
+	agents = 8 // processes that are agents of the usual deployment
+	// smallMessage and newConnection are bytes on the wire, rounded from
+	// BenchmarkDigest of package gdpeer.
+	smallMessage  = 90
+	newConnection = 4100
+	minHop        = 5 * time.Millisecond
+	maxHop        = 25 * time.Millisecond
 )
 
 // newNet returns a network in which all processes start at once.
@@ -194,7 +200,7 @@
 func coldNet(seed uint64, size int) *fakeNet {
 	n := &fakeNet{
 		rnd: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1_800_000_000, 0),
-		index: map[string]int{}, platform: &fakePlatform{},
+		index: map[string]int{}, encoded: map[[2]gdconf.Version]int{}, platform: &fakePlatform{},
 	}
 	for i := range size {
 		name := fmt.Sprintf("spare-%05d", i)
@@ -285,6 +291,9 @@
 	case Push:
 		n.push(i, a.To.Name(), a.Update)
 	case Pull:
+		if n.onPull != nil {
+			n.onPull(i)
+		}
 		n.send(i, a.From.Name(), smallMessage, func(j int, d *Core) []Action {
 			if u, ok := d.Answer(a.Have); ok {
 				n.push(j, self, u)
@@ -310,9 +319,22 @@
 	return n.platform.down || (n.noPlat != nil && n.noPlat(i))
 }
 
+// updateBytes returns what an update costs over a new connection.
+func (n *fakeNet) updateBytes(u Update) int {
+	key := [2]gdconf.Version{u.Version(), u.Base()}
+	if _, ok := n.encoded[key]; !ok {
+		data, err := Encode(u)
+		if err != nil {
+			panic(err)
+		}
+		n.encoded[key] = len(data)
+	}
+	return newConnection + smallMessage + n.encoded[key]
+}
+
 func (n *fakeNet) push(from int, to string, u Update) {
 	self := n.hosts[from].Name()
-	n.send(from, to, smallMessage+u.size(), func(_ int, d *Core) []Action { return d.Pushed(n.now, self, u) })
+	n.send(from, to, n.updateBytes(u), func(_ int, d *Core) []Action { return d.Pushed(n.now, self, u) })
 }
 
 func (n *fakeNet) inForce(i int, s *State) {
--- a/internal/core/gdsync/peer.go
+++ b/internal/core/gdsync/peer.go
@@ -82,11 +82,27 @@
 	if !c.pulling.retryAt.IsZero() && c.pulling.version.Compare(v) >= 0 {
 		return nil
 	}
-	c.pulling = pulling{version: v, retryAt: now.Add(pullRetry)}
+	c.pulling = pulling{version: v, retryAt: now.Add(c.retryAfter())}
 	if m, ok := c.members.find(from); ok {
 		return []Action{Pull{From: m, Have: c.state.Version()}}
 	}
-	return c.askPeers(1)
+	return c.pullAnywhere()
+}
+
+// retryAfter returns the time that a pull has to bring something.
+func (c *Core) retryAfter() time.Duration {
+	if c.state == nil {
+		return snapshotRetry
+	}
+	return pullRetry
+}
+
+func (c *Core) pullAnywhere() []Action {
+	var acts []Action
+	for _, m := range c.members.sample(c.Rand, 1, "") {
+		acts = append(acts, Pull{From: m, Have: c.state.Version()})
+	}
+	return acts
 }
 
 func (c *Core) pullAgain(now time.Time) []Action {
@@ -95,19 +111,16 @@
 		c.pulling = pulling{}
 		return nil
 	}
-	c.pulling.retryAt = now.Add(pullRetry)
-	return c.askPeers(1)
+	c.pulling.retryAt = now.Add(c.retryAfter())
+	return c.pullAnywhere()
 }
 
-// digest tells one peer the version, or asks it for one when there is none.
+// digest tells one peer the version and asks for the peer's.
 func (c *Core) digest() []Action {
 	p, ok := c.members.nearPeer(c.Rand)
 	if !ok {
 		return nil
 	}
-	if c.state == nil {
-		return []Action{Pull{From: p}}
-	}
 	return []Action{Digest{To: p, Version: c.state.Version()}}
 }
 
--- /dev/null
+++ b/internal/core/gdsync/table_test.go
@@ -0,0 +1,157 @@
+package gdsync
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var full = flag.Bool("full", false, "TestDisseminationTable: measure 10,000 processes too, and ten changes each")
+
+// noPush is a Fanout that pushes to nobody.
+const noPush = -1
+
+// way is one way to bring a new version to the fleet.
+type way struct {
+	name string
+	// setup adapts a process.
+	setup func(*Core)
+	// spread, if set, sends a version on at first sight, in place of the core.
+	spread func(n *fakeNet, i int, s *State)
+}
+
+func ways() []way {
+	var ws []way
+	for _, fanout := range []int{4, 6, 8} {
+		ws = append(ws, way{name: fmt.Sprintf("rumour push, fan-out %d", fanout), setup: func(c *Core) { c.Fanout = fanout }})
+	}
+	ws = append(ws, way{name: "4-ary broadcast tree", setup: func(c *Core) { c.Fanout = noPush }, spread: tree(4)})
+	for _, every := range []time.Duration{time.Second, 250 * time.Millisecond} {
+		ws = append(ws, way{name: fmt.Sprintf("gossip every %s", every), setup: func(c *Core) {
+			c.Fanout = noPush
+			c.DigestEvery = every
+		}})
+	}
+	return ws
+}
+
+// tree returns the k-ary broadcast of the Distributed K-ary System: who is
+// responsible for a span of the ring cuts it into k intervals, sends to the
+// first process of each other interval, and goes on in its own one.
+func tree(k int) func(*fakeNet, int, *State) {
+	return func(n *fakeNet, i int, s *State) {
+		size := len(n.cores)
+		span, ok := n.spans[i]
+		if !ok {
+			span = size // the first to see the version is responsible for the whole ring
+		}
+		delete(n.spans, i)
+		u := s.update(n.cores[i].former[len(n.cores[i].former)-1])
+		for span > 1 {
+			part := (span + k - 1) / k
+			for lo := part; lo < span; lo += part {
+				j := (i + lo) % size
+				width := min(part, span-lo)
+				n.send(i, n.hosts[j].Name(), n.updateBytes(u), func(j int, c *Core) []Action {
+					if c.State().Version() == u.Base() {
+						n.spans[j] = width
+					}
+					return c.Pushed(n.now, n.hosts[i].Name(), u)
+				})
+			}
+			span = part
+		}
+	}
+}
+
+// measured is what one change cost.
+type measured struct {
+	firstSight, all time.Duration
+	left            int
+	messages, bytes int
+	calls           int
+}
+
+// change publishes a revision and watches it for inForceWithin.
+func change(n *fakeNet, revision uint64) measured {
+	published := n.now
+	n.messages, n.bytes, n.platform.calls = 0, 0, 0
+	n.platform.publish(deployment(revision, 2, 4, int(revision)))
+	var m measured
+	for m.all == 0 && n.now.Sub(published) < 10*inForceWithin {
+		n.run(5 * time.Millisecond)
+		got := n.agreed(revision)
+		if m.firstSight == 0 && got > 0 {
+			m.firstSight = n.now.Sub(published)
+			m.left = -1
+		}
+		// A wave has ended when its longest chain of hops has, before repair by
+		// the digests of a second.
+		if m.left < 0 && n.now.Sub(published) >= m.firstSight+waveTime {
+			m.left = len(n.cores) - got
+		}
+		if got == len(n.cores) {
+			m.all = n.now.Sub(published) - m.firstSight
+			m.left = max(m.left, 0)
+		}
+	}
+	n.run(max(0, inForceWithin-n.now.Sub(published)))
+	m.messages, m.bytes, m.calls = n.messages, n.bytes, n.platform.calls
+	return m
+}
+
+// waveTime is the longest time of eight hops.
+const waveTime = 8 * maxHop
+
+// TestDisseminationTable prints the comparison of docs/design/dissemination.md.
+func TestDisseminationTable(t *testing.T) {
+	sizes, changes := []int{10, 100, 1000}, 2
+	if *full {
+		sizes, changes = append(sizes, 10_000), 5
+	}
+	if !testing.Verbose() {
+		sizes = sizes[:2]
+	}
+	var table strings.Builder
+	for _, size := range sizes {
+		for _, loss := range []float64{0, 0.01, 0.1} {
+			for _, w := range ways() {
+				row(t, &table, w, size, loss, changes)
+			}
+		}
+	}
+	t.Logf("| way | processes | loss | to all: mean, worst (s) | left after the wave | messages a process | kB a process | reads/s |\n"+
+		"|---|---|---|---|---|---|---|---|\n%s", table.String())
+}
+
+func row(t *testing.T, table *strings.Builder, w way, size int, loss float64, changes int) {
+	n := warmNet(29, size, deployment(1, 2, 4, 1), w.setup)
+	n.loss = loss
+	n.spans = map[int]int{}
+	if w.spread != nil {
+		n.onForce = func(i int, s *State) { w.spread(n, i, s) }
+	}
+	n.run(2 * time.Second)
+	var sum measured
+	var worst time.Duration
+	for i := range changes {
+		m := change(n, uint64(i+2))
+		require.NotZero(t, m.all, "%s never reached all of %d", w.name, size)
+		sum.all += m.all
+		worst = max(worst, m.all)
+		sum.left += m.left
+		sum.messages += m.messages
+		sum.bytes += m.bytes
+		sum.calls += m.calls
+	}
+	require.Zero(t, n.reverted)
+	per := float64(changes * size)
+	fmt.Fprintf(table, "| %s | %d | %g %% | %.2f, %.2f | %.1f | %.1f | %.1f | %.0f |\n", w.name, size, loss*100,
+		sum.all.Seconds()/float64(changes), worst.Seconds(), float64(sum.left)/float64(changes),
+		float64(sum.messages)/per, float64(sum.bytes)/per/1000,
+		float64(sum.calls)/float64(changes)/inForceWithin.Seconds())
+}
--- /dev/null
+++ b/internal/wire/gdpeer/bench_test.go
@@ -0,0 +1,80 @@
+package gdpeer_test
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
+)
+
+// meteredListener counts the payload bytes of TCP in both directions.
+type meteredListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type meteredConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (l *meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &meteredConn{Conn: c, bytes: &l.bytes}, nil
+}
+
+func (c *meteredConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c *meteredConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkDigest reports what one exchange of digests costs both ends
+// together, over a kept connection and over a new one.
+func BenchmarkDigest(b *testing.B) {
+	for _, kept := range []bool{true, false} {
+		name := "new connection"
+		if kept {
+			name = "kept connection"
+		}
+		b.Run(name, func(b *testing.B) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			require.NoError(b, err)
+			metered := &meteredListener{Listener: l}
+			id, err := gdpeer.NewIdentity(make([]byte, gdpeer.SeedBytes))
+			require.NoError(b, err)
+			srv := &gdpeer.Server{Identity: id, Config: &fakeProcess{}}
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error)
+			go func() { done <- srv.Serve(ctx, metered) }()
+			d := &gdpeer.Dialer{Identity: id, Name: "booking-1"}
+			to := gdsync.NewMember("booking-2", l.Addr().String())
+			for b.Loop() {
+				_, err := d.Digest(ctx, to, gdconf.NewVersion(3, 2))
+				require.NoError(b, err)
+				if !kept {
+					d.Close()
+				}
+			}
+			b.ReportMetric(float64(metered.bytes.Load())/float64(b.N), "wire-B/op")
+			d.Close()
+			cancel()
+			require.NoError(b, <-done)
+		})
+	}
+}
