Read the values of a large change under a lease

Ruled out: a slower pace for each reader alone, which bounds nothing when hundreds of processes read. Change: a reader with more than four values to read announces an advisory lease by rumour and waits 0.4 s; the lowest rank reads, the others hold off, and a lease that is not renewed lapses. Of two ends that exchange a digest the older one pulls, once; a large update is never pushed unasked. Conclusion: total reads are bounded for large changes too; the first reader takes 12 ms a value, so a change of some 400 services or more at once takes longer than 6 s.

--- a/internal/core/gdsync/core.go
+++ b/internal/core/gdsync/core.go
@@ -22,7 +22,7 @@
 	joinWait = 500 * time.Millisecond
 	// pullRetry is the time after which a pull that brought nothing is sent to
 	// another peer.
-	pullRetry = 300 * time.Millisecond
+	pullRetry = 500 * time.Millisecond
 	// snapshotRetry is the same for a new process, which gets a snapshot.
 	snapshotRetry = 2 * time.Second
 	// pullTries bounds the peers that are asked for one version.
@@ -69,6 +69,7 @@
 	members membership
 	reading reading
 	pulling pulling
+	leasing leasing
 
 	joining    bool
 	failures   int
@@ -171,7 +172,7 @@
 	if due(now, c.pulling.retryAt) {
 		acts = append(acts, c.pullAgain(now)...)
 	}
-	return acts
+	return append(acts, c.leaseTick(now)...)
 }
 
 // peersSilent turns a new process to the platform, unless a peer's answer is
@@ -188,7 +189,7 @@
 // NextTick returns the time at which Tick has something to do.
 func (c *Core) NextTick() time.Time {
 	next := c.nextDigest
-	for _, t := range []time.Time{c.confirmBy, c.joinBy, c.nextRead, c.nextHosts, c.pulling.retryAt} {
+	for _, t := range []time.Time{c.confirmBy, c.joinBy, c.nextRead, c.nextHosts, c.pulling.retryAt, c.leasing.readAt, c.leasing.renewAt} {
 		if !t.IsZero() && t.Before(next) {
 			next = t
 		}
--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -55,6 +55,47 @@
 	}
 }
 
+func TestChangeOfManyServicesStaysWithinTheReadBudget(t *testing.T) {
+	const size, services = 300, 100
+	d := deployment(2, services, 1, 0)
+	for name, n := range map[string]*fakeNet{
+		"change": warmNet(5, size, deployment(1, 2, 4, 0), nil),
+		"start":  newNet(5, size),
+	} {
+		t.Run(name, func(t *testing.T) {
+			n.run(5 * time.Second)
+			n.platform.calls = 0
+			n.platform.publish(d)
+			n.run(20 * time.Second)
+			require.Equal(t, size, n.agreed(2))
+			require.LessOrEqual(t, float64(n.platform.calls), readBound*20)
+			t.Logf("%d calls in 20 s for %d values, in force everywhere after %s", n.platform.calls, services+1, n.allSince(d.Revision))
+		})
+	}
+}
+
+func TestReaderThatDiesIsReplaced(t *testing.T) {
+	n := warmNet(6, 100, deployment(1, 2, 4, 0), nil)
+	dead := -1
+	n.run(2 * time.Second)
+	n.platform.publish(deployment(2, 100, 1, 0))
+	n.platform.after = func(keys []string) {
+		if dead < 0 && keys[0] != config.IndexKey {
+			for i, c := range n.cores {
+				if c.mine() && len(c.reading.missing) > 0 {
+					dead = i
+				}
+			}
+		}
+	}
+	n.run(700 * time.Millisecond)
+	require.GreaterOrEqual(t, dead, 0)
+	n.cut = func(a, b int) bool { return a == dead || b == dead }
+	n.noPlat = func(i int) bool { return i == dead }
+	n.run(20 * time.Second)
+	require.Equal(t, 99, n.agreed(2))
+}
+
 func TestFleetThatStartsInAnOutageBacksOff(t *testing.T) {
 	n := newNet(4, 1000)
 	n.platform.down = true
--- a/internal/core/gdsync/net_test.go
+++ b/internal/core/gdsync/net_test.go
@@ -305,9 +305,12 @@
 		n.send(i, a.To.Name(), smallMessage, func(j int, d *Core) []Action {
 			v := d.State().Version()
 			peer := n.hosts[j].Name()
+			n.do(j, d, d.Digested(n.now, self, a.Version))
 			n.send(j, self, smallMessage, func(_ int, c *Core) []Action { return c.DigestAnswer(n.now, asked, peer, v) })
 			return nil
 		})
+	case Announce:
+		n.send(i, a.To.Name(), smallMessage+newConnection, func(_ int, d *Core) []Action { return d.Leased(n.now, self, a.Lease) })
 	case InForce:
 		n.inForce(i, a.State)
 	case Rejected:
@@ -370,3 +373,21 @@
 	}
 	return count
 }
+
+// allSince returns the time from the first to the last process that has the
+// revision in force.
+func (n *fakeNet) allSince(revision uint64) time.Duration {
+	first, last := n.now, time.Time{}
+	for i, v := range n.highest {
+		if v.Revision() != revision {
+			continue
+		}
+		if n.since[i].Before(first) {
+			first = n.since[i]
+		}
+		if n.since[i].After(last) {
+			last = n.since[i]
+		}
+	}
+	return last.Sub(first)
+}
--- a/internal/core/gdsync/peer.go
+++ b/internal/core/gdsync/peer.go
@@ -49,7 +49,16 @@
 		c.confirmAt = v
 		c.tryConfirm()
 	}
-	return c.PeerVersion(now, from, v)
+	return c.Digested(now, from, v)
+}
+
+// Digested takes in a digest from a peer. Of the two ends the older one pulls,
+// so that one difference is not mended twice.
+func (c *Core) Digested(now time.Time, from string, v gdconf.Version) []Action {
+	if v.Compare(c.state.Version()) <= 0 {
+		return nil
+	}
+	return c.pull(now, from, v)
 }
 
 // tryConfirm ends the wait when the version that a peer answered is reached.
@@ -74,7 +83,16 @@
 	}
 	c.corrected[peer] = now
 	u, _ := c.Answer(v)
-	return []Action{Push{To: to, Update: u}}
+	return []Action{c.offer(to, u)}
+}
+
+// offer pushes a small update. Of a large one it tells the version only: the
+// peer may be getting it already.
+func (c *Core) offer(to Member, u Update) Action {
+	if u.Snapshot() || u.size() > eagerBytes {
+		return Digest{To: to, Version: c.state.Version()}
+	}
+	return Push{To: to, Update: u}
 }
 
 // pull asks a peer for the version, unless one that is as high is being pulled.
@@ -163,11 +181,7 @@
 	var acts []Action
 	u := c.state.update(prev)
 	for _, m := range c.members.sample(c.Rand, c.Fanout, from) {
-		if u.Snapshot() || u.size() > eagerBytes {
-			acts = append(acts, Digest{To: m, Version: c.state.Version()})
-			continue
-		}
-		acts = append(acts, Push{To: m, Update: u})
+		acts = append(acts, c.offer(m, u))
 	}
 	return acts
 }
--- a/internal/core/gdsync/platform.go
+++ b/internal/core/gdsync/platform.go
@@ -13,9 +13,9 @@
 	// Between two batches the core looks whether it still wants them.
 	valueBatch = 16
 	// valuePace is the least time between two calls of one reader.
-	valuePace = 10 * time.Millisecond
-	// readWithin is the time after which the reading of one index's values is
-	// given up and begun again.
+	valuePace = 12 * time.Millisecond
+	// readWithin is the time after which a reading of an index's values that
+	// brings no further value is begun again.
 	readWithin = 30 * time.Second
 	// keptRefused is the number of refused indexes that are remembered, so that
 	// their values are not read again.
@@ -90,6 +90,9 @@
 	c.reading.print = fp
 	c.reading.began = now
 	c.gather()
+	if len(c.reading.missing) > leaseAbove {
+		return c.lease(now)
+	}
 	return c.nextBatch(now)
 }
 
@@ -177,6 +180,7 @@
 		r.entries[name] = e
 	}
 	r.missing = r.missing[len(values):]
+	r.began = now
 	return c.nextBatch(now)
 }
 
--- a/internal/process/gdconfsync/syncer.go
+++ b/internal/process/gdconfsync/syncer.go
@@ -169,6 +169,19 @@
 	s.send(func(now time.Time) []gdsync.Action { return s.core.PeerVersion(now, from, v) })
 }
 
+// Digested takes in a digest from a peer.
+func (s *Syncer) Digested(from string, v gdconf.Version) {
+	if s.Version().Compare(v) >= 0 {
+		return
+	}
+	s.send(func(now time.Time) []gdsync.Action { return s.core.Digested(now, from, v) })
+}
+
+// Leased takes in a lease to read the platform that a peer told of.
+func (s *Syncer) Leased(from string, l gdsync.Lease) {
+	s.send(func(now time.Time) []gdsync.Action { return s.core.Leased(now, from, l) })
+}
+
 // Answer returns what a peer that has the version needs, and false when there
 // is nothing newer here.
 func (s *Syncer) Answer(ctx context.Context, have gdconf.Version) (gdsync.Update, bool, error) {
--- a/internal/process/gdconfsync/work.go
+++ b/internal/process/gdconfsync/work.go
@@ -57,6 +57,10 @@
 		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 		defer cancel()
 		s.note(s.Peers.Push(ctx, a.To, a.Update))
+	case gdsync.Announce:
+		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+		defer cancel()
+		s.note(s.Peers.Announce(ctx, a.To, a.Lease))
 	case gdsync.Pull:
 		s.pull(ctx, a)
 	case gdsync.Digest:
--- a/internal/wire/gdpeer/dialer.go
+++ b/internal/wire/gdpeer/dialer.go
@@ -129,6 +129,16 @@
 	return u, err == nil, errors.Wrapf(err, "fetch update at peer %s", from.Address())
 }
 
+// Announce tells a peer of a lease.
+func (d *Dialer) Announce(ctx context.Context, to gdsync.Member, l gdsync.Lease) error {
+	q := &gdpeerpb.AnnounceRequest{
+		Sender: d.sender(), Revision: l.Revision, Fingerprint: l.Fingerprint,
+		Reader: l.Reader, Sequence: l.Sequence,
+	}
+	_, err := call(ctx, d, "announce lease", to.Address(), gdpeerpb.Peer.Announce, q)
+	return err
+}
+
 // ExchangeLoad tells a peer the own load and returns the peer's.
 func (d *Dialer) ExchangeLoad(ctx context.Context, addr string, l Load) (PeerLoad, error) {
 	q := &gdpeerpb.ExchangeLoadRequest{Sender: d.sender(), Load: fromLoad(l)}
--- a/internal/wire/gdpeer/peer_test.go
+++ b/internal/wire/gdpeer/peer_test.go
@@ -24,12 +24,16 @@
 type fakeProcess struct {
 	pushed atomic.Pointer[gdsync.Update]
 	seen   atomic.Pointer[gdconf.Version]
+	digest atomic.Pointer[gdconf.Version]
+	leased atomic.Pointer[gdsync.Lease]
 }
 
 var update = gdsync.Update{Revision: 4, Digest: 1 << 63, Name: "rejilla-norte", Domains: []config.Domain{{Name: "bilbao"}}}
 
 func (p *fakeProcess) Pushed(_ string, u gdsync.Update)       { p.pushed.Store(&u) }
 func (p *fakeProcess) PeerVersion(_ string, v gdconf.Version) { p.seen.Store(&v) }
+func (p *fakeProcess) Digested(_ string, v gdconf.Version)    { p.digest.Store(&v) }
+func (p *fakeProcess) Leased(_ string, l gdsync.Lease)        { p.leased.Store(&l) }
 func (p *fakeProcess) Version() gdconf.Version                { return update.Version() }
 func (p *fakeProcess) ExchangeLoad(gdpeer.Sender, gdpeer.Load) gdpeer.Load {
 	return gdpeer.Load{Upstream: 7, InFlight: 2, Queued: 1, Limit: 3}
@@ -103,6 +107,10 @@
 	v, err := d.Digest(ctx, to, gdconf.NewVersion(3, 2))
 	require.NoError(t, err)
 	require.Equal(t, update.Version(), v)
+	require.Equal(t, gdconf.NewVersion(3, 2), *p.digest.Load())
+	lease := gdsync.Lease{Revision: 4, Fingerprint: 1 << 63, Reader: "booking-1", Sequence: 2}
+	require.NoError(t, d.Announce(ctx, to, lease))
+	require.Equal(t, lease, *p.leased.Load())
 	u, ok, err := d.Fetch(ctx, to, gdconf.Version{})
 	require.NoError(t, err)
 	require.True(t, ok)
--- a/internal/wire/gdpeer/server.go
+++ b/internal/wire/gdpeer/server.go
@@ -33,6 +33,8 @@
 type Config interface {
 	Pushed(from string, u gdsync.Update)
 	PeerVersion(from string, v gdconf.Version)
+	Digested(from string, v gdconf.Version)
+	Leased(from string, l gdsync.Lease)
 	Answer(ctx context.Context, have gdconf.Version) (gdsync.Update, bool, error)
 	Version() gdconf.Version
 }
@@ -126,12 +128,22 @@
 	return &gdpeerpb.PushResponse{}, nil
 }
 
-// Digest implements the generated service. The caller acts on the answer, so
-// that one difference is not mended from both ends.
-func (s *service) Digest(context.Context, *gdpeerpb.DigestRequest) (*gdpeerpb.DigestResponse, error) {
+// Digest implements the generated service.
+func (s *service) Digest(_ context.Context, r *gdpeerpb.DigestRequest) (*gdpeerpb.DigestResponse, error) {
+	from := toSender(r.GetSender())
+	s.server.Config.Digested(from.name, from.version)
 	return &gdpeerpb.DigestResponse{Version: fromVersion(s.server.Config.Version())}, nil
 }
 
+// Announce implements the generated service.
+func (s *service) Announce(_ context.Context, r *gdpeerpb.AnnounceRequest) (*gdpeerpb.AnnounceResponse, error) {
+	s.server.Config.Leased(r.GetSender().GetName(), gdsync.Lease{
+		Revision: r.GetRevision(), Fingerprint: r.GetFingerprint(),
+		Reader: r.GetReader(), Sequence: r.GetSequence(),
+	})
+	return &gdpeerpb.AnnounceResponse{}, nil
+}
+
 // Fetch implements the generated service.
 func (s *service) Fetch(ctx context.Context, r *gdpeerpb.FetchRequest) (*gdpeerpb.FetchResponse, error) {
 	u, ok, err := s.server.Config.Answer(ctx, toVersion(r.GetHave()))
