Count reasons of unanswered requests; see stalled feeds; end children with the rig

Change: Result.Reasons; a feed needs a quarter of its lines in each interval of silence; children get a parent-death signal.

--- a/internal/rig/gddemo/steps.go
+++ b/internal/rig/gddemo/steps.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -104,6 +106,9 @@
 		}
 	}
 	d.say(fmt.Sprintf("requests over what an upstream bore: %d, of them shed: %d", over, shed))
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		d.say(fmt.Sprintf("not answered: %d %s", r.Reasons[reason], reason))
+	}
 	for _, words := range r.Faults {
 		d.say("fault: " + words)
 	}
--- a/internal/rig/gdload/load.go
+++ b/internal/rig/gdload/load.go
@@ -30,7 +30,8 @@
 	defaultBody     = 600 // bytes
 	defaultOnce     = "/unlock"
 
-	defaultFeedSilence = 5 * time.Second
+	defaultFeedInterval = 100 * time.Millisecond
+	defaultFeedSilence  = 5 * time.Second
 )
 
 // Target is one service with the flows that go to it.
@@ -62,8 +63,10 @@
 	Interval time.Duration
 	// Timeout bounds one request; 0 means 5 s.
 	Timeout time.Duration
-	// FeedSilence is the time without a line after which a feed is broken; 0
-	// means 5 s.
+	// FeedInterval is the time between two lines of a feed; 0 means 100 ms.
+	FeedInterval time.Duration
+	// FeedSilence is the time in which a feed must get a quarter of its lines, or
+	// else it is broken; 0 means 5 s.
 	FeedSilence time.Duration
 	// Body is the size of a request's body; 0 means 600 bytes.
 	Body int
@@ -123,6 +126,8 @@
 
 func (l *Load) silence() time.Duration { return or(l.FeedSilence, defaultFeedSilence) }
 
+func (l *Load) feedInterval() time.Duration { return or(l.FeedInterval, defaultFeedInterval) }
+
 func (l *Load) body() int { return or(l.Body, defaultBody) }
 
 // Samples returns the requests that have finished so far, in that order.
--- a/internal/rig/gdload/load_test.go
+++ b/internal/rig/gdload/load_test.go
@@ -158,7 +158,7 @@
 
 func TestForgottenCallerGoesSilentAndANewOneWorks(t *testing.T) {
 	p := newPath(t, func(*path) {})
-	p.load.FeedSilence = time.Second
+	p.load.FeedSilence = time.Second // ten lines at the default interval
 	p.load.Targets[0].Echo, p.load.Targets[0].Once = 0, 0
 	var once bool
 	r := p.run(t, func(r gdload.Result) bool {
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -1,7 +1,6 @@
 package gdload
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -116,13 +115,13 @@
 	t := &f.load.tally
 	switch {
 	case err != nil:
-		t.change(func(r *Result) { r.Unknown++ })
+		t.unknown(f.reason(err.Error()))
 		return Unknown
 	case a.status != http.StatusOK && a.header.Get(HeaderOutcome) == OutcomeNotRun:
-		t.notRun(id)
+		t.notRun(id, f.reason(a.words()))
 		return Refused
 	case a.status != http.StatusOK:
-		t.change(func(r *Result) { r.Unknown++ })
+		t.unknown(f.reason(a.words()))
 		return Unknown
 	case a.header.Get(gdupstreamsim.HeaderService) != f.target.Service:
 		t.fault(id+": answered by "+a.header.Get(gdupstreamsim.HeaderService), func(r *Result) { r.Misrouted++ })
@@ -135,6 +134,17 @@
 	return Answered
 }
 
+// reason is what was seen in place of an answer, by service and kind of flow.
+func (f *flow) reason(words string) string {
+	return fmt.Sprintf("%s %s: %s", f.target.Service, f.kind, words)
+}
+
+// words says what an answer without success was.
+func (a answer) words() string {
+	outcome := or(a.header.Get(HeaderOutcome), "no outcome")
+	return fmt.Sprintf("status %d, %s", a.status, outcome)
+}
+
 // own reports whether the answer is whole and belongs to the request. A repeated
 // at-most-once request may get the answer of its first attempt.
 func (f *flow) own(a answer, id string, body []byte) bool {
@@ -154,72 +164,3 @@
 }
 
 func (f *flow) url(path string) string { return "https://" + f.target.Addr.String() + path }
-
-// feed holds a streamed answer and checks that no line is missing.
-func (f *flow) feed(ctx context.Context, c *conn) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(f.load.silence(), func() { cancel(errors.New("the feed went silent")) })
-	defer silence.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url("/feed"), nil)
-	if err != nil {
-		return err
-	}
-	f.sent++
-	req.Header.Set(gdupstreamsim.HeaderRequestID, fmt.Sprintf("%s-%d", f.name, f.sent))
-	res, err := c.http.RoundTrip(req)
-	if err != nil {
-		return f.feedEnd(ctx, err)
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return f.feedRefused(ctx, res)
-	}
-	if got := res.Header.Get(gdupstreamsim.HeaderService); got != f.target.Service {
-		f.load.tally.fault(f.name+": feed from "+got, func(r *Result) { r.Misrouted++ })
-	}
-	err = f.lines(res, silence)
-	return f.feedEnd(ctx, err)
-}
-
-// feedRefused counts a feed that was not opened; its flow was not broken.
-func (f *flow) feedRefused(ctx context.Context, res *http.Response) error {
-	f.load.tally.change(func(r *Result) {
-		if res.Header.Get(HeaderOutcome) == OutcomeNotRun {
-			r.RefusedNotRun++
-			return
-		}
-		r.Unknown++
-	})
-	f.pause(ctx, reconnectPause)
-	return errOwnWish
-}
-
-// feedEnd gives the reason for a feed's end: the silence before the error that
-// it brought about.
-func (f *flow) feedEnd(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return errors.Wrap(err, "feed")
-}
-
-// lines reads the feed's numbered lines and returns why it ended.
-func (f *flow) lines(res *http.Response, silence *time.Timer) error {
-	upstream := res.Header.Get(gdupstreamsim.HeaderUpstream)
-	in := bufio.NewReader(res.Body)
-	for n := 0; ; n++ {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return err // a part of a line is no wrong line
-		}
-		silence.Reset(f.load.silence())
-		want := upstream + " " + strconv.Itoa(n) + "\n"
-		if line != want {
-			words := fmt.Sprintf("%s: feed line %q, want %q", f.name, line, want)
-			f.load.tally.fault(words, func(r *Result) { r.Wrong++ })
-			return errors.New("the feed lost a line")
-		}
-		f.load.tally.change(func(r *Result) { r.FeedLines++ })
-	}
-}
--- a/internal/rig/gdload/tally.go
+++ b/internal/rig/gdload/tally.go
@@ -1,7 +1,9 @@
 package gdload
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,6 +40,8 @@
 	Connects int `json:"-"`
 	// FeedLines is the number of lines that all feeds got.
 	FeedLines int `json:"-"`
+	// Reasons counts the requests without an answer by what was seen instead.
+	Reasons map[string]int `json:"-"`
 	// Faults are the first faults in words.
 	Faults []string `json:"-"`
 }
@@ -108,11 +112,29 @@
 	_ = t.latency.RecordValue(min(d.Microseconds(), maxLatency))
 }
 
-func (t *tally) notRun(id string) {
+// notRun counts a request that was refused as not run.
+func (t *tally) notRun(id, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sum.RefusedNotRun++
 	t.refused = append(t.refused, id)
+	t.because(reason)
+}
+
+// unknown counts a request of which nobody knows whether it ran.
+func (t *tally) unknown(reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sum.Unknown++
+	t.because(reason)
+}
+
+// because counts a reason. The caller holds the lock.
+func (t *tally) because(reason string) {
+	if t.sum.Reasons == nil {
+		t.sum.Reasons = make(map[string]int)
+	}
+	t.sum.Reasons[reason]++
 }
 
 func (t *tally) sample(s Sample, end time.Time) {
@@ -132,6 +154,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.sum
+	r.Reasons = maps.Clone(t.sum.Reasons)
+	r.Faults = slices.Clone(t.sum.Faults)
 	if t.latency != nil {
 		r.P50 = milliseconds(t.latency.ValueAtQuantile(50))
 		r.P99 = milliseconds(t.latency.ValueAtQuantile(99))
--- a/internal/rig/gdrigup/control.go
+++ b/internal/rig/gdrigup/control.go
@@ -71,14 +71,12 @@
 }
 
 // RestartAgent starts the agent of the named upstream again, once its process
-// has ended.
+// has ended. A process that drains has its service's drain time for it.
 func (r *Rig) RestartAgent(upstream string) error {
-	if p := r.Process("agent-" + upstream); p != nil {
-		p.end(endTimeout)
-	}
 	for _, s := range r.Deployment().Services {
 		for _, u := range s.Upstreams {
 			if u.Name == upstream {
+				r.endAgent(s, u)
 				return r.startAgent(s.Name, u)
 			}
 		}
@@ -86,6 +84,12 @@
 	return errors.Errorf("no upstream is named %q", upstream)
 }
 
+func (r *Rig) endAgent(s config.Service, u config.Upstream) {
+	if p := r.Process("agent-" + u.Name); p != nil {
+		p.end(seconds(float64(lo.CoalesceOrEmpty(s.DrainSeconds, config.DefaultDrainSeconds))) + endTimeout)
+	}
+}
+
 // SetTokenKeys publishes other token keys.
 func (r *Rig) SetTokenKeys(change func([]config.TokenKey) []config.TokenKey) error {
 	return r.change(func(d *config.Deployment) { d.TokenKeys = change(d.TokenKeys) })
--- a/internal/rig/gdrigup/process.go
+++ b/internal/rig/gdrigup/process.go
@@ -75,7 +75,8 @@
 	p.cmd.Stdout = out
 	p.cmd.Stderr = out
 	// An interrupt at the terminal goes to the rig alone, which ends its children.
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	// They end with the rig, also when it is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := p.cmd.Start(); err != nil {
 		return nil, errors.Wrap(err, "start "+s.Name)
 	}
