--- a/internal/core/gdroute/packet.go
+++ b/internal/core/gdroute/packet.go
@@ -32,6 +32,7 @@
 // Packet is what the cores need to know of a datagram.
 type Packet struct {
 	token    gdtoken.Token
+	address  netip.AddrPort
 	key      FlowKey
 	service  gdconf.ServiceID
 	hops     uint8
@@ -57,6 +58,12 @@
 	return p
 }
 
+// At returns the packet with the service address at which it arrived.
+func (p Packet) At(address netip.AddrPort) Packet {
+	p.address = address
+	return p
+}
+
 // WithHops returns the packet with the number of times that agents passed it on.
 func (p Packet) WithHops(n uint8) Packet {
 	p.hops = n
@@ -66,6 +73,9 @@
 // Service returns the service at whose address the packet arrived.
 func (p Packet) Service() gdconf.ServiceID { return p.service }
 
+// MayOpen reports whether the packet may open a flow.
+func (p Packet) MayOpen() bool { return p.opening }
+
 // Key returns the flow key.
 func (p Packet) Key() FlowKey { return p.key }
 
@@ -90,6 +100,10 @@
 	Reset
 )
 
+var verdictNames = [...]string{Drop: "drop", Forward: "forward", Accept: "accept", Reset: "reset"}
+
+func (v Verdict) String() string { return verdictNames[v] }
+
 // Reason says why a packet was dropped, or why it went where it went.
 type Reason uint8
 
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdnode"
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
 )
@@ -36,6 +37,11 @@
 	Config gdnode.Config
 	// Counters counts decisions.
 	Counters gdnode.Counters
+	// Decided is called with the decisions on packets that open a flow and on
+	// dropped ones, within a rate. It may be nil.
+	Decided func(gdnode.Decision)
+	// Log takes the events.
+	Log gdlog.Logger
 
 	node *net.UDPConn
 	mu   sync.RWMutex
@@ -46,8 +52,11 @@
 // callerSocket is the socket on which one service's callers are served.
 type callerSocket struct {
 	conn *net.UDPConn
-	addr netip.AddrPort
-	done chan struct{}
+	// addr is where the socket listens, and service the address in the
+	// configuration. They differ when ListenHost is set.
+	addr    netip.AddrPort
+	service netip.AddrPort
+	done    chan struct{}
 }
 
 // Run serves until the context ends. It returns an error when the node address
@@ -107,6 +116,7 @@
 			continue
 		}
 		if err := b.open(s); err != nil {
+			b.Log.Failure(gdlog.ProcessFailed, err)
 			ok = false
 		}
 	}
@@ -120,7 +130,7 @@
 	defer b.mu.Unlock()
 	for id, c := range b.callers {
 		s, ok := v.Service(id)
-		if ok && b.listenAddress(s) == c.addr {
+		if ok && b.listenAddress(s) == c.addr && s.Address() == c.service {
 			continue
 		}
 		c.conn.Close()
@@ -142,7 +152,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "open service %s at %s", s.Name(), addr)
 	}
-	c := &callerSocket{conn: conn, addr: addr, done: make(chan struct{})}
+	c := &callerSocket{conn: conn, addr: addr, service: s.Address(), done: make(chan struct{})}
 	r, err := newReader(b, c, s.ID())
 	if err != nil {
 		conn.Close()
--- a/internal/rig/gdload/load.go
+++ b/internal/rig/gdload/load.go
@@ -17,9 +17,12 @@
 // the flows of a failure domain that is taken out.
 const CodeDomainOut = 0x6764
 
-// The agent's header that states the outcome of a refused request.
+// The agent's headers on a refused request: its outcome, why, and a key to come
+// back with.
 const (
 	HeaderOutcome  = "Godwitdrift-Outcome"
+	HeaderReason   = "Godwitdrift-Reason"
+	HeaderKey      = "Godwitdrift-Key"
 	OutcomeNotRun  = "not-run"
 	OutcomeUnknown = "unknown"
 )
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
@@ -31,32 +30,20 @@
 }
 
 func (f *flow) echo(ctx context.Context, c *conn) error {
-	_, err := f.request(ctx, c, "/", f.next(""))
+	_, err := f.request(ctx, c, call{path: "/", body: f.body()})
 	return err
 }
 
-// ask is what a caller asks for. Each attempt of the same ask is the same request.
-type ask struct {
-	id   string
-	key  string
-	body []byte
-}
-
-func (f *flow) next(key string) ask {
-	f.sent++
-	return ask{id: fmt.Sprintf("%s-%d", f.name, f.sent), key: key, body: f.body()}
-}
-
-// once sends an at-most-once request, and repeats it under the same key while
-// its outcome is unknown.
+// once sends an at-most-once request, and repeats it under the same key and with
+// the same body while its outcome is unknown.
 func (f *flow) once(ctx context.Context, c *conn) error {
-	key, err := uuid.NewV7()
-	if err != nil {
-		return errors.Wrap(err, "make a key")
+	key, err := f.key(ctx, c)
+	if err != nil || key == "" {
+		return err
 	}
-	a := f.next(key.String())
+	one := call{path: f.target.OncePath, key: key, body: f.body()}
 	for range maxOnceAttempts {
-		o, err := f.request(ctx, c, f.target.OncePath, a)
+		o, err := f.request(ctx, c, one)
 		if err != nil || o != Unknown {
 			return err
 		}
@@ -65,18 +52,27 @@
 	return nil
 }
 
+// call is what one request asks.
+type call struct {
+	path string
+	key  string
+	body []byte
+}
+
 // request sends one request and counts its outcome. An error means that the
 // connection has ended.
-func (f *flow) request(ctx context.Context, c *conn, path string, a ask) (Outcome, error) {
+func (f *flow) request(ctx context.Context, c *conn, one call) (Outcome, error) {
+	f.sent++
+	id := fmt.Sprintf("%s-%d", f.name, f.sent)
 	began := time.Now()
-	got, err := f.send(ctx, c, path, a)
+	a, err := f.send(ctx, c, id, one)
 	end := time.Now()
-	o := f.judge(got, err, a.id, a.body, end.Sub(began))
+	o := f.judge(a, err, id, one.body, end.Sub(began))
 	f.load.tally.sample(Sample{
 		Service: f.target.Service, Kind: string(f.kind), Latency: end.Sub(began), Outcome: o,
 	}, end)
 	if err != nil && c.dead() {
-		return o, errors.Wrap(err, "request "+a.id)
+		return o, errors.Wrap(err, "request "+id)
 	}
 	return o, nil
 }
@@ -88,18 +84,18 @@
 	body   []byte
 }
 
-func (f *flow) send(ctx context.Context, c *conn, path string, a ask) (answer, error) {
+func (f *flow) send(ctx context.Context, c *conn, id string, one call) (answer, error) {
 	// The run's end must not cut a request in progress, only its timeout may.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.load.timeout())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(path), bytes.NewReader(a.body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(one.path), bytes.NewReader(one.body))
 	if err != nil {
 		return answer{}, err
 	}
-	req.Header.Set(gdupstreamsim.HeaderRequestID, a.id)
+	req.Header.Set(gdupstreamsim.HeaderRequestID, id)
 	req.Header.Set(gdupstreamsim.HeaderTimeout, strconv.FormatInt(f.load.timeout().Milliseconds(), 10))
-	if a.key != "" {
-		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, a.key)
+	if one.key != "" {
+		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, one.key)
 	}
 	res, err := c.http.RoundTrip(req)
 	if err != nil {
@@ -142,17 +138,15 @@
 // words says what an answer without success was.
 func (a answer) words() string {
 	outcome := or(a.header.Get(HeaderOutcome), "no outcome")
-	return fmt.Sprintf("status %d, %s", a.status, outcome)
+	return fmt.Sprintf("status %d, %s, %s", a.status, outcome, or(a.header.Get(HeaderReason), "no reason"))
 }
 
 // own reports whether the answer is whole and belongs to the request. A repeated
 // at-most-once request may get the answer of its first attempt.
 func (f *flow) own(a answer, id string, body []byte) bool {
 	got := a.header.Get(gdupstreamsim.HeaderRequestID)
-	if f.kind == kindOnce {
-		return strings.HasPrefix(got, f.name+"-") && len(a.body) == len(body)
-	}
-	return got == id && bytes.Equal(a.body, body)
+	mine := got == id || f.kind == kindOnce && strings.HasPrefix(got, f.name+"-")
+	return mine && bytes.Equal(a.body, body)
 }
 
 func (f *flow) body() []byte {
