--- a/internal/rig/gdload/flow.go
+++ b/internal/rig/gdload/flow.go
@@ -33,6 +33,7 @@
 	name   string
 	rng    *rand.Rand
 	sent   int
+	stamps bool // chooses the keys of its at-most-once requests itself
 }
 
 func newFlow(l *Load, t Target, k kind, n uint64) *flow {
@@ -43,6 +44,7 @@
 		kind:   k,
 		name:   fmt.Sprintf("%s-%s-%d-%d", t.Service, k, l.Seed, n),
 		rng:    rand.New(rand.NewPCG(l.Seed, n)),
+		stamps: n%2 == 0,
 	}
 }
 
--- a/internal/rig/gdload/load.go
+++ b/internal/rig/gdload/load.go
@@ -17,9 +17,12 @@
 // the flows of a failure domain that is taken out.
 const CodeDomainOut = 0x6764
 
-// The agent's header that states the outcome of a refused request.
+// The agent's headers on a refused request: its outcome, why, and a key to come
+// back with.
 const (
 	HeaderOutcome  = "Godwitdrift-Outcome"
+	HeaderReason   = "Godwitdrift-Reason"
+	HeaderKey      = "Godwitdrift-Key"
 	OutcomeNotRun  = "not-run"
 	OutcomeUnknown = "unknown"
 )
@@ -30,7 +33,8 @@
 	defaultBody     = 600 // bytes
 	defaultOnce     = "/unlock"
 
-	defaultFeedSilence = 5 * time.Second
+	defaultFeedInterval = 100 * time.Millisecond
+	defaultFeedSilence  = 5 * time.Second
 )
 
 // Target is one service with the flows that go to it.
@@ -62,8 +66,10 @@
 	Interval time.Duration
 	// Timeout bounds one request; 0 means 5 s.
 	Timeout time.Duration
-	// FeedSilence is the time without a line after which a feed is broken; 0
-	// means 5 s.
+	// FeedInterval is the time between two lines of a feed; 0 means 100 ms.
+	FeedInterval time.Duration
+	// FeedSilence is the time in which a feed must get a quarter of its lines, or
+	// else it is broken; 0 means 5 s.
 	FeedSilence time.Duration
 	// Body is the size of a request's body; 0 means 600 bytes.
 	Body int
@@ -123,6 +129,8 @@
 
 func (l *Load) silence() time.Duration { return or(l.FeedSilence, defaultFeedSilence) }
 
+func (l *Load) feedInterval() time.Duration { return or(l.FeedInterval, defaultFeedInterval) }
+
 func (l *Load) body() int { return or(l.Body, defaultBody) }
 
 // Samples returns the requests that have finished so far, in that order.
--- a/internal/rig/gdload/probe.go
+++ b/internal/rig/gdload/probe.go
@@ -23,7 +23,7 @@
 		return err
 	}
 	defer c.close()
-	o, err := f.request(ctx, c, "/", f.next(""))
+	o, err := f.request(ctx, c, call{path: "/", body: f.body()})
 	if err != nil {
 		return err
 	}
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -1,7 +1,6 @@
 package gdload
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -11,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
@@ -32,32 +30,20 @@
 }
 
 func (f *flow) echo(ctx context.Context, c *conn) error {
-	_, err := f.request(ctx, c, "/", f.next(""))
+	_, err := f.request(ctx, c, call{path: "/", body: f.body()})
 	return err
 }
 
-// ask is what a caller asks for. Each attempt of the same ask is the same request.
-type ask struct {
-	id   string
-	key  string
-	body []byte
-}
-
-func (f *flow) next(key string) ask {
-	f.sent++
-	return ask{id: fmt.Sprintf("%s-%d", f.name, f.sent), key: key, body: f.body()}
-}
-
-// once sends an at-most-once request, and repeats it under the same key while
-// its outcome is unknown.
+// once sends an at-most-once request, and repeats it under the same key and with
+// the same body while its outcome is unknown.
 func (f *flow) once(ctx context.Context, c *conn) error {
-	key, err := uuid.NewV7()
-	if err != nil {
-		return errors.Wrap(err, "make a key")
+	key, err := f.key(ctx, c)
+	if err != nil || key == "" {
+		return err
 	}
-	a := f.next(key.String())
+	one := call{path: f.target.OncePath, key: key, body: f.body()}
 	for range maxOnceAttempts {
-		o, err := f.request(ctx, c, f.target.OncePath, a)
+		o, err := f.request(ctx, c, one)
 		if err != nil || o != Unknown {
 			return err
 		}
@@ -66,18 +52,27 @@
 	return nil
 }
 
+// call is what one request asks.
+type call struct {
+	path string
+	key  string
+	body []byte
+}
+
 // request sends one request and counts its outcome. An error means that the
 // connection has ended.
-func (f *flow) request(ctx context.Context, c *conn, path string, a ask) (Outcome, error) {
+func (f *flow) request(ctx context.Context, c *conn, one call) (Outcome, error) {
+	f.sent++
+	id := fmt.Sprintf("%s-%d", f.name, f.sent)
 	began := time.Now()
-	got, err := f.send(ctx, c, path, a)
+	a, err := f.send(ctx, c, id, one)
 	end := time.Now()
-	o := f.judge(got, err, a.id, a.body, end.Sub(began))
+	o := f.judge(a, err, id, one.body, end.Sub(began))
 	f.load.tally.sample(Sample{
 		Service: f.target.Service, Kind: string(f.kind), Latency: end.Sub(began), Outcome: o,
 	}, end)
 	if err != nil && c.dead() {
-		return o, errors.Wrap(err, "request "+a.id)
+		return o, errors.Wrap(err, "request "+id)
 	}
 	return o, nil
 }
@@ -89,18 +84,18 @@
 	body   []byte
 }
 
-func (f *flow) send(ctx context.Context, c *conn, path string, a ask) (answer, error) {
+func (f *flow) send(ctx context.Context, c *conn, id string, one call) (answer, error) {
 	// The run's end must not cut a request in progress, only its timeout may.
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.load.timeout())
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(path), bytes.NewReader(a.body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url(one.path), bytes.NewReader(one.body))
 	if err != nil {
 		return answer{}, err
 	}
-	req.Header.Set(gdupstreamsim.HeaderRequestID, a.id)
+	req.Header.Set(gdupstreamsim.HeaderRequestID, id)
 	req.Header.Set(gdupstreamsim.HeaderTimeout, strconv.FormatInt(f.load.timeout().Milliseconds(), 10))
-	if a.key != "" {
-		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, a.key)
+	if one.key != "" {
+		req.Header.Set(gdupstreamsim.HeaderIdempotencyKey, one.key)
 	}
 	res, err := c.http.RoundTrip(req)
 	if err != nil {
@@ -116,13 +111,13 @@
 	t := &f.load.tally
 	switch {
 	case err != nil:
-		t.change(func(r *Result) { r.Unknown++ })
+		t.unknown(f.reason(err.Error()))
 		return Unknown
 	case a.status != http.StatusOK && a.header.Get(HeaderOutcome) == OutcomeNotRun:
-		t.notRun(id)
+		t.notRun(id, f.reason(a.words()))
 		return Refused
 	case a.status != http.StatusOK:
-		t.change(func(r *Result) { r.Unknown++ })
+		t.unknown(f.reason(a.words()))
 		return Unknown
 	case a.header.Get(gdupstreamsim.HeaderService) != f.target.Service:
 		t.fault(id+": answered by "+a.header.Get(gdupstreamsim.HeaderService), func(r *Result) { r.Misrouted++ })
@@ -135,14 +130,23 @@
 	return Answered
 }
 
+// reason is what was seen in place of an answer, by service and kind of flow.
+func (f *flow) reason(words string) string {
+	return fmt.Sprintf("%s %s: %s", f.target.Service, f.kind, words)
+}
+
+// words says what an answer without success was.
+func (a answer) words() string {
+	outcome := or(a.header.Get(HeaderOutcome), "no outcome")
+	return fmt.Sprintf("status %d, %s, %s", a.status, outcome, or(a.header.Get(HeaderReason), "no reason"))
+}
+
 // own reports whether the answer is whole and belongs to the request. A repeated
 // at-most-once request may get the answer of its first attempt.
 func (f *flow) own(a answer, id string, body []byte) bool {
 	got := a.header.Get(gdupstreamsim.HeaderRequestID)
-	if f.kind == kindOnce {
-		return strings.HasPrefix(got, f.name+"-") && len(a.body) == len(body)
-	}
-	return got == id && bytes.Equal(a.body, body)
+	mine := got == id || f.kind == kindOnce && strings.HasPrefix(got, f.name+"-")
+	return mine && bytes.Equal(a.body, body)
 }
 
 func (f *flow) body() []byte {
@@ -154,72 +158,3 @@
 }
 
 func (f *flow) url(path string) string { return "https://" + f.target.Addr.String() + path }
-
-// feed holds a streamed answer and checks that no line is missing.
-func (f *flow) feed(ctx context.Context, c *conn) error {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	silence := time.AfterFunc(f.load.silence(), func() { cancel(errors.New("the feed went silent")) })
-	defer silence.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.url("/feed"), nil)
-	if err != nil {
-		return err
-	}
-	f.sent++
-	req.Header.Set(gdupstreamsim.HeaderRequestID, fmt.Sprintf("%s-%d", f.name, f.sent))
-	res, err := c.http.RoundTrip(req)
-	if err != nil {
-		return f.feedEnd(ctx, err)
-	}
-	defer res.Body.Close()
-	if res.StatusCode != http.StatusOK {
-		return f.feedRefused(ctx, res)
-	}
-	if got := res.Header.Get(gdupstreamsim.HeaderService); got != f.target.Service {
-		f.load.tally.fault(f.name+": feed from "+got, func(r *Result) { r.Misrouted++ })
-	}
-	err = f.lines(res, silence)
-	return f.feedEnd(ctx, err)
-}
-
-// feedRefused counts a feed that was not opened; its flow was not broken.
-func (f *flow) feedRefused(ctx context.Context, res *http.Response) error {
-	f.load.tally.change(func(r *Result) {
-		if res.Header.Get(HeaderOutcome) == OutcomeNotRun {
-			r.RefusedNotRun++
-			return
-		}
-		r.Unknown++
-	})
-	f.pause(ctx, reconnectPause)
-	return errOwnWish
-}
-
-// feedEnd gives the reason for a feed's end: the silence before the error that
-// it brought about.
-func (f *flow) feedEnd(ctx context.Context, err error) error {
-	if cause := context.Cause(ctx); cause != nil {
-		return cause
-	}
-	return errors.Wrap(err, "feed")
-}
-
-// lines reads the feed's numbered lines and returns why it ended.
-func (f *flow) lines(res *http.Response, silence *time.Timer) error {
-	upstream := res.Header.Get(gdupstreamsim.HeaderUpstream)
-	in := bufio.NewReader(res.Body)
-	for n := 0; ; n++ {
-		line, err := in.ReadString('\n')
-		if err != nil {
-			return err // a part of a line is no wrong line
-		}
-		silence.Reset(f.load.silence())
-		want := upstream + " " + strconv.Itoa(n) + "\n"
-		if line != want {
-			words := fmt.Sprintf("%s: feed line %q, want %q", f.name, line, want)
-			f.load.tally.fault(words, func(r *Result) { r.Wrong++ })
-			return errors.New("the feed lost a line")
-		}
-		f.load.tally.change(func(r *Result) { r.FeedLines++ })
-	}
-}
