Pass a new flow on once when the upstream bears no more

Cause: a cold or full upstream's agent took each new flow that the ranking gave it, and all its requests had to be relayed. Ruled out: choosing among two random peers for flows: a flow without a token is found again along its ranking only. Passing on without end: a fleet of cold upstreams would pass a flow around until its hops are used up. Change: gdroute.Door passes a new flow on while the upstream is busy, once; TakesFlow of the admission core says so. Figures: TestBusyAgentPassesNewFlowsOnOnce: 200 of 200 flows placed with all 4 agents busy, none on its first choice, all found again in mid-flow.

--- a/internal/core/gdroute/door.go
+++ b/internal/core/gdroute/door.go
@@ -30,6 +30,7 @@
 	blocked  bool
 	stopping bool
 	full     bool
+	busy     bool
 }
 
 // SetView puts a configuration in force.
@@ -51,6 +52,11 @@
 // SetFull says whether the agent holds as many flows as it may.
 func (d *Door) SetFull(full bool) { d.full = full }
 
+// SetBusy says whether the upstream bears no further flow at present, such as in
+// cold start. A new flow is then passed on once; one that comes from another
+// agent is taken all the same, since its requests can still be relayed.
+func (d *Door) SetBusy(busy bool) { d.busy = busy }
+
 // Admit decides what is to be done with a packet that reached the agent.
 func (d *Door) Admit(now time.Time, p Packet) Decision {
 	if d.view == nil || d.blocked {
@@ -114,11 +120,18 @@
 	if !p.opening {
 		return d.passKey(self, p, domainIn)
 	}
-	if d.takesNew(self) {
-		d.hold(now, p.key)
-		return Decision{verdict: Accept, reason: ByRank}
+	if d.passesOn(self, p) {
+		if next := d.passKey(self, p, (*gdconf.Upstream).TakesNew); next.verdict == Forward || !d.takesNew(self) {
+			return next
+		}
 	}
-	return d.passKey(self, p, (*gdconf.Upstream).TakesNew)
+	d.hold(now, p.key)
+	return Decision{verdict: Accept, reason: ByRank}
+}
+
+// passesOn reports whether a new flow is better placed at another agent.
+func (d *Door) passesOn(self *gdconf.Upstream, p Packet) bool {
+	return !d.takesNew(self) || d.busy && p.hops == 0
 }
 
 func (d *Door) takesNew(self *gdconf.Upstream) bool {
--- a/internal/core/gdroute/route_test.go
+++ b/internal/core/gdroute/route_test.go
@@ -143,6 +143,32 @@
 	require.Equal(t, gdroute.Accept, door.Admit(start, p.At(netip.MustParseAddrPort("10.9.9.9:443"))).Verdict())
 }
 
+// TestBusyAgentPassesNewFlowsOnOnce checks that a fleet of busy agents still takes
+// every flow, and that packets in mid-flow find it.
+func TestBusyAgentPassesNewFlowsOnOnce(t *testing.T) {
+	d := gdfix.Deployment(1, 4)
+	f := newFleet(d)
+	v := gdfix.View(d)
+	f.balancer.SetView(start, v)
+	for _, door := range f.doors {
+		door.SetView(v)
+		door.SetBusy(true)
+	}
+	for k := range gdroute.FlowKey(200) {
+		home := f.deliver(gdroute.NewPacket(1, k).Opening())
+		require.NotZero(t, home)
+		require.NotEqual(t, gdroute.Rank(serviceOne(v), k)[0].ID(), home)
+		require.Equal(t, home, f.deliver(gdroute.NewPacket(1, k)))
+	}
+	f.doors[101].SetBusy(false)
+	require.Equal(t, gdroute.Accept, f.doors[101].Admit(start, gdroute.NewPacket(1, 9999).Opening()).Verdict())
+}
+
+func serviceOne(v *gdconf.View) *gdconf.Service {
+	s, _ := v.Service(1)
+	return s
+}
+
 // fleet is one balancer core and the doors of one service, each with a view that
 // may be older than the others'.
 type fleet struct {
--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -52,6 +52,8 @@
 	Stop()
 	// InProgress returns the number of requests in progress.
 	InProgress() int
+	// TakesFlow reports whether a new flow should stay at this agent.
+	TakesFlow() bool
 }
 
 // Agent is the process. Its exported fields are set before Run.
--- a/internal/process/gdagent/door.go
+++ b/internal/process/gdagent/door.go
@@ -110,6 +110,7 @@
 		d.core.Block()
 	}
 	d.core.SetFull(d.a.flows.count() >= d.a.MaxFlows)
+	d.core.SetBusy(!d.a.Requests.TakesFlow())
 	if d.a.stopping.Load() {
 		d.core.SetStopping()
 	}
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -63,9 +63,11 @@
 	lastID     atomic.Uint64
 	inProgress atomic.Int64
 	stopping   atomic.Bool
-	proxy      *proxy
-	waiting    table[chan gdadmit.Action]
-	attempts   table[*attempt]
+	// busy is renewed by watch.
+	busy     atomic.Bool
+	proxy    *proxy
+	waiting  table[chan gdadmit.Action]
+	attempts table[*attempt]
 	// addresses remembers where each agent of the service was last known.
 	addresses table[netip.AddrPort]
 
@@ -135,6 +137,7 @@
 			s.duty.Post(func(now time.Time) []gdadmit.Action { return s.apply(now, v, stop) })
 			s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.SetView(now, v) })
 		}
+		s.duty.Offer(s.noteBusy)
 		select {
 		case <-ctx.Done():
 			return
@@ -195,6 +198,16 @@
 // Stop makes the server refuse new requests; those in progress go on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// noteBusy renews what TakesFlow returns. It runs in the duty's goroutine.
+func (s *Server) noteBusy(now time.Time) []gdadmit.Action {
+	s.busy.Store(!s.core.TakesFlow(now))
+	return nil
+}
+
+// TakesFlow reports whether a new flow should stay at this agent, as of the last
+// look.
+func (s *Server) TakesFlow() bool { return !s.busy.Load() }
+
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
