--- a/internal/rig/gdcapacity/callers.go
+++ b/internal/rig/gdcapacity/callers.go
@@ -59,11 +59,9 @@
 // grow opens flows until there are n. A feed is opened on each when asked for.
 func (c *callers) grow(ctx context.Context, n int, feed bool) error {
 	for len(c.sockets)*callersPerSocket < n {
-		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			return errors.Wrap(err, "open a caller's socket")
+		if _, err := c.addSocket(); err != nil {
+			return err
 		}
-		c.sockets = append(c.sockets, &quic.Transport{Conn: conn})
 	}
 	first := len(c.flows)
 	c.flows = append(c.flows, make([]*flow, max(n-first, 0))...)
@@ -79,6 +77,16 @@
 	return g.Wait()
 }
 
+func (c *callers) addSocket() (*quic.Transport, error) {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return nil, errors.Wrap(err, "open a caller's socket")
+	}
+	t := &quic.Transport{Conn: conn}
+	c.sockets = append(c.sockets, t)
+	return t, nil
+}
+
 func (c *callers) open(ctx context.Context, t *quic.Transport, feed bool) (*flow, error) {
 	dial, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -174,7 +174,7 @@
 	return nodeSettings{
 		Name: name, Domain: domain, LogLevel: level,
 		Platform:     r.Platform.URL(),
-		FleetKeyFile: r.fleetKeyFile(),
+		FleetKeyFile: r.FleetKeyFile(),
 	}
 }
 
--- a/internal/rig/gdrigup/rig.go
+++ b/internal/rig/gdrigup/rig.go
@@ -168,10 +168,11 @@
 			return err
 		}
 	}
-	return writeFleetKey(r.fleetKeyFile())
+	return writeFleetKey(r.FleetKeyFile())
 }
 
-func (r *Rig) fleetKeyFile() string { return filepath.Join(r.dir, "fleet.key") }
+// FleetKeyFile returns the file with the fleet key.
+func (r *Rig) FleetKeyFile() string { return filepath.Join(r.dir, "fleet.key") }
 
 // awaitServices waits until each service has answered a probe.
 func (r *Rig) awaitServices(ctx context.Context) error {
