Give back the grants of a claim that failed

Cause: a claim without a quorum kept its grants, so that no other agent could run the key until it expired. Change: claims are numbered; a failed claim releases its number at each peer that it asked; a released record refuses questions up to that number.

--- a/internal/core/gdonce/claim.go
+++ b/internal/core/gdonce/claim.go
@@ -7,9 +7,10 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 )
 
-// claim collects grants for a stamped key. Grants are never taken back, so that
-// a later claim of the same process finds them again.
+// claim collects grants for a stamped key. A claim that fails gives its grants
+// back; a claim that succeeds never does.
 type claim struct {
+	round    uint32
 	deadline time.Time
 	pending  []gdconf.UpstreamID
 	asked    []gdconf.UpstreamID
@@ -42,8 +43,11 @@
 		if c.vouches(now, k.stamp) {
 			rec.holder = c.process()
 		}
+	case rec.state == stateReleased:
+		rec.holder = c.process()
 	}
-	cl := &claim{deadline: now.Add(ClaimTimeout), failure: ReasonNoQuorum}
+	c.round++
+	cl := &claim{round: c.round, deadline: now.Add(ClaimTimeout), failure: ReasonNoQuorum}
 	if rec.holder == c.process() {
 		cl.granted = append(cl.granted, c.Self)
 	}
@@ -63,7 +67,7 @@
 // askPeers asks the agents that have not been asked yet.
 func (c *Core) askPeers(rec *record) []Action {
 	cl := rec.attempts.claim
-	q := Question{c.service, rec.key, rec.digest, c.Self, c.Incarnation, rec.issued}
+	q := c.question(rec)
 	var actions []Action
 	for _, peer := range c.members.peers(c.Self) {
 		if slices.Contains(cl.asked, peer) {
@@ -77,6 +81,10 @@
 	return actions
 }
 
+func (c *Core) question(rec *record) Question {
+	return Question{c.service, rec.key, rec.digest, c.Self, c.Incarnation, rec.issued, rec.attempts.claim.round}
+}
+
 // Asked answers a peer's question. A key is granted to one process only.
 func (c *Core) Asked(now time.Time, q Question) Answer {
 	now = c.advance(now)
@@ -88,7 +96,14 @@
 		a.Verdict = c.grant(now, q, asker)
 		return a
 	}
-	a.Verdict = rec.verdict(asker, q.Digest)
+	a.Verdict = rec.verdict(asker, q)
+	switch {
+	case a.Verdict != Granted:
+	case rec.state == stateReleased:
+		rec.state, rec.holder, rec.round = stateGranted, asker, q.Round
+	default:
+		rec.round = max(rec.round, q.Round)
+	}
 	if a.Verdict == Done {
 		a.Stored = *rec.stored
 	}
@@ -105,14 +120,32 @@
 	}
 	rec := c.newStamped(q.Key, q.Digest)
 	rec.holder = asker
+	rec.round = q.Round
 	return Granted
 }
 
+// Released takes back the grant of a claim that failed. A grant that has been
+// confirmed for a later claim of the same process stays.
+func (c *Core) Released(now time.Time, q Question) {
+	c.advance(now)
+	rec := c.ledger.records[q.Key]
+	if rec == nil || rec.state != stateGranted {
+		return
+	}
+	if rec.holder == (process{q.Asker, q.Incarnation}) && rec.round <= q.Round {
+		rec.state, rec.round = stateReleased, q.Round
+	}
+}
+
 // verdict says what a known key is to the asking process.
-func (r *record) verdict(asker process, digest uint64) Verdict {
+func (r *record) verdict(asker process, q Question) Verdict {
 	switch {
-	case r.digest != digest:
+	case r.digest != q.Digest:
 		return Mismatch
+	case r.state == stateReleased && r.holder == asker && q.Round <= r.round:
+		return Refused // the question is older than the release
+	case r.state == stateReleased:
+		return Granted
 	case r.state == stateDone:
 		return Done
 	case r.state == stateRunning:
@@ -174,7 +207,24 @@
 	case len(a.claim.pending) > 0:
 		return nil
 	}
-	return c.unknown(a.claim.failure, c.endClaim(rec)...)
+	return c.giveUp(rec)
+}
+
+// giveUp ends a claim whose grants don't suffice and gives them back, so that a
+// claim of another agent may succeed. Each peer that was asked may have granted.
+func (c *Core) giveUp(rec *record) []Action {
+	a, q := rec.attempts, c.question(rec)
+	actions := c.unknown(a.claim.failure, c.endClaim(rec)...)
+	if rec.issued {
+		return actions
+	}
+	for _, peer := range a.claim.asked {
+		actions = append(actions, Release{Subject{a.runner}, peer, q})
+	}
+	if rec.holder == c.process() {
+		rec.state, rec.round = stateReleased, q.Round
+	}
+	return actions
 }
 
 // adopt takes the answer of a run at another agent.
@@ -207,9 +257,7 @@
 	slices.Sort(late)
 	var actions []Action
 	for _, id := range late {
-		rec := c.claims[id]
-		reason := rec.attempts.claim.failure
-		actions = append(actions, c.unknown(reason, c.endClaim(rec)...)...)
+		actions = append(actions, c.giveUp(c.claims[id])...)
 	}
 	return actions
 }
--- a/internal/core/gdonce/copy.go
+++ b/internal/core/gdonce/copy.go
@@ -53,7 +53,7 @@
 		return nil
 	case rec.state == stateClaiming:
 		return c.adopt(rec, n.Stored)
-	case rec.state != stateGranted && rec.state != stateUnknown:
+	case rec.state > stateReleased && rec.state != stateUnknown:
 		return nil
 	}
 	rec.state = stateDone
--- a/internal/core/gdonce/core.go
+++ b/internal/core/gdonce/core.go
@@ -64,6 +64,7 @@
 	now     time.Time // the latest time seen; it never goes back
 	floor   time.Time // stamped keys up to it may have been granted and forgotten
 	closed  time.Time // issued keys made up to it and not in the ledger never run
+	round   uint32    // of the latest claim
 	service gdconf.ServiceID
 	members membership
 	ledger  ledger
@@ -211,7 +212,7 @@
 }
 
 func (c *Core) arriveStamped(now time.Time, r Request, k Key) []Action {
-	if rec := c.ledger.records[k.ident]; rec != nil && rec.state != stateGranted {
+	if rec := c.ledger.records[k.ident]; rec != nil && rec.state != stateGranted && rec.state != stateReleased {
 		return c.join(now, r, rec)
 	}
 	if !now.Before(k.stamp.Add(c.Retention)) {
--- a/internal/core/gdonce/ledger.go
+++ b/internal/core/gdonce/ledger.go
@@ -12,6 +12,9 @@
 const (
 	// stateGranted: the key belongs to holder; nothing of it runs here.
 	stateGranted state = iota
+	// stateReleased: holder gave the key back with its claim number round, and
+	// nobody holds it.
+	stateReleased
 	// stateClosed: the key has not been run and never will be.
 	stateClosed
 	// stateClaiming: this process collects grants for a waiting request.
@@ -36,7 +39,8 @@
 	expires  int64 // Unix time in milliseconds
 	digest   uint64
 	holder   process
-	index    int32 // place in the expiry queue
+	round    uint32 // the number of the holder's claim
+	index    int32  // place in the expiry queue
 	state    state
 	issued   bool
 	attempts *attempts // nil unless claiming or running
--- a/internal/core/gdonce/net_test.go
+++ b/internal/core/gdonce/net_test.go
@@ -236,6 +236,8 @@
 			w.relay(p, a)
 		case Ask:
 			w.ask(p, a)
+		case Release:
+			w.send(p.core.Self, a.Peer, func(q *proc) { q.core.Released(w.now, a.Question) })
 		case Tell:
 			w.send(p.core.Self, a.Peer, func(q *proc) { w.act(q, q.core.Told(w.now, a.Notice)) })
 		case Wait:
--- a/internal/core/gdonce/once_test.go
+++ b/internal/core/gdonce/once_test.go
@@ -148,6 +148,10 @@
 		switch a := queue[0].(type) {
 		case Run:
 			return true
+		case Release:
+			if slices.Contains(reached, a.Peer) {
+				cores[a.Peer].Released(now, a.Question)
+			}
 		case Ask:
 			ans := Answer{Verdict: PeerFailed}
 			if slices.Contains(reached, a.Peer) {
@@ -217,3 +221,21 @@
 	require.Equal(t, Refused, cores[1].Asked(epoch.Add(20*time.Second), q).Verdict)
 	require.EqualValues(t, 1, cores[1].Stats().Pauses)
 }
+
+// Questions and releases may arrive late and out of order.
+func TestRelease(t *testing.T) {
+	c := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {testView(1, -1, 1, 2, 3)}})[1]
+	k, err := NewSigner(nil).Parse(laterKey)
+	require.NoError(t, err)
+	now := epoch.Add(9 * time.Second)
+	ask := func(agent gdconf.UpstreamID, round uint32) Question {
+		return Question{Service: testService, Key: k.ident, Asker: agent, Round: round}
+	}
+	require.Equal(t, Granted, c.Asked(now, ask(2, 1)).Verdict)
+	require.Equal(t, Granted, c.Asked(now, ask(2, 2)).Verdict)
+	c.Released(now, ask(2, 1))
+	require.Equal(t, Taken, c.Asked(now, ask(3, 1)).Verdict, "the grant of round 2 stays")
+	c.Released(now, ask(2, 2))
+	require.Equal(t, Refused, c.Asked(now, ask(2, 2)).Verdict, "a late duplicate")
+	require.Equal(t, Granted, c.Asked(now, ask(3, 1)).Verdict)
+}
--- a/internal/core/gdonce/types.go
+++ b/internal/core/gdonce/types.go
@@ -70,6 +70,8 @@
 	Incarnation uint32            `cbor:"5,keyasint"`
 	// Lookup asks about an issued key; it is never granted.
 	Lookup bool `cbor:"6,keyasint,omitempty"`
+	// Round numbers the claims of the asking process.
+	Round uint32 `cbor:"7,keyasint"`
 }
 
 // Verdict is the kind of an answer to a question.
@@ -163,6 +165,14 @@
 	Question Question
 }
 
+// Release gives back the grant of a claim that failed, without an answer. The
+// peer hands the question to Released.
+type Release struct {
+	Subject
+	Peer     gdconf.UpstreamID
+	Question Question
+}
+
 // Tell sends a notice to a peer, without an answer.
 type Tell struct {
 	Subject
