--- a/cmd/gdrig/demo.go
+++ b/cmd/gdrig/demo.go
@@ -12,6 +12,7 @@
 	"github.com/urfave/cli/v3"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gddemo"
+	"godwitdrift.example/godwitdrift/internal/rig/gdplot"
 )
 
 const demoHelp = `Starts the deployment, runs its load, kills and replaces a balancer, drains an
@@ -42,6 +43,7 @@
 		Description: demoHelp,
 		Flags: append(rigFlags(),
 			&cli.StringFlag{Name: "plan", Usage: "what happens under load: " + planNames(), Value: "change"},
+			&cli.StringFlag{Name: "plot", Usage: "PNG file for latency, refusals and imbalance over time"},
 			&cli.IntFlag{Name: "seconds", Usage: "length of the load", Value: defaultDemoSeconds}),
 		Action: demo,
 	}
@@ -73,6 +75,9 @@
 	if err != nil {
 		return err
 	}
+	if err := savePlot(cmd, d); err != nil {
+		return err
+	}
 	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
 		return errors.Wrap(err, "print result")
 	}
@@ -81,3 +86,13 @@
 	}
 	return nil
 }
+
+// savePlot draws the run when a file was asked for.
+func savePlot(cmd *cli.Command, d *gddemo.Demo) error {
+	file := cmd.String("plot")
+	if file == "" {
+		return nil
+	}
+	marks := lo.Map(d.Marks(), func(m gddemo.Mark, _ int) gdplot.Mark { return gdplot.Mark(m) })
+	return gdplot.Report{Title: d.Rig.Spec.Deployment.Name, Samples: d.Samples(), Marks: marks}.Save(file)
+}
--- a/internal/rig/gddemo/demo.go
+++ b/internal/rig/gddemo/demo.go
@@ -46,11 +46,12 @@
 
 // Run runs the load and the steps and returns what was counted.
 func (d *Demo) Run(ctx context.Context) (gdload.Result, error) {
-	roots, err := gdload.LoadRoots(d.Rig.CAFile())
-	if err != nil {
+	var err error
+	if d.plan, err = planNamed(d.Plan); err != nil {
 		return gdload.Result{}, err
 	}
-	if d.plan, err = planNamed(d.Plan); err != nil {
+	roots, err := gdload.LoadRoots(d.Rig.CAFile())
+	if err != nil {
 		return gdload.Result{}, err
 	}
 	d.choose()
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -70,6 +70,7 @@
 	o := f.judge(a, err, id, one.body, end.Sub(began))
 	f.load.tally.sample(Sample{
 		Service: f.target.Service, Kind: string(f.kind), Latency: end.Sub(began), Outcome: o,
+		Upstream: a.header.Get(gdupstreamsim.HeaderUpstream),
 	}, end)
 	if err != nil && c.dead() {
 		return o, errors.Wrap(err, "request "+id)
--- a/internal/rig/gdload/tally.go
+++ b/internal/rig/gdload/tally.go
@@ -71,6 +71,8 @@
 	Kind    string
 	Latency time.Duration
 	Outcome Outcome
+	// Upstream is who answered; empty when nobody did.
+	Upstream string
 }
 
 // Outcome is how a request ended.
--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,12 +31,29 @@
 	// ownNetworks is the first of the second bytes of loopback addresses that
 	// are derived from the process id.
 	ownNetworks = 16
+	// rigsAtOnce is the number of rigs that one process can run at a time, and
+	// hostsOfRig the number of loopback addresses of each.
+	rigsAtOnce = 4
+	hostsOfRig = 60
 )
 
-// loopback returns a loopback address that no other rig uses.
-func loopback(last byte) netip.Addr {
-	pid := os.Getpid()
-	return netip.AddrFrom4([4]byte{127, ownNetworks + byte(pid>>8&0x7f), byte(pid), last})
+// rigs counts the rigs that this process has started.
+var rigs atomic.Uint32
+
+// network is the part of the loopback network that one rig uses.
+type network struct {
+	pid, serial uint32
+}
+
+func newNetwork() network {
+	return network{pid: uint32(os.Getpid()), serial: rigs.Add(1) % rigsAtOnce}
+}
+
+// host returns an address that no other rig uses.
+func (n network) host(last int) netip.Addr {
+	return netip.AddrFrom4([4]byte{
+		127, ownNetworks + byte(n.pid>>8&0x7f), byte(n.pid), byte(int(n.serial)*hostsOfRig + last),
+	})
 }
 
 // startFabric binds the service addresses and moves the deployment to them.
@@ -51,13 +69,14 @@
 	if err := r.Fabric.Listen(); err != nil {
 		return errors.Wrap(err, "start fabric")
 	}
-	r.deployment = place(d, r.Fabric.Addr)
+	r.network = newNetwork()
+	r.deployment = place(d, r.Fabric.Addr, r.network.host(agentHost))
 	r.run(ctx, "fabric", r.Fabric.Run)
 	return nil
 }
 
 // place returns a copy of the deployment with the rig's own addresses.
-func place(d config.Deployment, addr func(service string) netip.AddrPort) config.Deployment {
+func place(d config.Deployment, addr func(service string) netip.AddrPort, agents netip.Addr) config.Deployment {
 	port := uint16(nodePort)
 	d.Domains = append([]config.Domain{}, d.Domains...)
 	d.Services = append([]config.Service{}, d.Services...)
@@ -66,7 +85,7 @@
 		s.Address = addr(s.Name).String()
 		s.Upstreams = append([]config.Upstream{}, s.Upstreams...)
 		for j := range s.Upstreams {
-			s.Upstreams[j].Agent = netip.AddrPortFrom(loopback(agentHost), port).String()
+			s.Upstreams[j].Agent = netip.AddrPortFrom(agents, port).String()
 			port += portStep
 		}
 	}
@@ -149,7 +168,7 @@
 // startBalancer starts the balancer with the number, in the failure domains'
 // order.
 func (r *Rig) startBalancer(n int) error {
-	host := loopback(firstBalancerHost + byte(n))
+	host := r.network.host(firstBalancerHost + n)
 	domains := r.deployment.Domains
 	s := r.common(balancerName(n), domains[n%len(domains)].Name)
 	s.NodeAddress = netip.AddrPortFrom(host, nodePort).String()
--- a/internal/rig/gdrigup/rig.go
+++ b/internal/rig/gdrigup/rig.go
@@ -45,6 +45,7 @@
 	mu         sync.Mutex
 	dir        string
 	authority  *authority
+	network    network
 	deployment config.Deployment
 	upstreams  map[string]*gdupstreamsim.Upstream
 	processes  map[string]*Process
