--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -159,6 +159,7 @@
 	s.LoadPath = "/load"
 	s.CertFile = r.authority.certFile(service)
 	s.KeyFile = r.authority.keyFile(service)
+	s.MaxFlows = r.Spec.Settings.MaxFlows
 	return r.startProcess(gdplatsim.RoleAgent, s)
 }
 
@@ -192,7 +193,7 @@
 	return nodeSettings{
 		Name: name, Domain: domain, LogLevel: level,
 		Platform:     r.Platform.URL(),
-		FleetKeyFile: r.fleetKeyFile(),
+		FleetKeyFile: r.FleetKeyFile(),
 	}
 }
 
