config: refuse garbage before it costs time, and sameness in disguise

Cause: a test with a megabyte of different tables ran for ten minutes: the TOML library's time grows with the square of the keys beside each other, so a platform that answers garbage could stop a process. Besides, Check took a weight of NaN, an agent on a service's address, one address in two spellings, an unspecified address, a route or token key given twice. Ruled out: a shorter limit on values; they may have a megabyte. Change: gdtoml counts keys, tables and key parts in linear time before the library sees the document, and bounds the work of finding further faults by bytes. Check compares addresses in their parsed form, over services and agents together.

--- a/config/check.go
+++ b/config/check.go
@@ -10,7 +10,7 @@
 // Check reports everything that is wrong with the deployment as [Problems], or
 // nil when nothing is.
 func (d Deployment) Check() error {
-	c := checker{services: newUnique(), ids: newUnique(), upstreams: newUnique()}
+	c := checker{names: newUnique(), ids: newUnique(), addresses: newUnique()}
 	c.deployment(d)
 	return c.problems.orNil()
 }
@@ -26,9 +26,9 @@
 type checker struct {
 	problems  Problems
 	domains   map[string]bool
-	services  unique
+	names     unique
 	ids       unique
-	upstreams unique
+	addresses unique
 }
 
 func (c *checker) add(place, format string, args ...any) {
@@ -50,14 +50,20 @@
 	u[value] = place
 }
 
+// address wants an address of one host that no other place has. Two ways to
+// write an address are the same address.
 func (c *checker) address(place, s string) {
 	ap, err := netip.ParseAddrPort(s)
-	if err != nil {
+	switch {
+	case err != nil:
 		c.add(place, "%q is not an IP address with a port", s)
-		return
-	}
-	if ap.Port() == 0 {
+	case ap.Port() == 0:
 		c.add(place, "port 0 is not allowed")
+	case ap.Addr().IsUnspecified() || ap.Addr().IsMulticast():
+		c.add(place, "%q is not the address of one host", s)
+	default:
+		ap = netip.AddrPortFrom(ap.Addr().Unmap(), ap.Port())
+		c.once(c.addresses, place, "address "+ap.String())
 	}
 }
 
@@ -86,10 +92,11 @@
 	if len(keys) < 1 || len(keys) > 2 {
 		c.add("token-keys", "%d keys are given, 1 or 2 are allowed", len(keys))
 	}
-	phases := newUnique()
+	phases, names := newUnique(), newUnique()
 	for i, k := range keys {
 		place := fmt.Sprintf("token-keys.%d", i)
 		c.name(place+".name", k.Name)
+		c.once(names, place+".name", "name "+k.Name)
 		c.between(place+".phase", int(k.Phase), 0, MaxPhase)
 		c.once(phases, place+".phase", fmt.Sprintf("phase %d", k.Phase))
 	}
@@ -115,8 +122,7 @@
 
 func (c *checker) service(place string, s Service) {
 	c.name(place, s.Name)
-	c.once(c.services, place+".name", "name "+s.Name)
-	c.once(c.services, place+".address", "address "+s.Address)
+	c.once(c.names, place+".name", "service name "+s.Name)
 	c.once(c.ids, place+".id", fmt.Sprintf("service id %d", s.ID))
 	if s.ID == 0 {
 		c.add(place+".id", "0 is not allowed")
@@ -125,8 +131,11 @@
 	c.between(place+".priority", s.Priority, 1, maxPriority)
 	c.between(place+".drain-seconds", s.DrainSeconds, 0, maxSeconds)
 	c.between(place+".ramp-seconds", s.RampSeconds, 0, maxSeconds)
+	prefixes := newUnique()
 	for i, r := range s.Routes {
-		c.route(fmt.Sprintf("%s.routes.%d", place, i), r)
+		at := fmt.Sprintf("%s.routes.%d", place, i)
+		c.route(at, r)
+		c.once(prefixes, at+".path-prefix", "path "+r.PathPrefix)
 	}
 	if len(s.Upstreams) == 0 {
 		c.add(place+".upstreams", "a service needs at least one upstream")
@@ -145,8 +154,7 @@
 
 func (c *checker) upstream(place string, u Upstream) {
 	c.name(place, u.Name)
-	c.once(c.upstreams, place+".name", "name "+u.Name)
-	c.once(c.upstreams, place+".agent", "address "+u.Agent)
+	c.once(c.names, place+".name", "upstream name "+u.Name)
 	c.once(c.ids, place+".id", fmt.Sprintf("upstream id %d", u.ID))
 	if u.ID == 0 {
 		c.add(place+".id", "0 is not allowed")
@@ -159,7 +167,7 @@
 	if u.State != "" && u.State != StateIn && u.State != StateLeaving {
 		c.add(place+".state", "%q is neither %q nor %q", u.State, StateIn, StateLeaving)
 	}
-	if u.Weight < 0 || u.Weight > maxWeight {
+	if !(u.Weight >= 0 && u.Weight <= maxWeight) { // so that NaN is refused
 		c.add(place+".weight", "%g is not between 0 and %d", u.Weight, maxWeight)
 	}
 }
--- a/config/diagnose_test.go
+++ b/config/diagnose_test.go
@@ -1,6 +1,9 @@
 package config_test
 
 import (
+	"bytes"
+	"fmt"
+	"math"
 	"os"
 	"strings"
 	"testing"
@@ -8,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/text/gdarchive"
 )
 
@@ -87,3 +91,71 @@
 	a.Revision = 11
 	require.NoError(t, config.CheckChange(a, sample()))
 }
+
+func TestCheckRefusesWhatLooksDifferentButIsTheSame(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(d *config.Deployment)
+		want   string
+	}{
+		{"weight that is no number", func(d *config.Deployment) {
+			d.Services[0].Upstreams[0].Weight = math.NaN()
+		}, "services.booking.upstreams.booking-1.weight: NaN is not between 0 and 100"},
+		{"agent on the service address", func(d *config.Deployment) {
+			d.Services[0].Upstreams[0].Agent = "192.0.2.10:443"
+		}, "services.booking.upstreams.booking-1.agent: address 192.0.2.10:443 is taken by services.booking.address"},
+		{"same address written otherwise", func(d *config.Deployment) {
+			d.Services[0].Address = "[2001:db8::1]:443"
+			d.Services[0].Upstreams[0].Agent = "[2001:db8:0:0::1]:443"
+		}, "services.booking.upstreams.booking-1.agent: address [2001:db8::1]:443 is taken by services.booking.address"},
+		{"unspecified address", func(d *config.Deployment) {
+			d.Services[0].Address = "0.0.0.0:443"
+		}, `services.booking.address: "0.0.0.0:443" is not the address of one host`},
+		{"route given twice", func(d *config.Deployment) {
+			d.Services[0].Routes = []config.Route{{PathPrefix: "/pay", Priority: 1}, {PathPrefix: "/pay", Priority: 2}}
+		}, "services.booking.routes.1.path-prefix: path /pay is taken by services.booking.routes.0.path-prefix"},
+		{"token key given twice", func(d *config.Deployment) {
+			d.TokenKeys = append(d.TokenKeys, config.TokenKey{Phase: 1, Name: "2026-12"})
+		}, "token-keys.1.name: name 2026-12 is taken by token-keys.0.name"},
+	} {
+		d := sample()
+		c.change(&d)
+		require.EqualError(t, d.Check(), c.want, c.name)
+	}
+}
+
+func TestSplitRefusesValueAboveTheLimit(t *testing.T) {
+	d := sample()
+	u := d.Services[0].Upstreams[0]
+	for i := range 20_000 {
+		u.Name, u.ID = fmt.Sprintf("more-%d", i), 1000+uint32(i)
+		u.Agent = fmt.Sprintf("192.0.2.30:%d", 1000+i)
+		d.Services[0].Upstreams = append(d.Services[0].Upstreams, u)
+	}
+	_, err := config.Split(d)
+	require.EqualError(t, err, "service-booking: the value is larger than a megabyte")
+}
+
+// FuzzParse holds that no document breaks the parser, that what it takes can be
+// put in force, and that printing it again changes nothing.
+func FuzzParse(f *testing.F) {
+	var first bytes.Buffer
+	require.NoError(f, config.Print(&first, sample()))
+	f.Add(first.Bytes())
+	f.Add([]byte("name = 'a'\nrevision = 1\ndomains = [{name = 'b'}]\n[[services]]\nweight = nan"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		d, err := config.Parse(data)
+		if err != nil {
+			require.NotEmpty(t, err.Error())
+			return
+		}
+		_, err = gdconf.New(d)
+		require.NoError(t, err)
+		var printed, again bytes.Buffer
+		require.NoError(t, config.Print(&printed, d))
+		back, err := config.Parse(printed.Bytes())
+		require.NoError(t, err)
+		require.NoError(t, config.Print(&again, back))
+		require.Equal(t, printed.String(), again.String())
+	})
+}
--- a/internal/text/gdtoml/decode.go
+++ b/internal/text/gdtoml/decode.go
@@ -9,8 +9,9 @@
 	"github.com/pkg/errors"
 )
 
-// maxFaults bounds the work for a document with many faults.
-const maxFaults = 50
+// maxWork bounds the bytes that are decoded to find the faults of a document. A
+// small document gets all of its faults; of one of a megabyte, the first few.
+const maxWork = 8 << 20
 
 // Fault is one thing that is wrong with a document.
 type Fault struct {
@@ -33,6 +34,9 @@
 // it is no TOML. When there is a fault, the content of v is of no use but for
 // finding more of them.
 func Decode(data []byte, v any) []Fault {
+	if f, ok := tooWide(data); ok {
+		return []Fault{f}
+	}
 	err := decodeStrict(data, v)
 	if err == nil {
 		return nil
@@ -64,7 +68,7 @@
 func gather(data []byte, v any, err error) []Fault {
 	var faults []Fault
 	lines := bytes.SplitAfter(data, []byte("\n"))
-	for err != nil && len(faults) < maxFaults {
+	for work := 0; err != nil && work < maxWork; work += len(data) {
 		var strict *toml.StrictMissingError
 		if errors.As(err, &strict) {
 			return append(faults, unknownKeys(strict)...)
--- a/internal/text/gdtoml/gdtoml_test.go
+++ b/internal/text/gdtoml/gdtoml_test.go
@@ -1,9 +1,12 @@
 package gdtoml_test
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/pelletier/go-toml/v2"
+	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/text/gdtoml"
 )
@@ -42,3 +45,38 @@
 		}
 	})
 }
+
+func TestWorkIsBounded(t *testing.T) {
+	var d struct {
+		Slots []struct {
+			Count int `toml:"count"`
+		} `toml:"slots"`
+	}
+	wrong := strings.Repeat("[[slots]]\ncount = 'many'\n", 40_000)
+	faults := gdtoml.Decode([]byte(wrong), &d)
+	require.NotEmpty(t, faults)
+	require.LessOrEqual(t, len(faults)*len(wrong), 10<<20, "bytes decoded")
+
+	// The library needs minutes for each of these.
+	for _, line := range []string{"k%d = 1\n", "[t%d]\n", "[[t%d]]\n", "[a.t%d]\n", "[[a]]\n[a.t%d]\n"} {
+		var wide strings.Builder
+		for i := range 60_000 {
+			fmt.Fprintf(&wide, line, i)
+		}
+		faults := gdtoml.Decode([]byte(wide.String()), &d)
+		require.Len(t, faults, 1, line)
+		require.Equal(t, "too many different keys or tables beside or in each other", faults[0].Reason())
+		require.NotZero(t, faults[0].Line())
+	}
+	for _, doc := range []string{
+		"a = [{" + strings.Repeat("k = 1, ", 5000) + "}]",
+		"a" + strings.Repeat(".a", 100_000) + " = 1",
+		"[a" + strings.Repeat(".a", 100_000) + "]",
+		"a = {a" + strings.Repeat(".a", 100_000) + " = 1}",
+	} {
+		faults := gdtoml.Decode([]byte(doc), &d)
+		require.Len(t, faults, 1)
+		require.Equal(t, 1, faults[0].Line())
+		require.Less(t, len(faults[0].Key()), 100)
+	}
+}
