settings: refuse a certificate without its key, and two listeners on one address

Cause: both were found only when the process was running. Ruled out: nothing else weighed. Change: Load reads the pair once and compares the two addresses.

--- a/internal/operate/gdsettings/check.go
+++ b/internal/operate/gdsettings/check.go
@@ -1,6 +1,7 @@
 package gdsettings
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net/netip"
 	"net/url"
@@ -107,6 +108,26 @@
 	return true
 }
 
+// keyPair reports a certificate that doesn't belong to the private key. The
+// library's errors quote neither.
+func (k *checker) keyPair(certKey string, certFile *string, keyKey string, keyFile *string) {
+	cert := k.readableFile(certKey, certFile)
+	key := k.readableFile(keyKey, keyFile)
+	if !cert || !key {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(*certFile, *keyFile); err != nil {
+		k.add(certKey, "%v", err)
+	}
+}
+
+// different reports two listeners on one address.
+func (k *checker) different(key string, a netip.AddrPort, otherKey string, b netip.AddrPort) {
+	if a.IsValid() && a == b {
+		k.add(key, "the address is that of %s", otherKey)
+	}
+}
+
 func (k *checker) keyFile(key string, name *string) {
 	if !k.readableFile(key, name) {
 		return
--- a/internal/operate/gdsettings/load_test.go
+++ b/internal/operate/gdsettings/load_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bytes"
+	"crypto/ed25519"
+	"crypto/x509"
 	"encoding/json"
+	"encoding/pem"
 	"fmt"
+	"math/big"
 	"os"
 	"path/filepath"
 	"strings"
@@ -24,10 +28,25 @@
 	write("settings.toml", gdarchive.Part(archive, "settings.toml"))
 	write("fleet.key", strings.Repeat("ab", gdsettings.KeySize)+"\n")
 	write("short.key", "abcd\n")
-	write("cert.pem", "")
+	certificate, key := selfSigned(t)
+	write("cert.pem", certificate)
+	write("key.pem", key)
 	return dir
 }
 
+// selfSigned returns a certificate and its private key as PEM.
+func selfSigned(t *testing.T) (certificate, key string) {
+	_, private, err := ed25519.GenerateKey(nil)
+	require.NoError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1)}
+	der, err := x509.CreateCertificate(nil, template, template, private.Public(), private)
+	require.NoError(t, err)
+	pkcs8, err := x509.MarshalPKCS8PrivateKey(private)
+	require.NoError(t, err)
+	return string(pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})),
+		string(pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: pkcs8}))
+}
+
 func TestLoadGathersProblems(t *testing.T) {
 	archives, err := filepath.Glob("testdata/*.txt")
 	require.NoError(t, err)
--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -105,6 +105,7 @@
 	k.name("domain", c.Domain)
 	k.address("node-address", c.NodeAddress)
 	k.address("operator-address", c.OperatorAddress)
+	k.different("operator-address", c.OperatorAddress, "node-address", c.NodeAddress)
 	k.url("platform", c.Platform)
 	k.keyFile("fleet-key-file", &c.FleetKeyFile)
 	k.level("log-level", c.LogLevel)
@@ -125,8 +126,7 @@
 	if a.LoadPath != "" {
 		k.path("load-path", a.LoadPath)
 	}
-	k.readableFile("cert-file", &a.CertFile)
-	k.readableFile("key-file", &a.KeyFile)
+	k.keyPair("cert-file", &a.CertFile, "key-file", &a.KeyFile)
 	k.between("max-flows", a.MaxFlows, 1, maxFlows)
 	k.between("max-body-buffer-kib", a.MaxBodyBufferKiB, 1, maxBodyBufferKiB)
 }
