--- /dev/null
+++ b/cmd/gdrig/demo.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gddemo"
+)
+
+const demoHelp = `Starts the deployment, runs its load, kills and replaces a balancer, drains an
+upstream, takes a failure domain out and brings it back. The steps go to
+standard error; the last line of standard output is one JSON object:
+
+   answered, wrong, misrouted, broken-flows, given-up, refused-not-run,
+   doubled, unknown, p50-ms, p99-ms, imbalance
+
+Flows that end with the failure domain are given up and not broken. The
+imbalance is the largest share of work over the mean one, among the upstreams
+that stay in service throughout. The exit code is 1 when wrong, misrouted,
+doubled or broken-flows is above 0.
+
+Other plans bring about single faults; plans that end flows themselves, such as
+agent-kill, don't count them as failures.
+
+Examples:
+   gdrig demo --deployment examples/kiosks --seconds 30 --seed 7
+   gdrig demo --deployment examples/rejilla-norte --plan platform-stale`
+
+const defaultDemoSeconds = 30
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:        "demo",
+		Usage:       "run load through a deployment while it changes",
+		Description: demoHelp,
+		Flags: append(rigFlags(),
+			&cli.StringFlag{Name: "plan", Usage: "what happens under load: " + planNames(), Value: "change"},
+			&cli.IntFlag{Name: "seconds", Usage: "length of the load", Value: defaultDemoSeconds}),
+		Action: demo,
+	}
+}
+
+// planNames lists the plans in one line.
+func planNames() string {
+	names := lo.Map(gddemo.Plans(), func(p gddemo.PlanInfo, _ int) string { return p.Name })
+	return strings.Join(names, ", ")
+}
+
+func demo(ctx context.Context, cmd *cli.Command) error {
+	rig, err := newRig(cmd)
+	if err != nil {
+		return err
+	}
+	if err := rig.Start(ctx); err != nil {
+		return err
+	}
+	defer rig.Stop()
+	d := &gddemo.Demo{
+		Rig:      rig,
+		Plan:     cmd.String("plan"),
+		Length:   time.Duration(cmd.Int("seconds")) * time.Second,
+		Seed:     rig.Spec.Settings.Seed,
+		Progress: progress,
+	}
+	r, err := d.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
+		return errors.Wrap(err, "print result")
+	}
+	if d.Failed(r) {
+		return errors.New("the run broke a promise")
+	}
+	return nil
+}
--- a/cmd/godwitdrift/wire.go
+++ b/cmd/godwitdrift/wire.go
@@ -6,10 +6,10 @@
 	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 
 	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+	"godwitdrift.example/godwitdrift/internal/process/gdserve"
 )
 
 // requestTimeout bounds each request of a command to a process or the platform.
@@ -31,16 +31,18 @@
 	err io.Writer
 }
 
-var errNotBuilt = errors.New("not built yet")
-
 // newInjector holds what the commands are built from.
 func newInjector(in io.Reader, out, err io.Writer) do.Injector {
 	i := do.New()
 	do.ProvideValue(i, console{in: in, out: out, err: err})
 	do.ProvideValue(i, clock(time.Now))
 	do.ProvideValue(i, newClient())
-	do.ProvideValue(i, runBalancer(func(context.Context, gdsettings.Balancer) error { return errNotBuilt }))
-	do.ProvideValue(i, runAgent(func(context.Context, gdsettings.Agent) error { return errNotBuilt }))
+	do.ProvideValue(i, runBalancer(func(ctx context.Context, s gdsettings.Balancer) error {
+		return gdserve.Balancer(ctx, s, err)
+	}))
+	do.ProvideValue(i, runAgent(func(ctx context.Context, s gdsettings.Agent) error {
+		return gdserve.Agent(ctx, s, err)
+	}))
 	return i
 }
 
--- /dev/null
+++ b/internal/core/gdspread/spread.go
@@ -0,0 +1,164 @@
+package gdspread
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+const (
+	// DefaultFresh is the age up to which a peer's load is believed.
+	DefaultFresh = 500 * time.Millisecond
+	// DefaultHops is the number of times that one request may be relayed.
+	DefaultHops = 1
+)
+
+// Core knows the loads of a service's other upstreams and chooses among them.
+// The exported fields are set before use. It is not safe for concurrent use.
+type Core struct {
+	// Rand is the random source of the choices.
+	Rand *rand.Rand
+	// Fresh is the age up to which a peer's load is believed. Zero means
+	// DefaultFresh.
+	Fresh time.Duration
+	// Hops is the number of times that one request may be relayed. Zero means
+	// DefaultHops.
+	Hops int
+
+	budget  Budget
+	started uint64
+	peers   []peer
+}
+
+// peer is the last that is known of one peer.
+type peer struct {
+	id   gdconf.UpstreamID
+	load Load
+	at   time.Time
+}
+
+// SetPeers replaces the set of peers. Loads of peers that stay are kept.
+func (c *Core) SetPeers(ids []gdconf.UpstreamID) {
+	next := make([]peer, 0, len(ids))
+	for _, id := range ids {
+		p := peer{id: id}
+		if i := c.index(id); i >= 0 {
+			p = c.peers[i]
+		}
+		next = append(next, p)
+	}
+	c.peers = next
+}
+
+// PeerLoad notes the load that a peer reported. A report from an upstream that
+// is no peer is ignored.
+func (c *Core) PeerLoad(now time.Time, id gdconf.UpstreamID, l Load) {
+	i := c.index(id)
+	if i < 0 {
+		return
+	}
+	p := &c.peers[i]
+	// A first report, and one of an agent that began anew, earns nothing.
+	if !p.at.IsZero() && l.started > p.load.started {
+		c.budget.Earn(now, l.started-p.load.started, c.agents())
+	}
+	p.load = l
+	p.at = now
+}
+
+// Admitted earns the budget for one request started here.
+func (c *Core) Admitted(now time.Time) {
+	c.started++
+	c.budget.Earn(now, 1, c.agents())
+}
+
+// Started returns the number of requests started here.
+func (c *Core) Started() uint64 { return c.started }
+
+// agents is the number of agents that share the budget's earnings.
+func (c *Core) agents() int { return len(c.peers) + 1 }
+
+// Relay chooses a peer for a request that was relayed hops times before, and
+// charges the budget. It reports false when no peer has room, or when the hops
+// or the budget are used up.
+func (c *Core) Relay(now time.Time, hops, priority int) (gdconf.UpstreamID, bool) {
+	i, ok := c.choose(now, hops, Load.takesRelay)
+	if !ok || !c.budget.Spend(now, priority) {
+		return 0, false
+	}
+	return c.take(i), true
+}
+
+// Move chooses a peer like [Core.Relay], without a charge to the budget. It is
+// meant for requests of a leaving upstream's flows and for new flows that an
+// upstream can't bear. As a moved request has no other place, a short wait at the
+// peer is accepted.
+func (c *Core) Move(now time.Time, hops int) (gdconf.UpstreamID, bool) {
+	i, ok := c.choose(now, hops, Load.TakesMove)
+	if !ok {
+		return 0, false
+	}
+	return c.take(i), true
+}
+
+// take charges one request to the peer until it reports again.
+func (c *Core) take(i int) gdconf.UpstreamID {
+	c.peers[i].load.inFlight++
+	return c.peers[i].id
+}
+
+// choose returns the less loaded of two random peers that take the request.
+func (c *Core) choose(now time.Time, hops int, takes func(Load) bool) (int, bool) {
+	if hops >= c.hops() {
+		return 0, false
+	}
+	first, ok := c.pick(now, -1, takes)
+	if !ok {
+		return 0, false
+	}
+	second, ok := c.pick(now, first, takes)
+	if ok && c.peers[second].load.less(c.peers[first].load) {
+		return second, true
+	}
+	return first, true
+}
+
+// pick returns a random peer other than the one at index except. It samples while
+// it walks, so that it needs no memory.
+func (c *Core) pick(now time.Time, except int, takes func(Load) bool) (int, bool) {
+	found, seen := 0, 0
+	for i, p := range c.peers {
+		if i == except || !c.isFresh(now, p) || !takes(p.load) {
+			continue
+		}
+		seen++
+		if c.Rand.IntN(seen) == 0 {
+			found = i
+		}
+	}
+	return found, seen > 0
+}
+
+func (c *Core) isFresh(now time.Time, p peer) bool {
+	return !p.at.IsZero() && now.Sub(p.at) <= c.fresh()
+}
+
+func (c *Core) index(id gdconf.UpstreamID) int {
+	return slices.IndexFunc(c.peers, func(p peer) bool { return p.id == id })
+}
+
+func (c *Core) fresh() time.Duration {
+	if c.Fresh == 0 {
+		return DefaultFresh
+	}
+	return c.Fresh
+}
+
+func (c *Core) hops() int {
+	if c.Hops == 0 {
+		return DefaultHops
+	}
+	return c.Hops
+}
--- /dev/null
+++ b/internal/process/gdagent/agent.go
@@ -0,0 +1,323 @@
+package gdagent
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/quic-go/quic-go"
+	"github.com/quic-go/quic-go/http3"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdtoken"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdnode"
+	"godwitdrift.example/godwitdrift/internal/wire/gdenvelope"
+	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
+)
+
+const (
+	// socketBuffer is the size in bytes that is asked for the node socket's
+	// buffers. The host may grant less.
+	socketBuffer = 4 << 20
+	// packetSize is the size in bytes of the datagrams that the agent sends, so
+	// that they fit a network's usual 1500 bytes inside an envelope.
+	packetSize = 1280
+	// idleTimeout closes a flow from which nothing comes. It bounds how long
+	// either end waits for a flow whose path was lost.
+	idleTimeout = 30 * time.Second
+	// keepAlive is the interval of the agent's probes on an idle flow.
+	keepAlive = 10 * time.Second
+	// watchInterval is how often the agent compares its state with the
+	// configuration.
+	watchInterval = 100 * time.Millisecond
+	// drainInterval is how often a draining agent looks whether it is done.
+	drainInterval = 10 * time.Millisecond
+	// maxNamedFlows bounds the callers that the log names when a drain is held.
+	maxNamedFlows = 20
+	// streamsPerFlow bounds the requests that one caller has open on a flow.
+	streamsPerFlow = 100
+)
+
+// Requests serves the requests of callers.
+type Requests interface {
+	http.Handler
+	// Stop makes it refuse new requests; those in progress go on.
+	Stop()
+	// InProgress returns the number of requests in progress.
+	InProgress() int
+	// TakesFlow reports whether a new flow should stay at this agent.
+	TakesFlow() bool
+}
+
+// Agent is the process. Its exported fields are set before Run.
+type Agent struct {
+	// NodeAddress is where balancers and other agents send envelopes.
+	NodeAddress netip.AddrPort
+	// Upstream is the upstream beside which the agent runs.
+	Upstream gdconf.UpstreamID
+	// Incarnation tells this process from earlier ones in its place. It is random
+	// for each run.
+	Incarnation uint32
+	// Requests serves what callers ask for.
+	Requests Requests
+	// Fleet is the key that all processes share.
+	Fleet gdkey.Fleet
+	// Config is the configuration in force.
+	Config gdnode.Config
+	// Certificate gives the certificate for callers; it may change.
+	Certificate func(*tls.ClientHelloInfo) (*tls.Certificate, error)
+	// MaxFlows bounds the open flows.
+	MaxFlows int
+	// Counters counts decisions.
+	Counters gdnode.Counters
+	// Decided is called with the decisions on packets that open a flow and on
+	// dropped ones, within a rate. It may be nil.
+	Decided func(gdnode.Decision)
+	// Log takes the events.
+	Log gdlog.Logger
+
+	node     *net.UDPConn
+	flows    flows
+	stopping atomic.Bool
+}
+
+// Run serves until the context ends, then drains: it takes no new work and
+// closes once the requests in progress have finished or the service's drain
+// time is over.
+func (a *Agent) Run(ctx context.Context) error {
+	if err := a.open(); err != nil {
+		return err
+	}
+	defer a.node.Close()
+	conn, transport, err := a.transport()
+	if err != nil {
+		return err
+	}
+	d, err := newDoor(a, conn)
+	if err != nil {
+		return err
+	}
+	listener, err := transport.Listen(a.tlsConfig(), quicConfig())
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	var wg sync.WaitGroup
+	wg.Go(d.run)
+	wg.Go(func() { a.accept(listener) })
+	a.watch(ctx)
+	a.drain()
+	listener.Close()
+	transport.Close()
+	a.node.Close()
+	wg.Wait()
+	return nil
+}
+
+// open prepares what the duties share.
+func (a *Agent) open() error {
+	node, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.NodeAddress))
+	if err != nil {
+		return errors.Wrap(err, "open the node address")
+	}
+	// A host that grants less than this still serves, with more drops in bursts.
+	_ = node.SetReadBuffer(socketBuffer)
+	_ = node.SetWriteBuffer(socketBuffer)
+	a.node = node
+	return nil
+}
+
+func (a *Agent) transport() (*callerConn, *quic.Transport, error) {
+	sealer, err := gdenvelope.NewSealer(a.Fleet)
+	if err != nil {
+		return nil, nil, err
+	}
+	conn := newCallerConn(a.node, sealer, 2*a.MaxFlows, uint64(a.Incarnation))
+	conn.counters = &a.Counters
+	conn.service = a.service
+	var reset quic.StatelessResetKey
+	copy(reset[:], a.Fleet.Derive("stateless-reset", len(reset)))
+	return conn, &quic.Transport{
+		Conn:                  conn,
+		ConnectionIDGenerator: newTokens(a),
+		// All agents share the key, so that an agent that took another's place
+		// can end the flows that its predecessor held.
+		StatelessResetKey: &reset,
+	}, nil
+}
+
+// service returns the service to which the agent's upstream belongs.
+func (a *Agent) service() (gdconf.ServiceID, gdconf.Version, bool) {
+	v := a.Config.View()
+	if v == nil {
+		return 0, gdconf.Version{}, false
+	}
+	u, ok := v.Upstream(a.Upstream)
+	if !ok {
+		return 0, gdconf.Version{}, false
+	}
+	return u.Service().ID(), v.Version(), true
+}
+
+func (a *Agent) tlsConfig() *tls.Config {
+	return http3.ConfigureTLSConfig(&tls.Config{
+		MinVersion:     tls.VersionTLS13,
+		GetCertificate: a.Certificate,
+	})
+}
+
+func quicConfig() *quic.Config {
+	return &quic.Config{
+		InitialPacketSize:       packetSize,
+		DisablePathMTUDiscovery: true,
+		MaxIdleTimeout:          idleTimeout,
+		KeepAlivePeriod:         keepAlive,
+		MaxIncomingStreams:      streamsPerFlow,
+		// A request that was replayed from an early flight could run twice.
+		Allow0RTT: false,
+	}
+}
+
+// accept serves each connection. It only takes connections off the transport's
+// short queue, so that a burst of callers finds it empty.
+func (a *Agent) accept(l *quic.Listener) {
+	server := &http3.Server{Handler: a.Requests}
+	for {
+		c, err := l.Accept(context.Background())
+		if err != nil {
+			return
+		}
+		a.flows.add(c)
+		go func() {
+			defer a.flows.remove(c)
+			// The error says how the caller ended the flow.
+			_ = server.ServeQUICConn(c)
+		}()
+	}
+}
+
+// watch closes the flows when the failure domain is taken out, until the context
+// ends.
+func (a *Agent) watch(ctx context.Context) {
+	t := time.NewTicker(watchInterval)
+	defer t.Stop()
+	var was bool
+	for {
+		out := a.domainOut()
+		if out {
+			a.giveUp()
+		}
+		if out != was {
+			was = out
+			a.logDomain(out)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (a *Agent) giveUp() {
+	if n := a.flows.closeAll(CodeDomainOut, "failure domain out"); n > 0 {
+		a.Log.Event(gdlog.FlowGivenUp, "flows", n)
+	}
+}
+
+func (a *Agent) logDomain(out bool) {
+	if out {
+		a.Log.Event(gdlog.DomainOut)
+		return
+	}
+	a.Log.Event(gdlog.DomainIn)
+}
+
+func (a *Agent) domainOut() bool {
+	v := a.Config.View()
+	if v == nil {
+		return false
+	}
+	u, ok := v.Upstream(a.Upstream)
+	return ok && u.DomainOut()
+}
+
+// drain waits for the requests in progress, at most the service's drain time,
+// and then closes the flows.
+func (a *Agent) drain() {
+	a.stopping.Store(true)
+	a.Requests.Stop()
+	a.Log.Event(gdlog.DrainStarted, "requests", a.Requests.InProgress(), "flows", a.flows.count())
+	limit := time.Now().Add(a.drainTime())
+	for a.Requests.InProgress() > 0 && time.Now().Before(limit) {
+		time.Sleep(drainInterval)
+	}
+	if n := a.Requests.InProgress(); n > 0 {
+		a.Log.Event(gdlog.DrainHeld, "requests", n, "callers", a.flows.callers(maxNamedFlows))
+	}
+	a.flows.closeAll(CodeStopping, "agent stopping")
+	a.Log.Event(gdlog.DrainEnded)
+}
+
+func (a *Agent) drainTime() time.Duration {
+	v := a.Config.View()
+	if v == nil {
+		return 0
+	}
+	u, ok := v.Upstream(a.Upstream)
+	if !ok {
+		return 0
+	}
+	return u.Service().Drain()
+}
+
+// State is the part of the dump that only agents have.
+type State struct {
+	Flows      int  `json:"flows"`
+	InProgress int  `json:"requests-in-progress"`
+	Stopping   bool `json:"stopping"`
+}
+
+// State returns the agent's state for the dump.
+func (a *Agent) State() State {
+	return State{
+		Flows:      a.flows.count(),
+		InProgress: a.Requests.InProgress(),
+		Stopping:   a.stopping.Load(),
+	}
+}
+
+// tokens issues route tokens as connection IDs.
+type tokens struct {
+	a       *Agent
+	mu      sync.Mutex
+	watcher gdnode.Watcher
+	serial  uint32
+}
+
+func newTokens(a *Agent) *tokens {
+	return &tokens{a: a, watcher: gdnode.Watcher{Fleet: a.Fleet, Config: a.Config}}
+}
+
+// GenerateConnectionID returns a route token of this agent's incarnation.
+func (t *tokens) GenerateConnectionID() (quic.ConnectionID, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, ring, _ := t.watcher.Look()
+	service, _, ok := t.a.service()
+	if !ok || ring == nil {
+		return quic.ConnectionID{}, errors.New("issue a route token: no configuration in force")
+	}
+	t.serial++
+	cid := gdtoken.NewSealer(ring).Seal(gdtoken.New(service, t.a.Upstream, t.a.Incarnation, t.serial))
+	return quic.ConnectionIDFromBytes(cid[:]), nil
+}
+
+// ConnectionIDLen returns the length of a route token.
+func (t *tokens) ConnectionIDLen() int { return gdtoken.Size }
--- /dev/null
+++ b/internal/process/gdrequest/server.go
@@ -0,0 +1,258 @@
+package gdrequest
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdadmit"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
+	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdduty"
+	"godwitdrift.example/godwitdrift/internal/process/gdnode"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
+)
+
+// lookInterval is how often the admission core is told of a new configuration.
+const lookInterval = 100 * time.Millisecond
+
+// Peers is the port through which agents of one service reach each other, by
+// the address of their control port.
+type Peers interface {
+	// Relay sends the request to a peer's agent and returns the response. It
+	// reports whether the peer may have got the request.
+	Relay(ctx context.Context, addr string, r *http.Request) (*http.Response, bool, error)
+	// Ask asks a peer about a key.
+	Ask(ctx context.Context, addr string, q gdonce.Question) (gdonce.Answer, error)
+	// ExchangeLoad tells a peer the own load and returns the peer's.
+	ExchangeLoad(ctx context.Context, addr string, l gdpeer.Load) (gdpeer.PeerLoad, error)
+}
+
+// Server serves requests. Its exported fields are set before Run.
+type Server struct {
+	// Self is the upstream that the server guards.
+	Self gdconf.UpstreamID
+	// Config is the configuration in force.
+	Config gdnode.Config
+	// Target is the upstream's own address.
+	Target *url.URL
+	// Incarnation tells this process from earlier ones in its place.
+	Incarnation uint32
+	// Signer signs the keys that the system issues.
+	Signer *gdonce.Signer
+	// Peers is nil when nothing is relayed.
+	Peers Peers
+	// Rand is the random source of the decisions.
+	Rand *rand.Rand
+	// HealthPath is the path of the upstream's health endpoint. An empty one is
+	// not asked.
+	HealthPath string
+	// Decided is called with each decision on a request, if it is set.
+	Decided func(Decision)
+	// Log takes the events.
+	Log gdlog.Logger
+
+	start      sync.Once
+	lastID     atomic.Uint64
+	inProgress atomic.Int64
+	stopping   atomic.Bool
+	// busy is renewed by watch.
+	busy     atomic.Bool
+	proxy    *proxy
+	waiting  table[chan gdadmit.Action]
+	attempts table[*attempt]
+	// addresses remembers where each agent of the service was last known.
+	addresses table[netip.AddrPort]
+
+	core   *gdadmit.Core
+	duty   *gdduty.Duty[gdadmit.Action]
+	once   *gdonce.Core
+	ledger *gdduty.Duty[gdonce.Action]
+}
+
+// Decision is the record of one decision on a request.
+type Decision struct {
+	// Request is the identifier that the caller got in HeaderRequest.
+	Request string
+	Service string
+	Action  string
+	Reason  string
+	Peer    gdconf.UpstreamID
+}
+
+// init makes the parts that Run and the requests share; either may come first.
+func (s *Server) init() { s.start.Do(s.build) }
+
+func (s *Server) build() {
+	s.proxy = newProxy(s.Target)
+	s.core = &gdadmit.Core{
+		Slots:  1,
+		Limit:  &gdadmit.AIMD{},
+		Spread: &gdspread.Core{Rand: s.Rand},
+		Rand:   s.Rand,
+	}
+	s.duty = &gdduty.Duty[gdadmit.Action]{
+		Tick:     s.core.Tick,
+		NextTick: s.core.NextTick,
+		Deliver:  s.deliver,
+	}
+	s.once = &gdonce.Core{Self: s.Self, Incarnation: s.Incarnation, Signer: s.Signer, Rand: s.Rand}
+	s.ledger = &gdduty.Duty[gdonce.Action]{
+		Tick:     s.once.Tick,
+		NextTick: s.once.NextTick,
+		Deliver:  s.deliverLedger,
+	}
+}
+
+// Run serves until the context ends. Requests in progress go on.
+func (s *Server) Run(ctx context.Context) {
+	s.init()
+	var wg sync.WaitGroup
+	wg.Go(func() { s.watch(ctx) })
+	wg.Go(func() { s.exchangeLoads(ctx) })
+	wg.Go(func() { s.probe(ctx) })
+	wg.Go(func() { s.ledger.Run(ctx) })
+	s.duty.Run(ctx)
+	wg.Wait()
+}
+
+// watch tells the core when the configuration or the server's state changes.
+func (s *Server) watch(ctx context.Context) {
+	t := time.NewTicker(lookInterval)
+	defer t.Stop()
+	var view *gdconf.View
+	var stopping bool
+	for {
+		v, stop := s.Config.View(), s.stopping.Load()
+		if v != nil && (v != view || stop != stopping) {
+			view, stopping = v, stop
+			s.remember(v)
+			s.duty.Post(func(now time.Time) []gdadmit.Action { return s.apply(now, v, stop) })
+			s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.SetView(now, v) })
+		}
+		s.duty.Offer(s.noteBusy)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// remember notes the addresses of the service's agents. Those that leave the
+// configuration are kept, because they may still know what became of a key.
+func (s *Server) remember(v *gdconf.View) {
+	self, ok := v.Upstream(s.Self)
+	if !ok {
+		return
+	}
+	for _, u := range self.Service().Upstreams() {
+		s.addresses.add(uint64(u.ID()), u.Agent())
+	}
+}
+
+func (s *Server) addressOf(id gdconf.UpstreamID) (string, bool) {
+	a, ok := s.addresses.get(uint64(id))
+	return a.String(), ok
+}
+
+// apply takes a configuration over. It runs in the duty's goroutine.
+func (s *Server) apply(now time.Time, v *gdconf.View, stopping bool) []gdadmit.Action {
+	u, ok := v.Upstream(s.Self)
+	if !ok {
+		return s.core.SetMode(now, gdadmit.ModeOut)
+	}
+	var peers []gdconf.UpstreamID
+	for _, p := range u.Service().Upstreams() {
+		if p.ID() != s.Self && p.TakesNew() {
+			peers = append(peers, p.ID())
+		}
+	}
+	s.core.Spread.SetPeers(peers)
+	var actions []gdadmit.Action
+	if s.core.Slots != u.Slots() {
+		actions = s.core.SetSlots(now, u.Slots())
+	}
+	return append(actions, s.core.SetMode(now, modeOf(u, stopping))...)
+}
+
+func modeOf(u *gdconf.Upstream, stopping bool) gdadmit.Mode {
+	switch {
+	case u.DomainOut():
+		return gdadmit.ModeOut
+	case stopping:
+		return gdadmit.ModeStopping
+	case u.Leaving():
+		return gdadmit.ModeLeaving
+	}
+	return gdadmit.ModeServing
+}
+
+// Stop makes the server refuse new requests; those in progress go on.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// noteBusy renews what TakesFlow returns. It runs in the duty's goroutine.
+func (s *Server) noteBusy(now time.Time) []gdadmit.Action {
+	s.busy.Store(!s.core.TakesFlow(now))
+	return nil
+}
+
+// TakesFlow reports whether a new flow should stay at this agent, as of the last
+// look.
+func (s *Server) TakesFlow() bool { return !s.busy.Load() }
+
+// InProgress returns the number of requests in progress.
+func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
+
+// deliver hands an action to the request that waits for it.
+func (s *Server) deliver(a gdadmit.Action) {
+	ch, ok := s.waiting.take(a.ID())
+	if ok {
+		ch <- a
+	}
+}
+
+// admit asks the core and waits for its action. It reports false when the caller
+// gave up first, or when the core can't take the request.
+func (s *Server) admit(ctx context.Context, r gdadmit.Request) (gdadmit.Action, bool) {
+	ch := make(chan gdadmit.Action, 1)
+	s.waiting.add(r.ID(), ch)
+	if !s.duty.Offer(func(now time.Time) []gdadmit.Action { return s.core.Arrive(now, r) }) {
+		s.waiting.remove(r.ID())
+		return gdadmit.Action{}, false
+	}
+	select {
+	case a := <-ch:
+		return a, true
+	case <-ctx.Done():
+		return s.giveUp(r.ID(), ch)
+	}
+}
+
+// giveUp cancels a waiting request. The core may have started it meanwhile: then
+// the start is returned, so that the slot is given back.
+func (s *Server) giveUp(id uint64, ch chan gdadmit.Action) (gdadmit.Action, bool) {
+	done := make(chan struct{})
+	s.duty.Post(func(now time.Time) []gdadmit.Action {
+		defer close(done)
+		return s.core.Cancel(now, id)
+	})
+	select {
+	case <-done:
+	case <-time.After(lookInterval): // the duty has ended
+	}
+	s.waiting.remove(id)
+	select {
+	case a := <-ch:
+		return a, true
+	default:
+		return gdadmit.Action{}, false
+	}
+}
--- /dev/null
+++ b/internal/process/gdserve/common.go
@@ -0,0 +1,240 @@
+package gdserve
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
+	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
+	"godwitdrift.example/godwitdrift/internal/operate/gdsettings"
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
+	"godwitdrift.example/godwitdrift/internal/process/gdconfsync"
+	"godwitdrift.example/godwitdrift/internal/process/gdnode"
+	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
+)
+
+const (
+	roleBalancer = "balancer"
+	roleAgent    = "agent"
+
+	shutdownTimeout = 2 * time.Second
+	headerTimeout   = 5 * time.Second
+)
+
+// role is "balancer" or "agent".
+type role string
+
+// incarnation is a random number that differs with each start of a process.
+type incarnation uint32
+
+// provideCommon registers the parts that both roles have.
+func provideCommon(inj do.Injector, c gdsettings.Common, r role, w io.Writer) {
+	do.ProvideValue(inj, c)
+	do.ProvideValue(inj, r)
+	log := gdlog.New(w, gdlog.ParseLevel(string(c.LogLevel)))
+	do.ProvideValue(inj, log.With("process", c.Name, "role", string(r)))
+	do.Provide(inj, provideFleet)
+	do.ProvideValue(inj, incarnation(rand.Uint32()))
+	do.Provide(inj, provideIdentity)
+	do.Provide(inj, provideDialer)
+	do.Provide(inj, provideConfig)
+	do.Provide(inj, provideMetrics)
+	do.ProvideValue(inj, gdoperator.NewRing(gdoperator.DefaultRecords))
+}
+
+func provideFleet(inj do.Injector) (gdkey.Fleet, error) {
+	key, err := do.MustInvoke[gdsettings.Common](inj).FleetKey()
+	if err != nil {
+		return gdkey.Fleet{}, errors.Wrap(err, "read the fleet key")
+	}
+	return gdkey.New(key.Bytes())
+}
+
+func provideIdentity(inj do.Injector) (*gdpeer.Identity, error) {
+	fleet, err := do.Invoke[gdkey.Fleet](inj)
+	if err != nil {
+		return nil, err
+	}
+	return gdpeer.NewIdentity(fleet.Derive("peer", gdpeer.SeedBytes))
+}
+
+func provideDialer(inj do.Injector) (*gdpeer.Dialer, error) {
+	id, err := do.Invoke[*gdpeer.Identity](inj)
+	if err != nil {
+		return nil, err
+	}
+	return &gdpeer.Dialer{
+		Identity:    id,
+		Name:        do.MustInvoke[gdsettings.Common](inj).Name,
+		Incarnation: uint64(do.MustInvoke[incarnation](inj)),
+	}, nil
+}
+
+func provideConfig(inj do.Injector) (*gdconfsync.Syncer, error) {
+	dialer, err := do.Invoke[*gdpeer.Dialer](inj)
+	if err != nil {
+		return nil, err
+	}
+	c := do.MustInvoke[gdsettings.Common](inj)
+	s := &gdconfsync.Syncer{
+		Name:     c.Name,
+		Seed:     rand.Uint64(),
+		Platform: &gdplatform.Client{URL: c.Platform, Remember: []string{config.IndexKey}},
+		Peers:    dialer,
+		Observe:  logConfiguration(do.MustInvoke[gdlog.Logger](inj)),
+	}
+	dialer.Version = s.Version
+	return s, nil
+}
+
+func provideMetrics(inj do.Injector) (*gdmetric.Metrics, error) {
+	r := do.MustInvoke[role](inj)
+	return gdmetric.New("godwitdrift", map[string]string{"role": string(r)}), nil
+}
+
+// process is what the operator port shows of a process.
+type process struct {
+	settings    gdsettings.Common
+	role        role
+	incarnation incarnation
+	config      *gdconfsync.Syncer
+	counters    *gdnode.Counters
+	state       func() any
+	// peers serves the other processes of the fleet.
+	peers *gdpeer.Server
+	// listener is where peers call.
+	listener countingListener
+}
+
+func newProcess(inj do.Injector, counters *gdnode.Counters, state func() any) *process {
+	s := do.MustInvoke[*gdconfsync.Syncer](inj)
+	p := &process{
+		settings:    do.MustInvoke[gdsettings.Common](inj),
+		role:        do.MustInvoke[role](inj),
+		incarnation: do.MustInvoke[incarnation](inj),
+		config:      s,
+		counters:    counters,
+		state:       state,
+	}
+	p.peers = &gdpeer.Server{
+		Identity:    do.MustInvoke[*gdpeer.Identity](inj),
+		Incarnation: uint64(p.incarnation),
+		Config:      s,
+	}
+	return p
+}
+
+// Status returns what the process says about itself.
+func (p *process) Status() gdoperator.Status {
+	c := p.config.Status()
+	st := gdoperator.Status{
+		Name:        p.settings.Name,
+		Role:        string(p.role),
+		Domain:      p.settings.Domain,
+		Incarnation: uint64(p.incarnation),
+		Ready:       p.config.MayDecide(time.Now()),
+		Since:       c.Since,
+	}
+	if p.config.View() != nil {
+		st.Version = c.Version
+		st.Seen = c.Version
+		st.Revision = c.Revision
+	}
+	if c.RejectedReason != "" {
+		st.Rejected = &gdoperator.Rejection{Version: strconv.FormatUint(c.RejectedRevision, 10), Reason: c.RejectedReason}
+	}
+	return st
+}
+
+// dump is the state that every process shows.
+type dump struct {
+	Status        gdoperator.Status `json:"status"`
+	Configuration gdconfsync.Status `json:"configuration"`
+	RefusedPeers  int64             `json:"refused-peers"`
+	Usage         usage             `json:"usage"`
+	Counters      []gdnode.Count    `json:"counters"`
+	State         any               `json:"state"`
+}
+
+// Dump returns the state of the process.
+func (p *process) Dump() any {
+	return dump{
+		Status:        p.Status(),
+		Configuration: p.config.Status(),
+		RefusedPeers:  p.peers.Refused(),
+		Usage:         usageNow(p.listener.bytes.Load()),
+		Counters:      p.counters.Snapshot(),
+		State:         p.state(),
+	}
+}
+
+// serveOperator answers on the operator address until the context ends.
+func serveOperator(ctx context.Context, inj do.Injector, p *process) error {
+	port := gdoperator.Port{
+		Status:    p,
+		Dumper:    p,
+		Decisions: do.MustInvoke[*gdoperator.Ring](inj),
+		Metrics:   do.MustInvoke[*gdmetric.Metrics](inj),
+	}
+	l, err := net.Listen("tcp", p.settings.OperatorAddress.String())
+	if err != nil {
+		return errors.Wrap(err, "open the operator address")
+	}
+	srv := &http.Server{Handler: port.Handler(), ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+		defer cancel()
+		_ = srv.Shutdown(stop) // the process ends either way
+	}()
+	go func() { _ = srv.Serve(l) }() // ends with Shutdown
+	return nil
+}
+
+// servePeers serves the other processes of the fleet until the context ends.
+func servePeers(ctx context.Context, p *process) error {
+	l, err := net.Listen("tcp", p.settings.NodeAddress.String())
+	if err != nil {
+		return errors.Wrap(err, "open the node address for peers")
+	}
+	p.listener.Listener = l
+	go func() { _ = p.peers.Serve(ctx, &p.listener) }() // ends with the context
+	return nil
+}
+
+// runProcess runs the main duty between the process's first and last event. The
+// operator port and the peer port stay open while the duty drains.
+func runProcess(ctx context.Context, inj do.Injector, p *process, duty func(context.Context) error) error {
+	log := do.MustInvoke[gdlog.Logger](inj)
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	for _, start := range []func() error{
+		func() error { return serveOperator(life, inj, p) },
+		func() error { return servePeers(life, p) },
+	} {
+		if err := start(); err != nil {
+			log.Failure(gdlog.ProcessFailed, err)
+			return err
+		}
+	}
+	go p.config.Run(life)
+	go countDecisions(life, do.MustInvoke[*gdmetric.Metrics](inj), p.counters)
+	log.Event(gdlog.ProcessStarted)
+	if err := duty(ctx); err != nil {
+		log.Failure(gdlog.ProcessFailed, err)
+		return err
+	}
+	log.Event(gdlog.ProcessStopped)
+	return nil
+}
--- /dev/null
+++ b/internal/wire/gdpeer/message.go
@@ -0,0 +1,68 @@
+package gdpeer
+
+import (
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeerpb"
+)
+
+// Sender says who sent a request.
+type Sender struct {
+	name        string
+	incarnation uint64
+	version     gdconf.Version
+}
+
+// Name returns the process's name.
+func (s Sender) Name() string { return s.name }
+
+// Incarnation differs with each start of the process.
+func (s Sender) Incarnation() uint64 { return s.incarnation }
+
+// Version returns the configuration version in force at the sender.
+func (s Sender) Version() gdconf.Version { return s.version }
+
+// Load is the load of one upstream.
+type Load struct {
+	gdspread.Load
+	// Upstream identifies the upstream.
+	Upstream gdconf.UpstreamID
+}
+
+// PeerLoad is a peer's load with what its answer says of the peer.
+type PeerLoad struct {
+	Load
+	// Incarnation differs with each start of the peer.
+	Incarnation uint64
+	// Version is the configuration version in force at the peer.
+	Version gdconf.Version
+}
+
+func toVersion(v *gdpeerpb.Version) gdconf.Version {
+	return gdconf.NewVersion(v.GetRevision(), v.GetDigest())
+}
+
+func fromVersion(v gdconf.Version) *gdpeerpb.Version {
+	return &gdpeerpb.Version{Revision: v.Revision(), Digest: v.Digest()}
+}
+
+func toSender(s *gdpeerpb.Sender) Sender {
+	return Sender{name: s.GetName(), incarnation: s.GetIncarnation(), version: toVersion(s.GetVersion())}
+}
+
+func toLoad(l *gdpeerpb.Load) Load {
+	return Load{
+		Upstream: gdconf.UpstreamID(l.GetUpstream()),
+		Load:     gdspread.NewLoad(int(l.GetInFlight()), int(l.GetQueued()), int(l.GetLimit()), l.GetStarted()),
+	}
+}
+
+func fromLoad(l Load) *gdpeerpb.Load {
+	return &gdpeerpb.Load{
+		Upstream: uint32(l.Upstream),
+		InFlight: uint32(max(0, l.InFlight())),
+		Queued:   uint32(max(0, l.Queued())),
+		Limit:    uint32(max(0, l.Limit())),
+		Started:  l.Started(),
+	}
+}
