--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -187,9 +187,9 @@
 	switch {
 	case u.DomainOut():
 		return gdadmit.ModeOut
-	case stopping:
-		return gdadmit.ModeStopping
-	case u.Leaving():
+	case u.Leaving(), stopping:
+		// The requests of the flows that a stopping agent still holds move to
+		// peers, as those of a leaving upstream do.
 		return gdadmit.ModeLeaving
 	}
 	return gdadmit.ModeServing
