Let a balancer's memory for a service address start small

Cause: each service socket held two batches of 16 datagrams, some 50 kB, which is 90 MB at 1,800 addresses against a target of 64 MB. Ruled out: one buffer for all sockets, which would need a lock for each batch. Change: a batch starts with one datagram and doubles when it was full; openers remember 16,384 senders instead of 4,096, since a balancer hears two sessions of each of 7,900 agents.

--- a/cmd/gdrig/capacity.go
+++ b/cmd/gdrig/capacity.go
@@ -27,6 +27,7 @@
 		Description: capacityHelp,
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "binary", Usage: "godwitdrift program (default: beside gdrig)"},
+			&cli.IntSliceFlag{Name: "agents", Usage: "numbers of agents of one service", Value: []int{1, 2, 4, 8}},
 			&cli.IntSliceFlag{Name: "flows", Usage: "numbers of idle flows", Value: []int{250, 500, 1000, 2000}},
 			&cli.IntSliceFlag{Name: "feeds", Usage: "numbers of open feeds", Value: []int{250, 500, 1000}},
 			&cli.IntSliceFlag{Name: "requests", Usage: "numbers of requests", Value: []int{1000, 2000, 4000}},
@@ -47,6 +48,7 @@
 	}
 	m := &gdcapacity.Meter{
 		Binary:   binary,
+		Agents:   cmd.IntSlice("agents"),
 		Flows:    cmd.IntSlice("flows"),
 		Feeds:    cmd.IntSlice("feeds"),
 		Requests: cmd.IntSlice("requests"),
--- a/internal/rig/gdcapacity/meter.go
+++ b/internal/rig/gdcapacity/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -30,6 +31,8 @@
 	Flows []int
 	// Feeds are the numbers of open feeds to measure at, rising.
 	Feeds []int
+	// Agents are the numbers of agents of one service to measure at.
+	Agents []int
 	// Requests are the numbers of requests to measure.
 	Requests []int
 	// Progress is called with each step in words.
@@ -39,7 +42,7 @@
 // Measure returns the lines of all costs.
 func (m *Meter) Measure(ctx context.Context) ([]Line, error) {
 	var out []Line
-	for _, part := range []func(context.Context) ([]Line, error){m.flows, m.feeds, m.requests} {
+	for _, part := range []func(context.Context) ([]Line, error){m.control, m.flows, m.feeds, m.requests} {
 		lines, err := part(ctx)
 		if err != nil {
 			return out, err
@@ -56,18 +59,28 @@
 			Name: "capacity", Revision: 1,
 			TokenKeys: []config.TokenKey{{Phase: 0, Name: "first"}},
 			Domains:   []config.Domain{{Name: "north"}},
-			Services: []config.Service{{
-				Name: serviceName, ID: 1, Address: "192.0.2.10:443", Priority: 1, DrainSeconds: 1,
-				Routes: []config.Route{{PathPrefix: feedRoute, Priority: 1, Stream: true}},
-				Upstreams: []config.Upstream{{
-					Name: upstreamName, ID: 101, Domain: "north", Agent: "192.0.2.51:7000", Slots: slots,
-				}},
-			}},
+			Services:  []config.Service{service(serviceName, 0, 1)},
 		},
 		Settings: gdrigup.Settings{Balancers: 1, MaxFlows: maxFlows, Seed: 1},
 	}
 }
 
+// service returns service i with the number of upstreams.
+func service(name string, i, upstreams int) config.Service {
+	s := config.Service{
+		Name: name, ID: uint16(i + 1), Priority: 1, DrainSeconds: 1,
+		Address: fmt.Sprintf("192.0.%d.%d:443", 2+i/200, 1+i%200),
+		Routes:  []config.Route{{PathPrefix: feedRoute, Priority: 1, Stream: true}},
+	}
+	for j := range upstreams {
+		s.Upstreams = append(s.Upstreams, config.Upstream{
+			Name: fmt.Sprintf("%s-%d", name, j+1), ID: uint32(100*(i+1) + j + 1), Domain: "north",
+			Agent: fmt.Sprintf("198.51.%d.%d:7000", i, j+1), Slots: slots,
+		})
+	}
+	return s
+}
+
 // bench is a running deployment with callers.
 type bench struct {
 	rig      *gdrigup.Rig
--- a/internal/wire/gdbatch/batch.go
+++ b/internal/wire/gdbatch/batch.go
@@ -29,7 +29,9 @@
 	"golang.org/x/net/ipv6"
 )
 
-// Size is the number of datagrams in a batch.
+// Size is the largest number of datagrams in a batch. A batch starts with one
+// and doubles when it was full, so that the thousands of sockets on which little
+// arrives cost little memory.
 const Size = 16
 
 // conn is what ipv4.PacketConn and ipv6.PacketConn share.
@@ -46,10 +48,10 @@
 	return ipv4.NewPacketConn(c)
 }
 
-func messages(size int) []ipv4.Message {
-	ms := make([]ipv4.Message, Size)
-	for i := range ms {
-		ms[i].Buffers = [][]byte{make([]byte, size)}
+// grow returns the messages with room for twice as many, at most Size.
+func grow(ms []ipv4.Message, size int) []ipv4.Message {
+	for want := min(max(2*len(ms), 1), Size); len(ms) < want; {
+		ms = append(ms, ipv4.Message{Buffers: [][]byte{make([]byte, size)}})
 	}
 	return ms
 }
@@ -57,18 +59,24 @@
 // Reader reads batches from a socket.
 type Reader struct {
 	conn conn
+	size int
 	ms   []ipv4.Message
+	full bool
 }
 
 // NewReader returns a reader for datagrams of at most size bytes. A longer one
 // is cut, so size should be one more than the largest that is of use.
 func NewReader(c *net.UDPConn, size int) *Reader {
-	return &Reader{conn: wrap(c), ms: messages(size)}
+	return &Reader{conn: wrap(c), size: size, ms: grow(nil, size)}
 }
 
 // Read waits for at least one datagram and returns how many it read.
 func (r *Reader) Read() (int, error) {
+	if r.full {
+		r.ms = grow(r.ms, r.size)
+	}
 	n, err := r.conn.ReadBatch(r.ms, 0)
+	r.full = n == len(r.ms)
 	return n, errors.Wrap(err, "read a batch of datagrams")
 }
 
@@ -86,22 +94,17 @@
 // Writer gathers datagrams and writes them as a batch.
 type Writer struct {
 	conn  conn
+	size  int
 	ms    []ipv4.Message
-	addrs []net.UDPAddr
-	ips   [][net.IPv6len]byte
+	addrs [Size]net.UDPAddr
+	ips   [Size][net.IPv6len]byte
 	n     int
 	lost  int
 }
 
 // NewWriter returns a writer with room for datagrams of size bytes.
 func NewWriter(c *net.UDPConn, size int) *Writer {
-	w := &Writer{
-		conn:  wrap(c),
-		ms:    messages(size),
-		addrs: make([]net.UDPAddr, Size),
-		ips:   make([][net.IPv6len]byte, Size),
-	}
-	return w
+	return &Writer{conn: wrap(c), size: size, ms: grow(nil, size)}
 }
 
 // Buffer returns an empty slice with room for the next datagram, to be appended
@@ -118,9 +121,14 @@
 	a.Port = int(to.Port())
 	m.Addr = a
 	w.n++
-	if w.n == len(w.ms) {
+	if w.n < len(w.ms) {
+		return
+	}
+	if w.n == Size {
 		w.write()
+		return
 	}
+	w.ms = grow(w.ms, w.size)
 }
 
 // Flush writes what is queued and returns how many datagrams the host did not
--- a/internal/wire/gdenvelope/envelope_test.go
+++ b/internal/wire/gdenvelope/envelope_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -110,3 +111,48 @@
 		require.Error(t, err, "the opener holds another fleet's key")
 	})
 }
+
+func BenchmarkSealOpen(b *testing.B) {
+	s, err := gdenvelope.NewSealer(fleet(b, "a"))
+	require.NoError(b, err)
+	o := gdenvelope.NewOpener(fleet(b, "a"))
+	e := sample()
+	e.Payload = make([]byte, 1200)
+	buf := make([]byte, 0, gdenvelope.MaxSize)
+	b.ReportAllocs()
+	for b.Loop() {
+		wire, err := s.Seal(buf, e)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if _, err := o.Open(wire); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkSession reports what one remembered sender costs an opener.
+func BenchmarkSession(b *testing.B) {
+	const senders = 4000
+	for b.Loop() {
+		o := gdenvelope.NewOpener(fleet(b, "a"))
+		before := heap()
+		for range senders {
+			s, err := gdenvelope.NewSealer(fleet(b, "a"))
+			require.NoError(b, err)
+			wire, err := s.Seal(nil, sample())
+			require.NoError(b, err)
+			_, err = o.Open(wire)
+			require.NoError(b, err)
+		}
+		b.ReportMetric(float64(heap()-before)/senders, "bytes/sender")
+		require.Equal(b, senders, o.Sessions())
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
--- a/internal/wire/gdenvelope/seal.go
+++ b/internal/wire/gdenvelope/seal.go
@@ -17,8 +17,9 @@
 const (
 	sessionKeySize = 16
 	nonceSize      = 12
-	// maxSessions bounds the senders that an opener remembers.
-	maxSessions = 4096
+	// maxSessions bounds the senders that an opener remembers. A balancer hears
+	// two of each agent: 7,900 agents fit.
+	maxSessions = 16384
 )
 
 // sessionAEAD derives the sender's own key. Two sessions never share a key, so a
