--- a/internal/core/gdonce/net_test.go
+++ b/internal/core/gdonce/net_test.go
@@ -1,6 +1,7 @@
 package gdonce
 
 import (
+	"cmp"
 	"container/heap"
 	"encoding/binary"
 	"encoding/hex"
@@ -17,6 +18,11 @@
 const (
 	testService = gdconf.ServiceID(1)
 	peerTimeout = 200 * time.Millisecond
+
+	// How a run ends at the upstream.
+	runRefused = 1
+	runLost    = 2
+	runDone    = 3
 )
 
 var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
@@ -102,7 +108,7 @@
 	refused map[string]bool
 	faults  []string
 	runner  map[string]gdconf.UpstreamID // the agent that ran a key
-	clean   bool                         // upstreams neither refuse nor fail
+	fixed   int                          // how each run ends, when above 0
 }
 
 func newWorld(seed uint64, views ...*gdconf.View) *world {
@@ -250,11 +256,8 @@
 
 func (w *world) start(p *proc, id uint64) {
 	c := p.keys[id]
-	kind := w.rnd.IntN(20)
-	if w.clean {
-		kind = 2
-	}
-	if kind == 0 { // refused before the start
+	kind := cmp.Or(w.fixed, 1+w.rnd.IntN(20))
+	if kind == runRefused {
 		w.act(p, p.core.Finished(w.now, id, Outcome{Result: ResultNotRun}))
 		return
 	}
@@ -267,7 +270,7 @@
 	}
 	w.runner[c.key] = p.core.Self
 	o := Outcome{Result: ResultDone, Answer: Stored{Status: 200, Body: fmt.Appendf(nil, "%d", w.rnd.Uint64())}}
-	if kind == 1 {
+	if kind == runLost {
 		o = Outcome{Result: ResultUnknown}
 	}
 	d := time.Duration(5+w.rnd.IntN(300)) * time.Millisecond
--- a/internal/core/gdonce/outcome_test.go
+++ b/internal/core/gdonce/outcome_test.go
@@ -31,6 +31,8 @@
 }{
 	{name: "none"},
 	{name: "answer lost", last: func(*trial) {}},
+	{name: "upstream refuses", bring: func(t *trial) { t.fixed = runRefused }},
+	{name: "upstream's answer lost", bring: func(t *trial) { t.fixed = runLost }},
 	{name: "home killed before the run", bring: func(t *trial) { t.procs[t.home].dead = true }},
 	{name: "home restarted before the run", bring: func(t *trial) { t.restart(t.home) }},
 	{name: "home killed during the run", then: func(t *trial) { t.procs[t.runner[t.key]].dead = true }},
@@ -74,7 +76,7 @@
 func newTrial(seed uint64, issued bool) *trial {
 	views := []*gdconf.View{testView(1, -1, 1, 2, 3, 4, 5, 6, 7), testView(2, -1, 1, 2, 3, 4, 5, 6, 8)}
 	t := &trial{world: newWorld(seed, views...)}
-	t.loss, t.clean = 0, true
+	t.loss, t.fixed = 0, runDone
 	t.home = gdconf.UpstreamID(1 + seed%7)
 	if issued {
 		t.key = t.procs[t.home].core.Issue(t.now, testService).String()
