--- a/internal/core/gdonce/members.go
+++ b/internal/core/gdonce/members.go
@@ -145,8 +145,9 @@
 }
 
 // quorum returns the number of grants that decide in a set of n agents. Two
-// quorums share an agent, also when one of the sets has one agent replaced.
-func quorum(n int) int { return min(n, (n+1)/2+1) }
+// quorums share an agent, also when one of the sets has one agent replaced. In a
+// set of one there is no quorum, since its replacement would share no agent.
+func quorum(n int) int { return max(2, min(n, (n+1)/2+1)) }
 
 func (m *membership) reachable(id gdconf.UpstreamID) bool { return slices.Contains(m.present, id) }
 
--- a/internal/core/gdonce/once_test.go
+++ b/internal/core/gdonce/once_test.go
@@ -204,6 +204,10 @@
 		second := claimBy(cores, now, laterKey, 8, 4, 5, 6)
 		require.False(t, first && second)
 	})
+	t.Run("the only one was replaced", func(t *testing.T) {
+		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {testView(1, -1, 1)}, 2: {testView(2, -1, 2)}})
+		require.False(t, claimBy(cores, now, laterKey, 1) && claimBy(cores, now, laterKey, 2))
+	})
 	t.Run("each knows the other's set", func(t *testing.T) {
 		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {s3, s1}, 2: {s1, s3}, 3: {s1}, 4: {s1}, 5: {s3}, 6: {s3}})
 		require.True(t, claimBy(cores, now, laterKey, 2, 1, 5, 6))
