--- a/internal/core/gdonce/claim.go
+++ b/internal/core/gdonce/claim.go
@@ -89,6 +89,9 @@
 func (c *Core) Asked(now time.Time, q Question) Answer {
 	now = c.advance(now)
 	c.expire(now)
+	if q.Service != c.service {
+		return Answer{Verdict: Refused}
+	}
 	asker := process{q.Asker, q.Incarnation}
 	a := Answer{Sets: c.members.known()}
 	rec := c.ledger.records[q.Key]
--- a/internal/core/gdonce/core.go
+++ b/internal/core/gdonce/core.go
@@ -33,13 +33,20 @@
 	retryAfter = time.Second
 )
 
-// Stats counts what a core has decided since its start.
+// Stats counts what a core has decided since its start, and holds the state that
+// a dump shows.
 type Stats struct {
 	Runs, Done, NotRun, Unknown, Conflicts, Joined, Relays, Questions, LedgerFull, Pauses uint64
 	// Records is the number of records in the ledger now.
 	Records int
 	// StoredBytes is the size of the kept bodies now.
 	StoredBytes int
+	// Running, Claiming and Relaying are the requests in progress now.
+	Running, Claiming, Relaying int
+	// Floor is the time up to which stamped keys are not vouched for.
+	Floor time.Time
+	// Sets are the known member sets, the one in force first.
+	Sets []MemberSet
 }
 
 // Core decides for one agent process. The exported fields are set before the
@@ -79,6 +86,9 @@
 	s := c.stats
 	s.Records = len(c.ledger.records)
 	s.StoredBytes = c.ledger.bytes
+	s.Running, s.Claiming, s.Relaying = len(c.running), len(c.claims), len(c.relays)
+	s.Floor = c.floor
+	s.Sets = c.members.known()
 	return s
 }
 
@@ -121,11 +131,11 @@
 // SetView takes a new configuration in force.
 func (c *Core) SetView(now time.Time, v *gdconf.View) []Action {
 	now = c.advance(now)
-	if u, ok := v.Upstream(c.Self); ok {
+	if u, ok := v.Upstream(c.Self); ok && u.Service().ID() != c.service {
 		c.service = u.Service().ID()
+		c.members = membership{}
 	}
-	s, ok := v.Service(c.service)
-	if ok {
+	if s, ok := v.Service(c.service); ok {
 		c.members.set(now, s)
 	}
 	return nil
@@ -143,172 +153,6 @@
 	return c.Signer.issue(k, c.Rand.Uint64())
 }
 
-// Arrive takes a request.
-func (c *Core) Arrive(now time.Time, r Request) []Action {
-	now = c.advance(now)
-	c.expire(now)
-	k, err := c.Signer.Parse(r.Key)
-	switch {
-	case err == errForged:
-		return c.unknown(ReasonKeyForged, r.ID)
-	case err != nil:
-		return c.refuse(now, ReasonKeyKind, 0, r.ID)
-	case k.issued && k.service != r.Service:
-		return c.conflict(r.ID)
-	case r.Service != c.service:
-		return c.unknown(ReasonWrongService, r.ID)
-	case k.issued:
-		return c.arriveIssued(now, r, k)
-	}
-	return c.arriveStamped(now, r, k)
-}
-
-func (c *Core) arriveIssued(now time.Time, r Request, k Key) []Action {
-	if k.home != c.Self {
-		return c.relayIssued(now, r, k)
-	}
-	if k.process != c.Incarnation {
-		return c.lookup(now, r, k, ReasonHomeRestarted)
-	}
-	if rec := c.ledger.records[k.ident]; rec != nil {
-		return c.join(now, r, rec)
-	}
-	if !now.Before(k.stamp) {
-		return c.unknown(ReasonKeyExpired, r.ID)
-	}
-	if c.ledger.full() {
-		c.makeRoom(now)
-	}
-	if made := k.stamp.Add(-c.Retention); !made.After(c.closed) {
-		// Without a record in the only ledger that could hold it, the key has
-		// not been run, and from now on it is refused each time.
-		return c.refuse(now, ReasonLedgerFull, retryAfter, r.ID)
-	}
-	rec := &record{key: k.ident, expires: k.stamp.UnixMilli(), digest: r.Digest, issued: true, holder: c.process()}
-	c.ledger.add(rec)
-	return c.run(rec, &attempts{runner: r.ID})
-}
-
-// makeRoom forgets the issued keys that were refused before a run. The mark of
-// closed keys stands for them, and for each other key made before the last of
-// them. When there are none, it closes the keys made up to now.
-func (c *Core) makeRoom(now time.Time) {
-	last, ok := c.ledger.dropClosed()
-	if !ok {
-		c.stats.LedgerFull++
-		c.closed = now
-		return
-	}
-	if made := last.Add(-c.Retention); made.After(c.closed) {
-		c.closed = made
-	}
-}
-
-func (c *Core) relayIssued(now time.Time, r Request, k Key) []Action {
-	if r.Relayed || !c.members.reachable(k.home) {
-		return c.lookup(now, r, k, ReasonHomeGone)
-	}
-	return c.relay(r, k.home)
-}
-
-func (c *Core) arriveStamped(now time.Time, r Request, k Key) []Action {
-	if rec := c.ledger.records[k.ident]; rec != nil && rec.state != stateGranted && rec.state != stateReleased {
-		return c.join(now, r, rec)
-	}
-	if !now.Before(k.stamp.Add(c.Retention)) {
-		return c.unknown(ReasonKeyExpired, r.ID)
-	}
-	if k.stamp.After(now.Add(FutureTolerance)) {
-		return c.unknown(ReasonKeyEarly, r.ID)
-	}
-	home := c.members.home(k.ident)
-	if r.Relayed || home == c.Self || home == 0 {
-		return c.claim(now, r, k)
-	}
-	return c.relay(r, home)
-}
-
-// join handles a further attempt of a key that this process knows.
-func (c *Core) join(now time.Time, r Request, rec *record) []Action {
-	if rec.digest != r.Digest {
-		return c.conflict(r.ID)
-	}
-	switch rec.state {
-	case stateClosed:
-		return c.refuse(now, ReasonRefused, retryAfter, r.ID)
-	case stateDone:
-		return c.done(*rec.stored, r.ID)
-	case stateUnknown:
-		return c.unknown(ReasonRunUnknown, r.ID)
-	}
-	if len(rec.attempts.waiters) >= MaxWaiters {
-		return c.unknown(ReasonInProgress, r.ID)
-	}
-	rec.attempts.waiters = append(rec.attempts.waiters, r.ID)
-	c.stats.Joined++
-	return []Action{Wait{Subject{r.ID}}}
-}
-
-func (c *Core) process() process { return process{c.Self, c.Incarnation} }
-
-func (c *Core) run(rec *record, a *attempts) []Action {
-	rec.state = stateRunning
-	rec.attempts = a
-	c.running[a.runner] = rec
-	c.stats.Runs++
-	return []Action{Run{Subject{a.runner}}}
-}
-
-func (c *Core) relay(r Request, home gdconf.UpstreamID) []Action {
-	c.relays[r.ID] = r
-	c.stats.Relays++
-	return []Action{Relay{Subject{r.ID}, home}}
-}
-
-// Relayed takes the result of a relay: ok means that the home's own answer was
-// passed to the caller. Otherwise the home may or may not have run the request.
-func (c *Core) Relayed(now time.Time, id uint64, ok bool) []Action {
-	now = c.advance(now)
-	r, known := c.relays[id]
-	delete(c.relays, id)
-	if !known || ok {
-		return nil
-	}
-	k, err := c.Signer.Parse(r.Key)
-	if err != nil || k.issued {
-		return c.lookup(now, r, k, ReasonHomeGone)
-	}
-	// The grants tell whether the home began: if it did, they are its own.
-	r.Relayed = true
-	return c.arriveStamped(now, r, k)
-}
-
-// Started marks the moment at which the run begins.
-func (c *Core) Started(now time.Time, _ uint64) { c.advance(now) }
-
-// Finished takes the outcome of a run and answers all attempts that share it.
-func (c *Core) Finished(now time.Time, id uint64, o Outcome) []Action {
-	now = c.advance(now)
-	rec := c.running[id]
-	if rec == nil {
-		return nil
-	}
-	delete(c.running, id)
-	ids := rec.attempts.all()
-	rec.attempts = nil
-	switch o.Result {
-	case ResultDone:
-		rec.state = stateDone
-		c.ledger.keep(rec, o.Answer, c.MaxStoredBytes)
-		return append(c.done(o.Answer, ids...), c.tell(id, rec, o.Answer)...)
-	case ResultNotRun:
-		c.ledger.close(rec)
-		return c.refuse(now, ReasonRefused, o.RetryAfter, ids...)
-	}
-	rec.state = stateUnknown
-	return c.unknown(ReasonRunUnknown, ids...)
-}
-
 // Tick expires records and gives up on claims that take too long.
 func (c *Core) Tick(now time.Time) []Action {
 	now = c.advance(now)
--- a/internal/core/gdonce/core_test.go
+++ b/internal/core/gdonce/core_test.go
@@ -88,6 +88,9 @@
 		again, err := c.Signer.Parse(k.String())
 		require.NoError(t, err)
 		require.Equal(t, k, again)
+		if upper, err := c.Signer.Parse(strings.ToUpper(s)); err == nil && !k.Issued() {
+			require.Equal(t, k.ident, upper.ident)
+		}
 	})
 }
 
--- a/internal/core/gdonce/net_test.go
+++ b/internal/core/gdonce/net_test.go
@@ -290,15 +290,17 @@
 			delete(p.reply, a.ID)
 		}
 	}
-	w.send(self, a.Home, func(q *proc) {
-		w.arrive(q, p.keys[a.ID], true, func(answer Action) {
-			w.send(a.Home, self, func(to *proc) {
-				if to == p {
-					end(true, answer)
-				}
+	for range 1 + w.rnd.IntN(2) { // now and then duplicated
+		w.send(self, a.Home, func(q *proc) {
+			w.arrive(q, p.keys[a.ID], true, func(answer Action) {
+				w.send(a.Home, self, func(to *proc) {
+					if to == p {
+						end(true, answer)
+					}
+				})
 			})
 		})
-	})
+	}
 	w.after(3*peerTimeout, p, func() { end(false, nil) })
 }
 
--- a/internal/core/gdonce/once_test.go
+++ b/internal/core/gdonce/once_test.go
@@ -242,4 +242,5 @@
 	c.Released(now, ask(2, 2))
 	require.Equal(t, Refused, c.Asked(now, ask(2, 2)).Verdict, "a late duplicate")
 	require.Equal(t, Granted, c.Asked(now, ask(3, 1)).Verdict)
+	require.Equal(t, Answer{Verdict: Refused}, c.Asked(now, Question{Service: 2, Key: k.ident, Asker: 3}), "another service")
 }
