Add the plan rough-domain, which breaks flows

Cause: a failure domain must leave cleanly also while packets are lost. Conclusion: the close with 0x6764 is one datagram that nothing repeats, as the agent's door drops the flow's later packets; reported to the lead.

--- a/internal/rig/gddemo/plans.go
+++ b/internal/rig/gddemo/plans.go
@@ -47,6 +47,7 @@
 	return []plan{
 		{name: defaultPlan, about: "a balancer dies and is replaced, an upstream drains, a failure domain leaves and returns", steps: (*Demo).change},
 		{name: "rough", about: "the fabric drops, doubles and reorders packets", steps: (*Demo).rough},
+		{name: "rough-domain", about: "a failure domain leaves and returns while packets are lost", steps: (*Demo).roughDomain},
 		{name: "balancer-pause", about: "a balancer sleeps through a failure domain's leaving and wakes", steps: (*Demo).balancerPause},
 		{name: "balancer-cut", about: "a balancer is cut off from callers and comes back", steps: (*Demo).balancerCut},
 		{name: "platform-down", about: "the platform is down while a balancer is replaced", steps: (*Demo).platformDown},
@@ -79,6 +80,15 @@
 	}
 }
 
+func (d *Demo) roughDomain() []step {
+	return []step{
+		{0.2, "drop 10 % of the packets", d.harm(0.1, 0, 0)},
+		{0.3, "take failure domain " + d.drained.domain + " out", d.domainOutQuietly},
+		{0.5, "bring failure domain " + d.drained.domain + " back", d.domainIn},
+		{0.7, "harm no packet", d.harm(0, 0, 0)},
+	}
+}
+
 func (d *Demo) balancerPause() []step {
 	return []step{
 		{0.2, "pause a balancer", d.pauseBalancer},
