--- a/internal/core/gdonce/once_test.go
+++ b/internal/core/gdonce/once_test.go
@@ -148,6 +148,10 @@
 		switch a := queue[0].(type) {
 		case Run:
 			return true
+		case Release:
+			if slices.Contains(reached, a.Peer) {
+				cores[a.Peer].Released(now, a.Question)
+			}
 		case Ask:
 			ans := Answer{Verdict: PeerFailed}
 			if slices.Contains(reached, a.Peer) {
@@ -176,21 +180,26 @@
 	return cores
 }
 
+// viewsOfSeven has half of the agents know that 8 replaces 7.
+func viewsOfSeven() map[gdconf.UpstreamID][]*gdconf.View {
+	seven, other := testView(1, -1, 1, 2, 3, 4, 5, 6, 7), testView(2, -1, 1, 2, 3, 4, 5, 6, 8)
+	return map[gdconf.UpstreamID][]*gdconf.View{
+		1: {seven}, 2: {seven}, 3: {seven}, 7: {seven}, 4: {other}, 5: {other}, 6: {other}, 8: {other},
+	}
+}
+
 const laterKey = "01a22ee6-cf40-7000-8000-000000000001" // made at 8 s
 
 func TestTwoClaimants(t *testing.T) {
 	now := epoch.Add(9 * time.Second)
 	s1, s3 := testView(1, -1, 1, 2, 3, 4), testView(3, -1, 1, 2, 5, 6)
-	seven, other := testView(1, -1, 1, 2, 3, 4, 5, 6, 7), testView(2, -1, 1, 2, 3, 4, 5, 6, 8)
 	t.Run("a configuration was skipped", func(t *testing.T) {
 		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {s1}, 2: {s1, s3}, 3: {s1}, 4: {s1}, 5: {s3}, 6: {s3}})
 		require.True(t, claimBy(cores, now, laterKey, 3, 1, 4))
 		require.False(t, claimBy(cores, now, laterKey, 5, 2, 6), "2 tells 5 of the set that it never saw")
 	})
 	t.Run("one of seven was replaced", func(t *testing.T) {
-		cores := coresOf(map[gdconf.UpstreamID][]*gdconf.View{
-			1: {seven}, 2: {seven}, 3: {seven}, 7: {seven}, 4: {other}, 5: {other}, 6: {other}, 8: {other},
-		})
+		cores := coresOf(viewsOfSeven())
 		first := claimBy(cores, now, laterKey, 1, 2, 3, 7)
 		second := claimBy(cores, now, laterKey, 8, 4, 5, 6)
 		require.False(t, first && second)
@@ -212,3 +221,21 @@
 	require.Equal(t, Refused, cores[1].Asked(epoch.Add(20*time.Second), q).Verdict)
 	require.EqualValues(t, 1, cores[1].Stats().Pauses)
 }
+
+// Questions and releases may arrive late and out of order.
+func TestRelease(t *testing.T) {
+	c := coresOf(map[gdconf.UpstreamID][]*gdconf.View{1: {testView(1, -1, 1, 2, 3)}})[1]
+	k, err := NewSigner(nil).Parse(laterKey)
+	require.NoError(t, err)
+	now := epoch.Add(9 * time.Second)
+	ask := func(agent gdconf.UpstreamID, round uint32) Question {
+		return Question{Service: testService, Key: k.ident, Asker: agent, Round: round}
+	}
+	require.Equal(t, Granted, c.Asked(now, ask(2, 1)).Verdict)
+	require.Equal(t, Granted, c.Asked(now, ask(2, 2)).Verdict)
+	c.Released(now, ask(2, 1))
+	require.Equal(t, Taken, c.Asked(now, ask(3, 1)).Verdict, "the grant of round 2 stays")
+	c.Released(now, ask(2, 2))
+	require.Equal(t, Refused, c.Asked(now, ask(2, 2)).Verdict, "a late duplicate")
+	require.Equal(t, Granted, c.Asked(now, ask(3, 1)).Verdict)
+}
--- a/internal/core/gdsync/member.go
+++ b/internal/core/gdsync/member.go
@@ -98,17 +98,13 @@
 	return len(m.list) + 1
 }
 
-// find returns the member with the name, or with the address when a message
-// only carried that.
-func (m *membership) find(name string) (Member, bool) {
-	if name == m.self {
-		return Member{}, false
-	}
-	if i, ok := m.search(name); ok {
-		return m.list[i], true
+// find returns the member with the name, or else with the control address.
+func (m *membership) find(peer string) (Member, bool) {
+	i, ok := m.search(peer)
+	if !ok {
+		i = slices.IndexFunc(m.list, func(p Member) bool { return p.address == peer })
 	}
-	i := slices.IndexFunc(m.list, func(p Member) bool { return p.address == name })
-	if i < 0 {
+	if i < 0 || m.list[i].name == m.self {
 		return Member{}, false
 	}
 	return m.list[i], true
