--- a/internal/rig/gdload/flow.go
+++ b/internal/rig/gdload/flow.go
@@ -116,7 +116,7 @@
 // conn is an established connection with its own socket.
 type conn struct {
 	local     string
-	socket    *net.UDPConn
+	socket    net.PacketConn
 	transport *quic.Transport
 	quic      *quic.Conn
 	http      *http3.ClientConn
@@ -126,7 +126,7 @@
 func (f *flow) connect(ctx context.Context) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	socket, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	socket, err := f.open()
 	if err != nil {
 		return nil, errors.Wrap(err, "open socket")
 	}
@@ -140,6 +140,13 @@
 	return c, nil
 }
 
+func (f *flow) open() (net.PacketConn, error) {
+	if f.target.Open != nil {
+		return f.target.Open()
+	}
+	return net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+}
+
 func (f *flow) tls() *tls.Config {
 	return &tls.Config{
 		RootCAs:    f.load.Roots,
--- a/internal/rig/gdload/load.go
+++ b/internal/rig/gdload/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/x509"
+	"net"
 	"net/netip"
 	"os"
 	"sync"
@@ -50,6 +51,8 @@
 	Echo, Feeds, Once int
 	// Interval takes the place of the load's own interval unless it is 0.
 	Interval time.Duration
+	// Open opens a flow's packet connection; nil means a UDP socket of its own.
+	Open func() (net.PacketConn, error)
 	// OncePath is the path of at-most-once requests; empty means "/unlock".
 	OncePath string
 }
