config: diff sees the stream flag of a route

Cause: Route gained a field that Diff did not know, so a change of it was silent. Ruled out: nothing else weighed. Change: Diff names it, and a test sets every field of every part in turn and demands a change; it failed on Route.Stream before.

--- a/config/diagnose_test.go
+++ b/config/diagnose_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"math"
+	"reflect"
 	"os"
 	"strings"
 	"testing"
@@ -77,7 +78,7 @@
 	require.Equal(t, []string{
 		"- domains.bilbao: state in",
 		"~ domains.getxo.state: out -> in",
-		"+ services.booking.routes./pay: priority 1, at-most-once true",
+		"+ services.booking.routes./pay: priority 1, at-most-once true, stream false",
 		"~ services.booking.upstreams.booking-1.state: in -> leaving",
 		"+ services.booking.upstreams.booking-2: id 101, domain bilbao, state in, agent 192.0.2.22:7000, slots 2, weight 1",
 		"~ token-keys: 2026-12 (phase 0) -> 2027-01 (phase 1)",
@@ -159,3 +160,42 @@
 		require.Equal(t, printed.String(), again.String())
 	})
 }
+
+// TestDiffSeesEachField sets every field of every part in turn.
+func TestDiffSeesEachField(t *testing.T) {
+	parts := []func(d *config.Deployment) any{
+		func(d *config.Deployment) any { return d },
+		func(d *config.Deployment) any { return &d.TokenKeys[0] },
+		func(d *config.Deployment) any { return &d.Domains[0] },
+		func(d *config.Deployment) any { return &d.Services[0] },
+		func(d *config.Deployment) any { return &d.Services[0].Routes[0] },
+		func(d *config.Deployment) any { return &d.Services[0].Upstreams[0] },
+	}
+	build := func() config.Deployment {
+		d := sample()
+		d.Services[0].Routes = []config.Route{{PathPrefix: "/pay", Priority: 1}}
+		return d
+	}
+	for _, part := range parts {
+		d := build()
+		kind := reflect.TypeOf(part(&d)).Elem()
+		for i := range kind.NumField() {
+			d := build()
+			switch f := reflect.ValueOf(part(&d)).Elem().Field(i); {
+			case f.Kind() == reflect.Slice:
+				continue
+			case f.Kind() == reflect.String:
+				f.SetString("other")
+			case f.Kind() == reflect.Bool:
+				f.SetBool(true)
+			case f.CanInt():
+				f.SetInt(77)
+			case f.CanUint():
+				f.SetUint(77)
+			default:
+				f.SetFloat(77)
+			}
+			require.NotEmpty(t, config.Diff(build(), d), "%s.%s", kind.Name(), kind.Field(i).Name)
+		}
+	}
+}
--- a/config/diff.go
+++ b/config/diff.go
@@ -175,6 +175,7 @@
 	return item{
 		{"priority", strconv.Itoa(r.Priority)},
 		{"at-most-once", strconv.FormatBool(r.AtMostOnce)},
+		{"stream", strconv.FormatBool(r.Stream)},
 	}
 }
 
