godwitdrift: status tells apart two contents of one revision; diff counts slots

Cause: a run of the rig showed an intended document whose revision was in force with other content, and status had no remark. The values of a platform were read one after the other, and nobody saw what a change does to a service's slots. Ruled out: an error for a change that leaves few slots; in an emergency the operator decides. Change: status says it and ends with 1; processes are sorted by name; diff lists the slots in service before and after; one bounded inParallel serves processes and values, with the progress line.

--- a/cmd/godwitdrift/config.go
+++ b/cmd/godwitdrift/config.go
@@ -24,5 +24,5 @@
 }
 
 func sourcesOf(i do.Injector) sources {
-	return sources{in: do.MustInvoke[console](i).in, http: do.MustInvoke[*http.Client](i)}
+	return sources{console: do.MustInvoke[console](i), http: do.MustInvoke[*http.Client](i)}
 }
--- a/cmd/godwitdrift/config_diff.go
+++ b/cmd/godwitdrift/config_diff.go
@@ -4,9 +4,12 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
+	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"godwitdrift.example/godwitdrift/config"
@@ -15,10 +18,20 @@
 // difference is the outcome of `config diff`.
 type difference struct {
 	Changes []config.Change `json:"changes"`
+	// Capacity lists the services whose slots in service change.
+	Capacity []capacity `json:"capacity"`
 	// Problems are the reasons not to publish the change.
 	Problems []string `json:"problems"`
 }
 
+// capacity is the number of requests that a service's upstreams in service run
+// at the same time: those that are not leaving and whose failure domain is in.
+type capacity struct {
+	Service string `json:"service"`
+	Before  int    `json:"slots-before"`
+	After   int    `json:"slots-after"`
+}
+
 func configDiffCommand(i do.Injector) *cli.Command {
 	return &cli.Command{
 		Name:      "diff",
@@ -27,8 +40,8 @@
 		Description: help(`FROM and TO are sources: a printed document (FILE, or - for standard input), a
 directory with one file KEY.toml for each value, or the platform's http URL.
 
-Lines start with + for added, - for removed and ~ for changed. When the change
-must not be published as it is, the reasons follow, marked with !, and the exit
+Lines start with + for added, - for removed and ~ for changed, and with = where
+the slots in service of a service change with it. When the change must not be published as it is, the reasons follow, marked with !, and the exit
 code is 1: the revision doesn't grow, an identifier is given to something else,
 or a token key is changed in the wrong order.`, `
    godwitdrift config diff published.toml deployment.toml
@@ -59,7 +72,7 @@
 }
 
 func compare(from, to config.Deployment) difference {
-	out := difference{Changes: config.Diff(from, to), Problems: []string{}}
+	out := difference{Changes: config.Diff(from, to), Capacity: capacities(from, to), Problems: []string{}}
 	if len(out.Changes) == 0 {
 		out.Changes = []config.Change{}
 		return out
@@ -80,8 +93,38 @@
 	for _, c := range d.Changes {
 		fmt.Fprintln(w, c)
 	}
+	for _, c := range d.Capacity {
+		fmt.Fprintf(w, "= services.%s: slots in service: %d -> %d\n", c.Service, c.Before, c.After)
+	}
 	for _, p := range d.Problems {
 		fmt.Fprintln(w, "!", p)
 	}
 	return nil
 }
+
+func capacities(from, to config.Deployment) []capacity {
+	before, after := slotsInService(from), slotsInService(to)
+	out := []capacity{}
+	for _, name := range slices.Sorted(maps.Keys(lo.Assign(before, after))) {
+		if before[name] != after[name] {
+			out = append(out, capacity{Service: name, Before: before[name], After: after[name]})
+		}
+	}
+	return out
+}
+
+// slotsInService returns the slots of each service. The deployment has been
+// checked.
+func slotsInService(d config.Deployment) map[string]int {
+	out := make(map[string]int, len(d.Services))
+	states := lo.SliceToMap(d.Domains, func(f config.Domain) (string, config.State) { return f.Name, f.State })
+	for _, s := range d.Services {
+		out[s.Name] = lo.SumBy(s.Upstreams, func(u config.Upstream) int {
+			if u.State == config.StateLeaving || states[u.Domain] == config.StateOut {
+				return 0
+			}
+			return u.Slots
+		})
+	}
+	return out
+}
--- a/cmd/godwitdrift/fleet.go
+++ b/cmd/godwitdrift/fleet.go
@@ -1,9 +1,10 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"net/http"
-	"sync"
+	"slices"
 
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
@@ -13,9 +14,6 @@
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
 )
 
-// maxAsking is the number of processes that a command asks at the same time.
-const maxAsking = 32
-
 // stateLeaving is the state of a host that is about to go.
 const stateLeaving = "leaving"
 
@@ -48,6 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
+	slices.SortFunc(hosts, func(a, b host) int { return cmp.Compare(a.Name, b.Name) })
 	serving := lo.Filter(hosts, func(h host, _ int) bool { return h.OperatorAddress != "" })
 	return lo.Map(serving, func(h host, _ int) target {
 		return target{name: h.Name, address: h.OperatorAddress, leaving: h.State == stateLeaving}
@@ -65,30 +64,13 @@
 	err    error
 }
 
-// askAll asks every process, a bounded number at a time, and returns the replies
-// in the order of the targets.
+// askAll asks every process and returns the replies in the order of the targets.
 func askAll[T any](
 	i do.Injector, targets []target, ask func(gdoperator.Client) (T, error),
 ) []reply[T] {
-	replies := make([]reply[T], len(targets))
-	bar := newProgress(do.MustInvoke[console](i).err, len(targets))
-	slots := make(chan struct{}, maxAsking)
-	done := make(chan struct{}, len(targets))
-	var wg sync.WaitGroup
-	for n, t := range targets {
-		wg.Go(func() {
-			slots <- struct{}{}
-			v, err := ask(gdoperator.Client{Address: t.address, HTTP: do.MustInvoke[*http.Client](i)})
-			<-slots
-			replies[n] = reply[T]{target: t, value: v, err: err}
-			done <- struct{}{}
-		})
-	}
-	for n := range targets {
-		<-done
-		bar.show(n + 1)
-	}
-	wg.Wait()
-	bar.clear()
-	return replies
+	client := do.MustInvoke[*http.Client](i)
+	return inParallel(do.MustInvoke[console](i).err, targets, func(t target) reply[T] {
+		v, err := ask(gdoperator.Client{Address: t.address, HTTP: client})
+		return reply[T]{target: t, value: v, err: err}
+	})
 }
--- a/cmd/godwitdrift/output.go
+++ b/cmd/godwitdrift/output.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 
 	"github.com/pkg/errors"
@@ -54,35 +53,3 @@
 	}
 	return errors.Wrap(tw.Flush(), "write output")
 }
-
-// progress shows on a terminal how far a long run has come.
-type progress struct {
-	w     io.Writer
-	total int
-}
-
-// newProgress returns a progress line on w; it shows nothing unless w is a
-// terminal.
-func newProgress(w io.Writer, total int) progress {
-	f, ok := w.(*os.File)
-	if !ok {
-		return progress{}
-	}
-	st, err := f.Stat()
-	if err != nil || st.Mode()&os.ModeCharDevice == 0 {
-		return progress{}
-	}
-	return progress{w: w, total: total}
-}
-
-func (p progress) show(done int) {
-	if p.w != nil {
-		fmt.Fprintf(p.w, "\rasked %d of %d", done, p.total)
-	}
-}
-
-func (p progress) clear() {
-	if p.w != nil {
-		fmt.Fprint(p.w, "\r\033[K")
-	}
-}
--- a/cmd/godwitdrift/platform.go
+++ b/cmd/godwitdrift/platform.go
@@ -64,23 +64,33 @@
 	return idx, unreachable(errors.Wrapf(err, "index of platform %s", p.url))
 }
 
-// values reads the index and every value that it names.
-func (p platform) values(ctx context.Context) ([]config.Value, error) {
-	v, err := p.value(ctx, config.IndexKey)
+// read is one value, or why it could not be read.
+type read struct {
+	value config.Value
+	err   error
+}
+
+// values reads the index and every value that it names. On a terminal w shows
+// how far it is.
+func (p platform) values(ctx context.Context, w io.Writer) ([]config.Value, error) {
+	index, err := p.value(ctx, config.IndexKey)
 	if err != nil {
 		return nil, err
 	}
-	idx, err := config.ParseIndex(v.Data())
+	idx, err := config.ParseIndex(index.Data())
 	if err != nil {
 		return nil, errors.Wrapf(err, "index of platform %s", p.url)
 	}
-	values := []config.Value{v}
-	for _, row := range idx.Services {
+	reads := inParallel(w, idx.Services, func(row config.IndexRow) read {
 		v, err := p.value(ctx, config.ServiceKey(row.Name))
-		if err != nil {
-			return nil, err
+		return read{value: v, err: err}
+	})
+	values := []config.Value{index}
+	for _, r := range reads {
+		if r.err != nil {
+			return nil, r.err
 		}
-		values = append(values, v)
+		values = append(values, r.value)
 	}
 	return values, nil
 }
--- a/cmd/godwitdrift/source.go
+++ b/cmd/godwitdrift/source.go
@@ -25,7 +25,7 @@
 
 // sources reads deployments from where operators have them.
 type sources struct {
-	in   io.Reader
+	console
 	http *http.Client
 }
 
@@ -37,7 +37,7 @@
 
 func (s sources) readPlain(ctx context.Context, name string) (config.Deployment, error) {
 	if strings.HasPrefix(name, "http://") {
-		values, err := platform{url: name, http: s.http}.values(ctx)
+		values, err := platform{url: name, http: s.http}.values(ctx, s.err)
 		if err != nil {
 			return config.Deployment{}, err
 		}
--- a/cmd/godwitdrift/status_view.go
+++ b/cmd/godwitdrift/status_view.go
@@ -18,8 +18,12 @@
 	Intended  *intended     `json:"intended,omitempty"`
 	Accepted  *accepted     `json:"accepted,omitempty"`
 	Processes []processView `json:"processes"`
-	// NotAccepted says that the platform does not publish the intended revision.
+	// NotAccepted says that the platform publishes another revision than the
+	// intended one.
 	NotAccepted bool `json:"not-accepted"`
+	// OtherContent says that a configuration with the intended revision and other
+	// content is in force.
+	OtherContent bool `json:"other-content"`
 }
 
 type intended struct {
@@ -58,6 +62,9 @@
 	for _, r := range replies {
 		newest = newest.later(markOf(r.value.Version)).later(markOf(r.value.Seen))
 	}
+	if v.Intended != nil && newest.version != "" && newest.revision == v.Intended.Revision {
+		v.OtherContent = newest.version != v.Intended.Version
+	}
 	v.Processes = lo.Map(replies, func(r reply[gdoperator.Status], _ int) processView {
 		p := processView{Status: r.value, Address: r.target.address, Leaving: r.target.leaving}
 		if r.err != nil {
@@ -105,7 +112,7 @@
 
 func (v fleetView) findings() int {
 	n := lo.CountBy(v.Processes, processView.found)
-	if v.NotAccepted {
+	if v.NotAccepted || v.OtherContent {
 		n++
 	}
 	return n
@@ -125,8 +132,7 @@
 	return func(w io.Writer) error {
 		rows := [][]string{{"WHAT", "ROLE", "DOMAIN", "VERSION", "SINCE", "REMARKS"}}
 		if v.Intended != nil {
-			remark := lo.Ternary(v.NotAccepted, "not accepted yet", "")
-			rows = append(rows, []string{"intended", "-", "-", v.Intended.Version, "-", remark})
+			rows = append(rows, []string{"intended", "-", "-", v.Intended.Version, "-", v.intendedRemark()})
 		}
 		if v.Accepted != nil {
 			rows = append(rows, []string{"accepted", "-", "-", v.Accepted.version(), "-", v.Accepted.Error})
@@ -138,6 +144,17 @@
 	}
 }
 
+func (v fleetView) intendedRemark() string {
+	switch {
+	case v.OtherContent:
+		return "its revision is in force with other content"
+	case v.NotAccepted:
+		return "not accepted yet"
+	default:
+		return ""
+	}
+}
+
 func (p processView) row(now time.Time) []string {
 	if p.Error != "" {
 		return []string{p.Name, "-", "-", "-", "-", p.remarks()}
--- a/config/diagnose_test.go
+++ b/config/diagnose_test.go
@@ -4,8 +4,8 @@
 	"bytes"
 	"fmt"
 	"math"
-	"reflect"
 	"os"
+	"reflect"
 	"strings"
 	"testing"
 
