godwitdrift: say which value of a platform is garbage

Cause: an index that is no TOML lost the name of its value in config check. Ruled out: nothing else weighed. Change: the index alone goes to config.Assemble, which names it; a second dump at the same time is tested to be refused.

--- a/cmd/godwitdrift/app.go
+++ b/cmd/godwitdrift/app.go
@@ -50,8 +50,8 @@
 	return app
 }
 
-// prepare gives every command the same manners: usage errors are returned
-// without the whole help, and a group of commands refuses an unknown one.
+// prepare makes all commands alike: usage errors are returned without the whole
+// help, and a group of commands refuses an unknown one.
 func prepare(cmd *cli.Command) {
 	cmd.OnUsageError = func(_ context.Context, cmd *cli.Command, err error, _ bool) error {
 		return errors.Errorf("%s: %v (see --help)", cmd.FullName(), err)
--- a/cmd/godwitdrift/main_test.go
+++ b/cmd/godwitdrift/main_test.go
@@ -109,6 +109,11 @@
 		{Name: "entry-3", Role: "balancer", OperatorAddress: names["$GONE"], State: stateLeaving},
 	}
 	names["$PLATFORM"] = servePlatform(t, d, list)
+	garbage := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("\x00\xff[[[ no configuration"))
+	}))
+	t.Cleanup(garbage.Close)
+	names["$GARBAGE"] = garbage.URL
 	return names
 }
 
--- a/cmd/godwitdrift/platform.go
+++ b/cmd/godwitdrift/platform.go
@@ -70,8 +70,8 @@
 	err   error
 }
 
-// values reads the index and every value that it names. On a terminal w shows
-// how far it is.
+// values reads the index and every value that it names; of an index that can't be
+// parsed, the index alone. On a terminal w shows how far it is.
 func (p platform) values(ctx context.Context, w io.Writer) ([]config.Value, error) {
 	index, err := p.value(ctx, config.IndexKey)
 	if err != nil {
@@ -79,7 +79,7 @@
 	}
 	idx, err := config.ParseIndex(index.Data())
 	if err != nil {
-		return nil, errors.Wrapf(err, "index of platform %s", p.url)
+		return []config.Value{index}, nil // config.Assemble says what is wrong with it
 	}
 	reads := inParallel(w, idx.Services, func(row config.IndexRow) read {
 		v, err := p.value(ctx, config.ServiceKey(row.Name))
--- a/internal/operate/gdoperator/gdoperator_test.go
+++ b/internal/operate/gdoperator/gdoperator_test.go
@@ -79,3 +79,32 @@
 	r := gdoperator.Record{Flow: "f1", Action: "forward", Reason: "token"}
 	require.Zero(t, testing.AllocsPerRun(1000, func() { ring.Add(r) }))
 }
+
+// slowProcess takes its dump only when it is told to.
+type slowProcess struct {
+	process
+	begun, release chan struct{}
+}
+
+func (p slowProcess) Dump() any {
+	close(p.begun)
+	<-p.release
+	return "state"
+}
+
+func TestSecondDumpIsRefused(t *testing.T) {
+	p := slowProcess{begun: make(chan struct{}), release: make(chan struct{})}
+	h := gdoperator.Port{Status: p, Dumper: p, Decisions: gdoperator.NewRing(1), Metrics: http.NotFoundHandler()}.Handler()
+	first, second := httptest.NewRecorder(), httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		h.ServeHTTP(first, httptest.NewRequest("GET", "/dump", nil))
+	}()
+	<-p.begun
+	h.ServeHTTP(second, httptest.NewRequest("GET", "/dump", nil))
+	close(p.release)
+	<-done
+	require.Equal(t, http.StatusServiceUnavailable, second.Code)
+	require.Equal(t, http.StatusOK, first.Code)
+}
--- a/internal/operate/gdoperator/port.go
+++ b/internal/operate/gdoperator/port.go
@@ -8,7 +8,7 @@
 )
 
 // maxDumps is the number of dumps taken at the same time; a further one is
-// refused with 503, so that curious operators can't slow the process down.
+// refused with 503, so that dumps can't take the process's time.
 const maxDumps = 1
 
 // Port is the operator port of one process. All fields are set before Handler is
--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -7,7 +7,7 @@
 // LogLevel is the least urgent level that a process writes to its log.
 type LogLevel string
 
-// The log levels, from the most talkative to the quietest.
+// The log levels, from the one with most events to the one with fewest.
 const (
 	LevelDebug LogLevel = "debug"
 	LevelInfo  LogLevel = "info"
