--- a/internal/core/gdonce/core.go
+++ b/internal/core/gdonce/core.go
@@ -64,6 +64,7 @@
 	now     time.Time // the latest time seen; it never goes back
 	floor   time.Time // stamped keys up to it may have been granted and forgotten
 	closed  time.Time // issued keys made up to it and not in the ledger never run
+	round   uint32    // of the latest claim
 	service gdconf.ServiceID
 	members membership
 	ledger  ledger
@@ -84,10 +85,13 @@
 // advance takes the present time and returns it, or the latest time seen when
 // the clock was set back.
 func (c *Core) advance(now time.Time) time.Time {
+	// A monotonic reading may stand still while the machine is suspended.
+	now = now.Round(0)
 	switch {
 	case c.now.IsZero():
 		c.start()
-		c.floor = now.Add(FutureTolerance + ClockError)
+		// A predecessor may go on for PauseLimit before it notices its pause.
+		c.floor = now.Add(FutureTolerance + ClockError + PauseLimit)
 	case now.Sub(c.now) > PauseLimit:
 		c.stats.Pauses++
 		c.floor = now.Add(FutureTolerance + ClockError)
@@ -173,8 +177,7 @@
 		return c.unknown(ReasonKeyExpired, r.ID)
 	}
 	if c.ledger.full() {
-		c.stats.LedgerFull++
-		c.closed = now
+		c.makeRoom(now)
 	}
 	if made := k.stamp.Add(-c.Retention); !made.After(c.closed) {
 		// Without a record in the only ledger that could hold it, the key has
@@ -186,6 +189,21 @@
 	return c.run(rec, &attempts{runner: r.ID})
 }
 
+// makeRoom forgets the issued keys that were refused before a run. The mark of
+// closed keys stands for them, and for each other key made before the last of
+// them. When there are none, it closes the keys made up to now.
+func (c *Core) makeRoom(now time.Time) {
+	last, ok := c.ledger.dropClosed()
+	if !ok {
+		c.stats.LedgerFull++
+		c.closed = now
+		return
+	}
+	if made := last.Add(-c.Retention); made.After(c.closed) {
+		c.closed = made
+	}
+}
+
 func (c *Core) relayIssued(now time.Time, r Request, k Key) []Action {
 	if r.Relayed || !c.members.reachable(k.home) {
 		return c.lookup(now, r, k, ReasonHomeGone)
@@ -194,7 +212,7 @@
 }
 
 func (c *Core) arriveStamped(now time.Time, r Request, k Key) []Action {
-	if rec := c.ledger.records[k.ident]; rec != nil && rec.state != stateGranted {
+	if rec := c.ledger.records[k.ident]; rec != nil && rec.state != stateGranted && rec.state != stateReleased {
 		return c.join(now, r, rec)
 	}
 	if !now.Before(k.stamp.Add(c.Retention)) {
@@ -284,7 +302,7 @@
 		c.ledger.keep(rec, o.Answer, c.MaxStoredBytes)
 		return append(c.done(o.Answer, ids...), c.tell(id, rec, o.Answer)...)
 	case ResultNotRun:
-		rec.state = stateClosed
+		c.ledger.close(rec)
 		return c.refuse(now, ReasonRefused, o.RetryAfter, ids...)
 	}
 	rec.state = stateUnknown
