settings: peers for a start while the platform is out of reach

Cause: the configuration core takes peers from the settings (Seeds), but no key gave any, so a process that starts during an outage has nobody to ask: the host list lies on the platform too. Ruled out: names left out; peers are known by name in the core. Change: peers = ["NAME@IP:PORT"], checked, at most 64. Not wired in gdserve yet. Conclusion: the key is read; whether a start during an outage works is not shown by this commit.

--- a/cmd/godwitdrift/balancer.go
+++ b/cmd/godwitdrift/balancer.go
@@ -17,7 +17,8 @@
 		Description: help(`A balancer takes the datagrams that the fabric hands it and passes each to the
 right agent. It runs until it is told to end with SIGTERM or SIGINT, and then
 lets what it has in hand go out. Settings: name, domain, node-address,
-operator-address, platform, fleet-key-file, log-level, listen-host, sockets.`, `
+operator-address, platform, fleet-key-file, peers, log-level, listen-host,
+sockets.`, `
    godwitdrift balancer --settings /etc/godwitdrift/balancer.toml`),
 		Flags: []cli.Flag{settingsFlag()},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
--- /dev/null
+++ b/internal/operate/gdsettings/peer.go
@@ -0,0 +1,32 @@
+package gdsettings
+
+import (
+	"net/netip"
+	"strings"
+
+	"github.com/pkg/errors"
+)
+
+// Peer is another process of the fleet. In settings it reads NAME@IP:PORT, with
+// the name and the node address of that process.
+type Peer struct {
+	name    string
+	address netip.AddrPort
+}
+
+// Name returns the process's name.
+func (p Peer) Name() string { return p.name }
+
+// Address returns the process's node address.
+func (p Peer) Address() netip.AddrPort { return p.address }
+
+// UnmarshalText reads NAME@IP:PORT.
+func (p *Peer) UnmarshalText(text []byte) error {
+	name, address, _ := strings.Cut(string(text), "@")
+	ap, err := netip.ParseAddrPort(address)
+	if err != nil || ap.Port() == 0 || !kebab.MatchString(name) {
+		return errors.Errorf("peer %q is not of the form NAME@IP:PORT", text)
+	}
+	p.name, p.address = name, ap
+	return nil
+}
--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -25,6 +25,7 @@
 	DefaultHealthPath = "/health"
 
 	maxSockets       = 16
+	maxPeers         = 64
 	maxFlows         = 1_000_000
 	maxBodyBufferKiB = 64 * 1024
 )
@@ -48,6 +49,10 @@
 	Platform string `toml:"platform"`
 	// FleetKeyFile names the file with the fleet's key: 32 bytes in hexadecimal.
 	FleetKeyFile string `toml:"fleet-key-file"`
+	// Peers are a few other processes of the fleet, from which this one gets the
+	// configuration if it starts while the platform is out of reach. It may be
+	// empty; a peer that is gone does no harm.
+	Peers []Peer `toml:"peers"`
 	// LogLevel defaults to LevelInfo.
 	LogLevel LogLevel `toml:"log-level"`
 }
@@ -109,6 +114,7 @@
 	k.different("operator-address", c.OperatorAddress, "node-address", c.NodeAddress)
 	k.url("platform", c.Platform)
 	k.keyFile("fleet-key-file", &c.FleetKeyFile)
+	k.between("peers", len(c.Peers), 0, maxPeers)
 	k.level("log-level", c.LogLevel)
 }
 
