--- a/internal/operate/gdlog/gdlog_test.go
+++ b/internal/operate/gdlog/gdlog_test.go
@@ -7,7 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"io/fs"
 	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -37,6 +41,35 @@
 	require.Equal(t, rows.String(), inPage.String())
 }
 
+// TestEachEventIsWrittenOrListed holds that no event is on the page as if the
+// product wrote it, unless some code does.
+func TestEachEventIsWrittenOrListed(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/EVENTS.md")
+	require.NoError(t, err)
+	_, rest, _ := strings.Cut(string(page), "## Not written yet\n")
+	list, _, _ := strings.Cut(rest, "## ")
+	listed := regexp.MustCompile(`\d+`).FindAllString(list, -1)
+	var code strings.Builder
+	for _, root := range []string{"../..", "../../../cmd"} {
+		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
+			test := strings.HasSuffix(path, "_test.go") || strings.Contains(path, "gdlog")
+			if err != nil || test || !strings.HasSuffix(path, ".go") {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			code.Write(data)
+			return err
+		})
+		require.NoError(t, err)
+	}
+	declared, err := os.ReadFile("events.go")
+	require.NoError(t, err)
+	for _, m := range regexp.MustCompile(`(\w+) += declare\((\d+),`).FindAllStringSubmatch(string(declared), -1) {
+		written := regexp.MustCompile(`gdlog\.` + m[1] + `\b`).MatchString(code.String())
+		require.True(t, written || slices.Contains(listed, m[2]), "event %s (%s) is never written", m[2], m[1])
+	}
+}
+
 func TestEventsBecomeLines(t *testing.T) {
 	var out bytes.Buffer
 	log := gdlog.New(&out, gdlog.Info).With("process", "entry-1")
