--- a/cmd/godwitdrift/status.go
+++ b/cmd/godwitdrift/status.go
@@ -20,9 +20,11 @@
 that another process has. The exit code is 1 when a process is behind, refused a
 version or isn't ready, or when the intended version isn't the accepted one.`, `
    godwitdrift status --platform http://192.0.2.2:8080 --intended deployment.toml
+   godwitdrift status --platform http://192.0.2.2:8080 --short
    godwitdrift status --process 192.0.2.11:7002 --process 192.0.2.12:7002`),
 		Flags: append(fleetFlags(),
 			&cli.StringFlag{Name: "intended", Usage: "`SOURCE` of the intended configuration, see `godwitdrift config --help`"},
+			&cli.BoolFlag{Name: "short", Usage: "leave out the processes without a remark"},
 			outputFlag(),
 		),
 		Action: func(ctx context.Context, cmd *cli.Command) error { return status(ctx, cmd, i) },
@@ -54,7 +56,7 @@
 	})
 	v.judge(replies)
 	now := do.MustInvoke[clock](i)()
-	if err := emit(cmd, do.MustInvoke[console](i).out, v, v.text(now)); err != nil {
+	if err := emit(cmd, do.MustInvoke[console](i).out, v, v.text(now, cmd.Bool("short"))); err != nil {
 		return err
 	}
 	return v.verdict()
--- a/cmd/godwitdrift/status_view.go
+++ b/cmd/godwitdrift/status_view.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +15,9 @@
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
 )
 
+// maxReason is the number of bytes of a rejection's reason that the table shows.
+const maxReason = 200
+
 // fleetView is what `status` shows.
 type fleetView struct {
 	Intended  *intended     `json:"intended,omitempty"`
@@ -127,8 +132,9 @@
 	return n
 }
 
-// text returns the writer of the readable form; ages are those at now.
-func (v fleetView) text(now time.Time) func(io.Writer) error {
+// text returns the writer of the readable form; ages are those at now. With
+// short, processes without a remark are left out.
+func (v fleetView) text(now time.Time, short bool) func(io.Writer) error {
 	return func(w io.Writer) error {
 		rows := [][]string{{"WHAT", "ROLE", "DOMAIN", "VERSION", "SINCE", "REMARKS"}}
 		if v.Intended != nil {
@@ -138,12 +144,34 @@
 			rows = append(rows, []string{"accepted", "-", "-", v.Accepted.version(), "-", v.Accepted.Error})
 		}
 		for _, p := range v.Processes {
-			rows = append(rows, p.row(now))
+			if !short || p.remarks() != "" {
+				rows = append(rows, p.row(now))
+			}
+		}
+		if err := table(w, rows); err != nil {
+			return err
 		}
-		return table(w, rows)
+		return v.writeCounts(w)
 	}
 }
 
+// writeCounts says in how many processes each version is in force.
+func (v fleetView) writeCounts(w io.Writer) error {
+	counts := make(map[string]int)
+	for _, p := range v.Processes {
+		if p.Error == "" {
+			counts[cmp.Or(p.Version, "no version")]++
+		}
+	}
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		_, err := fmt.Fprintf(w, "%s is in force in %d of %d processes\n", version, counts[version], len(v.Processes))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (v fleetView) intendedRemark() string {
 	switch {
 	case v.OtherContent:
@@ -183,6 +211,9 @@
 	}
 	if p.Rejected != nil {
 		reason := strings.ReplaceAll(p.Rejected.Reason, "\n", "; ")
+		if len(reason) > maxReason {
+			reason = strings.ToValidUTF8(reason[:maxReason], "") + " ..."
+		}
 		out = append(out, fmt.Sprintf("rejected %s: %s", cmp.Or(p.Rejected.Version, "unreadable version"), reason))
 	}
 	return strings.Join(out, ", ")
--- a/internal/operate/gdoperator/types.go
+++ b/internal/operate/gdoperator/types.go
@@ -10,7 +10,7 @@
 	Role string `json:"role"`
 	// Domain is the failure domain in which the process runs.
 	Domain string `json:"domain"`
-	// Incarnation grows with each start of the process.
+	// Incarnation differs with each start of the process.
 	Incarnation uint64 `json:"incarnation"`
 	// Ready says whether the process serves.
 	Ready bool `json:"ready"`
