godwitdrift: one client for the platform

Cause: the command line had a client of its own beside gdplatform. It cut a host list at a megabyte, which about 9,000 hosts fill, and took the rest for the whole. Ruled out: a larger limit in the second client; the logic would still stand twice. Change: the commands use gdplatform.Client, whose Host gains OperatorAddress; a platform without an index is named as such; a slash at the end of a URL does no harm. Conclusion: one place bounds and decodes what the platform says.

--- a/cmd/godwitdrift/fleet.go
+++ b/cmd/godwitdrift/fleet.go
@@ -12,11 +12,9 @@
 	"github.com/urfave/cli/v3"
 
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
 )
 
-// stateLeaving is the state of a host that is about to go.
-const stateLeaving = "leaving"
-
 // target is one process to ask.
 type target struct {
 	name    string
@@ -46,15 +44,15 @@
 	if err != nil {
 		return nil, err
 	}
-	slices.SortFunc(hosts, func(a, b host) int { return cmp.Compare(a.Name, b.Name) })
-	serving := lo.Filter(hosts, func(h host, _ int) bool { return h.OperatorAddress != "" })
-	return lo.Map(serving, func(h host, _ int) target {
-		return target{name: h.Name, address: h.OperatorAddress, leaving: h.State == stateLeaving}
+	slices.SortFunc(hosts, func(a, b gdplatform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	serving := lo.Filter(hosts, func(h gdplatform.Host, _ int) bool { return h.OperatorAddress != "" })
+	return lo.Map(serving, func(h gdplatform.Host, _ int) target {
+		return target{name: h.Name, address: h.OperatorAddress, leaving: h.State == gdplatform.HostLeaving}
 	}), nil
 }
 
 func platformOf(cmd *cli.Command, i do.Injector) platform {
-	return platform{url: cmd.String("platform"), http: do.MustInvoke[*http.Client](i)}
+	return newPlatform(cmd.String("platform"), do.MustInvoke[*http.Client](i))
 }
 
 // reply is what one process answered.
--- a/cmd/godwitdrift/main_test.go
+++ b/cmd/godwitdrift/main_test.go
@@ -21,6 +21,7 @@
 
 	"godwitdrift.example/godwitdrift/config"
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
 	"godwitdrift.example/godwitdrift/internal/text/gdarchive"
 )
 
@@ -63,7 +64,7 @@
 func (f statusFunc) Status() gdoperator.Status { return f() }
 
 // servePlatform publishes the deployment and the hosts.
-func servePlatform(t *testing.T, d config.Deployment, hosts []host) string {
+func servePlatform(t *testing.T, d config.Deployment, hosts []gdplatform.Host) string {
 	values, err := config.Split(d)
 	require.NoError(t, err)
 	mux := http.NewServeMux()
@@ -74,7 +75,7 @@
 	}
 	mux.HandleFunc("GET /v1/hosts", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(struct {
-			Hosts []host `json:"hosts"`
+			Hosts []gdplatform.Host `json:"hosts"`
 		}{hosts})
 	})
 	srv := httptest.NewServer(mux)
@@ -103,10 +104,10 @@
 		}}),
 		"$GONE": "127.0.0.1:1", // nothing listens there
 	}
-	list := []host{
+	list := []gdplatform.Host{
 		{Name: "entry-1", Role: "balancer", OperatorAddress: names["$ENTRY1"], State: "live"},
 		{Name: "entry-2", Role: "balancer", OperatorAddress: names["$ENTRY2"], State: "live"},
-		{Name: "entry-3", Role: "balancer", OperatorAddress: names["$GONE"], State: stateLeaving},
+		{Name: "entry-3", Role: "balancer", OperatorAddress: names["$GONE"], State: gdplatform.HostLeaving},
 	}
 	names["$PLATFORM"] = servePlatform(t, d, list)
 	garbage := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -114,6 +115,9 @@
 	}))
 	t.Cleanup(garbage.Close)
 	names["$GARBAGE"] = garbage.URL
+	empty := httptest.NewServer(http.NotFoundHandler())
+	t.Cleanup(empty.Close)
+	names["$EMPTY"] = empty.URL
 	return names
 }
 
--- a/cmd/godwitdrift/platform.go
+++ b/cmd/godwitdrift/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -10,99 +9,71 @@
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/platform/gdplatform"
 )
 
 // platform reads what the platform publishes.
 type platform struct {
-	url  string
-	http *http.Client
+	client *gdplatform.Client
 }
 
-// host is one entry of the platform's host list.
-type host struct {
-	Name            string `json:"name"`
-	Role            string `json:"role"`
-	Domain          string `json:"domain"`
-	Address         string `json:"address"`
-	OperatorAddress string `json:"operator-address"`
-	State           string `json:"state"`
+func newPlatform(url string, client *http.Client) platform {
+	url = strings.TrimSuffix(url, "/")
+	return platform{client: &gdplatform.Client{URL: url, HTTP: client, Timeout: requestTimeout}}
 }
 
-func (p platform) get(ctx context.Context, path string) ([]byte, error) {
-	url := strings.TrimSuffix(p.url, "/") + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, errors.Wrapf(err, "ask platform for %s", path)
-	}
-	res, err := p.http.Do(req)
-	if err != nil {
-		return nil, unreachable(errors.Wrapf(err, "ask platform for %s", path))
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(res.Body, config.MaxValueBytes+1))
-	if err != nil {
-		return nil, unreachable(errors.Wrapf(err, "read %s of platform %s", path, p.url))
-	}
-	if res.StatusCode != http.StatusOK {
-		return nil, unreachable(errors.Errorf("read %s of platform %s: %s", path, p.url, res.Status))
-	}
-	return data, nil
-}
-
-func (p platform) value(ctx context.Context, key string) (config.Value, error) {
-	data, err := p.get(ctx, "/v1/values/"+key)
-	return config.NewValue(key, data), err
+// read is one value, or why it could not be read.
+type read struct {
+	value gdplatform.Value
+	err   error
 }
 
 // index reads the index alone.
 func (p platform) index(ctx context.Context) (config.Index, error) {
-	v, err := p.value(ctx, config.IndexKey)
+	v, err := p.client.ReadValue(ctx, config.IndexKey)
 	if err != nil {
-		return config.Index{}, err
+		return config.Index{}, unreachable(err)
+	}
+	if !v.Present() {
+		return config.Index{}, unreachable(errors.Errorf("platform %s publishes no index", p.client.URL))
 	}
 	idx, err := config.ParseIndex(v.Data())
-	return idx, unreachable(errors.Wrapf(err, "index of platform %s", p.url))
-}
-
-// read is one value, or why it could not be read.
-type read struct {
-	value config.Value
-	err   error
+	return idx, unreachable(errors.Wrapf(err, "index of platform %s", p.client.URL))
 }
 
-// values reads the index and every value that it names; of an index that can't be
-// parsed, the index alone. On a terminal w shows how far it is.
+// values reads the index and every value that it names, without those that the
+// platform does not hold; of an index that can't be parsed, the index alone.
+// [config.Assemble] says what is wrong with the outcome. On a terminal w shows
+// how far it is.
 func (p platform) values(ctx context.Context, w io.Writer) ([]config.Value, error) {
-	index, err := p.value(ctx, config.IndexKey)
+	index, err := p.client.ReadValue(ctx, config.IndexKey)
 	if err != nil {
-		return nil, err
+		return nil, unreachable(err)
 	}
+	if !index.Present() {
+		return nil, nil
+	}
+	values := []config.Value{config.NewValue(config.IndexKey, index.Data())}
 	idx, err := config.ParseIndex(index.Data())
 	if err != nil {
-		return []config.Value{index}, nil // config.Assemble says what is wrong with it
+		return values, nil
 	}
 	reads := inParallel(w, idx.Services, func(row config.IndexRow) read {
-		v, err := p.value(ctx, config.ServiceKey(row.Name))
+		v, err := p.client.ReadValue(ctx, config.ServiceKey(row.Name))
 		return read{value: v, err: err}
 	})
-	values := []config.Value{index}
-	for _, r := range reads {
+	for i, r := range reads {
 		if r.err != nil {
-			return nil, r.err
+			return nil, unreachable(r.err)
+		}
+		if r.value.Present() {
+			values = append(values, config.NewValue(config.ServiceKey(idx.Services[i].Name), r.value.Data()))
 		}
-		values = append(values, r.value)
 	}
 	return values, nil
 }
 
-func (p platform) hosts(ctx context.Context) ([]host, error) {
-	data, err := p.get(ctx, "/v1/hosts")
-	if err != nil {
-		return nil, err
-	}
-	var list struct {
-		Hosts []host `json:"hosts"`
-	}
-	err = json.Unmarshal(data, &list)
-	return list.Hosts, unreachable(errors.Wrapf(err, "host list of platform %s", p.url))
+func (p platform) hosts(ctx context.Context) ([]gdplatform.Host, error) {
+	hosts, err := p.client.Hosts(ctx)
+	return hosts, unreachable(err)
 }
--- a/cmd/godwitdrift/source.go
+++ b/cmd/godwitdrift/source.go
@@ -37,7 +37,7 @@
 
 func (s sources) readPlain(ctx context.Context, name string) (config.Deployment, error) {
 	if strings.HasPrefix(name, "http://") {
-		values, err := platform{url: name, http: s.http}.values(ctx, s.err)
+		values, err := newPlatform(name, s.http).values(ctx, s.err)
 		if err != nil {
 			return config.Deployment{}, err
 		}
--- a/internal/operate/gdsettings/check.go
+++ b/internal/operate/gdsettings/check.go
@@ -62,8 +62,10 @@
 	}
 }
 
-func (k *checker) url(key, s string) {
-	u, err := url.Parse(s)
+// url wants an http URL and takes a slash off its end, as paths are put behind it.
+func (k *checker) url(key string, s *string) {
+	*s = strings.TrimSuffix(*s, "/")
+	u, err := url.Parse(*s)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		k.missingOr(key, "an http URL is needed, such as http://192.0.2.1:8080")
 		return
--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -112,7 +112,7 @@
 	k.address("node-address", c.NodeAddress)
 	k.address("operator-address", c.OperatorAddress)
 	k.different("operator-address", c.OperatorAddress, "node-address", c.NodeAddress)
-	k.url("platform", c.Platform)
+	k.url("platform", &c.Platform)
 	k.keyFile("fleet-key-file", &c.FleetKeyFile)
 	k.between("peers", len(c.Peers), 0, maxPeers)
 	k.level("log-level", c.LogLevel)
@@ -128,7 +128,7 @@
 	if a.UpstreamID == 0 {
 		k.missingOr("upstream-id", "0 is not allowed")
 	}
-	k.url("upstream-url", a.UpstreamURL)
+	k.url("upstream-url", &a.UpstreamURL)
 	k.path("health-path", a.HealthPath)
 	if a.LoadPath != "" {
 		k.path("load-path", a.LoadPath)
--- a/internal/platform/gdplatform/client.go
+++ b/internal/platform/gdplatform/client.go
@@ -78,11 +78,13 @@
 
 // Host is one row of the platform's list of hosts.
 type Host struct {
-	Name    string    `json:"name"`
-	Role    Role      `json:"role"`
-	Domain  string    `json:"domain"`
-	Address string    `json:"address"`
-	State   HostState `json:"state"`
+	Name    string `json:"name"`
+	Role    Role   `json:"role"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+	// OperatorAddress is where operators reach the process over HTTP.
+	OperatorAddress string    `json:"operator-address"`
+	State           HostState `json:"state"`
 }
 
 // ReadValue reads a value. An absent value is no error.
