config: say once what a name is

Cause: the pattern of names stood in config and in gdsettings. Ruled out: nothing else weighed. Change: config.ValidName, used by both. Conclusion: processes and what they name follow one rule.

--- a/config/check.go
+++ b/config/check.go
@@ -17,6 +17,10 @@
 
 var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
 
+// ValidName reports whether s is a name in kebab case, as deployments, services,
+// upstreams, failure domains and processes have.
+func ValidName(s string) bool { return kebab.MatchString(s) }
+
 // unique remembers which place took a value first.
 type unique map[string]string
 
@@ -36,7 +40,7 @@
 }
 
 func (c *checker) name(place, s string) {
-	if !kebab.MatchString(s) {
+	if !ValidName(s) {
 		c.add(place, "name %q is not in kebab case", s)
 	}
 }
--- a/internal/operate/gdsettings/check.go
+++ b/internal/operate/gdsettings/check.go
@@ -7,14 +7,12 @@
 	"net/url"
 	"os"
 	"path/filepath"
-	"regexp"
 	"strings"
 
+	"godwitdrift.example/godwitdrift/config"
 	"godwitdrift.example/godwitdrift/internal/text/gdtoml"
 )
 
-var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
-
 // checker gathers the problems of one settings file.
 type checker struct {
 	file     string
@@ -51,7 +49,7 @@
 }
 
 func (k *checker) name(key, s string) {
-	if !kebab.MatchString(s) {
+	if !config.ValidName(s) {
 		k.missingOr(key, "name %q is not in kebab case", s)
 	}
 }
--- a/internal/operate/gdsettings/peer.go
+++ b/internal/operate/gdsettings/peer.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/config"
 )
 
 // Peer is another process of the fleet. In settings it reads NAME@IP:PORT, with
@@ -24,7 +26,7 @@
 func (p *Peer) UnmarshalText(text []byte) error {
 	name, address, _ := strings.Cut(string(text), "@")
 	ap, err := netip.ParseAddrPort(address)
-	if err != nil || ap.Port() == 0 || !kebab.MatchString(name) {
+	if err != nil || ap.Port() == 0 || !config.ValidName(name) {
 		return errors.Errorf("peer %q is not of the form NAME@IP:PORT", text)
 	}
 	p.name, p.address = name, ap
