--- a/cmd/godwitdrift/status_view.go
+++ b/cmd/godwitdrift/status_view.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,13 +15,20 @@
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
 )
 
+// maxReason is the number of bytes of a rejection's reason that the table shows.
+const maxReason = 200
+
 // fleetView is what `status` shows.
 type fleetView struct {
 	Intended  *intended     `json:"intended,omitempty"`
 	Accepted  *accepted     `json:"accepted,omitempty"`
 	Processes []processView `json:"processes"`
-	// NotAccepted says that the platform does not publish the intended revision.
+	// NotAccepted says that the platform publishes another revision than the
+	// intended one.
 	NotAccepted bool `json:"not-accepted"`
+	// OtherContent says that a configuration with the intended revision and other
+	// content is in force.
+	OtherContent bool `json:"other-content"`
 }
 
 type intended struct {
@@ -58,6 +67,9 @@
 	for _, r := range replies {
 		newest = newest.later(markOf(r.value.Version)).later(markOf(r.value.Seen))
 	}
+	if v.Intended != nil && newest.version != "" && newest.revision == v.Intended.Revision {
+		v.OtherContent = newest.version != v.Intended.Version
+	}
 	v.Processes = lo.Map(replies, func(r reply[gdoperator.Status], _ int) processView {
 		p := processView{Status: r.value, Address: r.target.address, Leaving: r.target.leaving}
 		if r.err != nil {
@@ -105,7 +117,7 @@
 
 func (v fleetView) findings() int {
 	n := lo.CountBy(v.Processes, processView.found)
-	if v.NotAccepted {
+	if v.NotAccepted || v.OtherContent {
 		n++
 	}
 	return n
@@ -120,21 +132,54 @@
 	return n
 }
 
-// text returns the writer of the readable form; ages are those at now.
-func (v fleetView) text(now time.Time) func(io.Writer) error {
+// text returns the writer of the readable form; ages are those at now. With
+// short, processes without a remark are left out.
+func (v fleetView) text(now time.Time, short bool) func(io.Writer) error {
 	return func(w io.Writer) error {
 		rows := [][]string{{"WHAT", "ROLE", "DOMAIN", "VERSION", "SINCE", "REMARKS"}}
 		if v.Intended != nil {
-			remark := lo.Ternary(v.NotAccepted, "not accepted yet", "")
-			rows = append(rows, []string{"intended", "-", "-", v.Intended.Version, "-", remark})
+			rows = append(rows, []string{"intended", "-", "-", v.Intended.Version, "-", v.intendedRemark()})
 		}
 		if v.Accepted != nil {
 			rows = append(rows, []string{"accepted", "-", "-", v.Accepted.version(), "-", v.Accepted.Error})
 		}
 		for _, p := range v.Processes {
-			rows = append(rows, p.row(now))
+			if !short || p.remarks() != "" {
+				rows = append(rows, p.row(now))
+			}
 		}
-		return table(w, rows)
+		if err := table(w, rows); err != nil {
+			return err
+		}
+		return v.writeCounts(w)
+	}
+}
+
+// writeCounts says in how many processes each version is in force.
+func (v fleetView) writeCounts(w io.Writer) error {
+	counts := make(map[string]int)
+	for _, p := range v.Processes {
+		if p.Error == "" {
+			counts[cmp.Or(p.Version, "no version")]++
+		}
+	}
+	for _, version := range slices.Sorted(maps.Keys(counts)) {
+		_, err := fmt.Fprintf(w, "%s is in force in %d of %d processes\n", version, counts[version], len(v.Processes))
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (v fleetView) intendedRemark() string {
+	switch {
+	case v.OtherContent:
+		return "its revision is in force with other content"
+	case v.NotAccepted:
+		return "not accepted yet"
+	default:
+		return ""
 	}
 }
 
@@ -166,6 +211,9 @@
 	}
 	if p.Rejected != nil {
 		reason := strings.ReplaceAll(p.Rejected.Reason, "\n", "; ")
+		if len(reason) > maxReason {
+			reason = strings.ToValidUTF8(reason[:maxReason], "") + " ..."
+		}
 		out = append(out, fmt.Sprintf("rejected %s: %s", cmp.Or(p.Rejected.Version, "unreadable version"), reason))
 	}
 	return strings.Join(out, ", ")
--- a/internal/operate/gdsettings/check.go
+++ b/internal/operate/gdsettings/check.go
@@ -7,14 +7,12 @@
 	"net/url"
 	"os"
 	"path/filepath"
-	"regexp"
 	"strings"
 
+	"godwitdrift.example/godwitdrift/config"
 	"godwitdrift.example/godwitdrift/internal/text/gdtoml"
 )
 
-var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
-
 // checker gathers the problems of one settings file.
 type checker struct {
 	file     string
@@ -51,7 +49,7 @@
 }
 
 func (k *checker) name(key, s string) {
-	if !kebab.MatchString(s) {
+	if !config.ValidName(s) {
 		k.missingOr(key, "name %q is not in kebab case", s)
 	}
 }
@@ -62,8 +60,10 @@
 	}
 }
 
-func (k *checker) url(key, s string) {
-	u, err := url.Parse(s)
+// url wants an http URL and takes a slash off its end, as paths are put behind it.
+func (k *checker) url(key string, s *string) {
+	*s = strings.TrimSuffix(*s, "/")
+	u, err := url.Parse(*s)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		k.missingOr(key, "an http URL is needed, such as http://192.0.2.1:8080")
 		return
