Try an unchanged index again while its values lag

Cause: with ETags a process whose first attempt met a lagging value never tried that index again (TestUnchangedIndexIsTriedAgain failed: no action). Ruled out: forgetting the ETag on each failure, which only the client could do. Change: the core keeps the index and gathers again; the platform's answers wait for room in the inbox and are not dropped. Conclusion: the test passes.

--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -158,6 +158,22 @@
 	}
 }
 
+func TestUnchangedIndexIsTriedAgain(t *testing.T) {
+	n := settle(t, 19, 1)
+	c := n.cores[0]
+	values := split(deployment(2, 2, 4, 2))
+	index := PlatformValue{Key: config.IndexKey, Data: values[config.IndexKey]}
+	ask := c.PlatformRead(n.now, Result{Values: []PlatformValue{index}})
+	require.Len(t, ask, 1)
+	key := ask[0].(ReadPlatform).Keys[0]
+	require.Empty(t, c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: key}}}), "the value lags behind the index")
+	again := c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: config.IndexKey, Unchanged: true}}})
+	require.Equal(t, ask, again)
+	c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: key, Data: values[key]}}})
+	require.EqualValues(t, 2, c.View().Version().Revision())
+	require.Empty(t, c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: config.IndexKey, Unchanged: true}}}))
+}
+
 func TestFreshProcessesDuringAnOutage(t *testing.T) {
 	n := settle(t, 14, 100)
 	n.platform.down = true
--- a/internal/core/gdsync/platform.go
+++ b/internal/core/gdsync/platform.go
@@ -70,20 +70,22 @@
 	return c.valuesRead(now, r.Values)
 }
 
+// indexRead takes in an index. An unchanged one is tried again as long as its
+// values have not been seen whole.
 func (c *Core) indexRead(now time.Time, v PlatformValue) []Action {
-	if v.Unchanged {
-		return nil
-	}
-	idx, err := config.ParseIndex(v.Data)
-	if err == nil && idx.Revision == 0 {
-		err = errors.New("absent or without a revision")
+	idx := c.reading.index
+	if !v.Unchanged {
+		var err error
+		if idx, err = parseIndex(v.Data); err != nil {
+			c.status.PlatformError = err.Error()
+			return nil
+		}
 	}
-	if err != nil {
-		c.status.PlatformError = errors.Wrap(err, "index on the platform").Error()
+	fp := fingerprint(idx)
+	if idx.Revision == 0 || idx.Revision < c.state.Version().Revision() {
 		return nil
 	}
-	fp := fingerprint(idx)
-	if idx.Revision < c.state.Version().Revision() || c.settled(fp) || c.underWay(now, fp) {
+	if c.settled(fp) || c.underWay(now, fp) {
 		return nil
 	}
 	c.reading.index = idx
@@ -96,6 +98,14 @@
 	return c.nextBatch(now)
 }
 
+func parseIndex(data []byte) (config.Index, error) {
+	idx, err := config.ParseIndex(data)
+	if err == nil && idx.Revision == 0 {
+		err = errors.New("absent or without a revision")
+	}
+	return idx, errors.Wrap(err, "index on the platform")
+}
+
 // underWay reports whether the index's values are being read already.
 func (c *Core) underWay(now time.Time, fp uint64) bool {
 	r := &c.reading
--- a/internal/process/gdconfsync/syncer.go
+++ b/internal/process/gdconfsync/syncer.go
@@ -109,7 +109,7 @@
 	s.do(s.core.Start(last))
 	s.publish(last)
 	for {
-		timer := time.NewTimer(s.wait(time.Now()))
+		timer := time.NewTimer(s.untilNext(time.Now()))
 		var e event
 		select {
 		case <-ctx.Done():
@@ -139,7 +139,7 @@
 	s.publish(now)
 }
 
-func (s *Syncer) wait(now time.Time) time.Duration {
+func (s *Syncer) untilNext(now time.Time) time.Duration {
 	d := s.core.NextTick().Sub(now)
 	return max(0, min(d, heartbeat))
 }
@@ -160,6 +160,15 @@
 	}
 }
 
+// wait puts an event into the inbox, as soon as there is room. What the platform
+// answered must not be lost: its next answer may be that nothing is new.
+func (s *Syncer) wait(ctx context.Context, e event) {
+	select {
+	case s.inbox <- e:
+	case <-ctx.Done():
+	}
+}
+
 // Pushed takes in an update that a peer sent unasked.
 func (s *Syncer) Pushed(from string, u gdsync.Update) {
 	s.send(func(now time.Time) []gdsync.Action { return s.core.Pushed(now, from, u) })
--- a/internal/process/gdconfsync/work.go
+++ b/internal/process/gdconfsync/work.go
@@ -50,7 +50,7 @@
 	switch a := a.(type) {
 	case gdsync.ReadPlatform:
 		r := s.readValues(ctx, a)
-		s.send(func(now time.Time) []gdsync.Action { return s.core.PlatformRead(now, r) })
+		s.wait(ctx, func(now time.Time) []gdsync.Action { return s.core.PlatformRead(now, r) })
 	case gdsync.ReadHosts:
 		s.readHosts(ctx)
 	case gdsync.Push:
@@ -97,7 +97,7 @@
 
 func (s *Syncer) readHosts(ctx context.Context) {
 	hosts, err := s.Platform.Hosts(ctx)
-	s.send(func(now time.Time) []gdsync.Action {
+	s.wait(ctx, func(now time.Time) []gdsync.Action {
 		if err != nil {
 			s.core.HostsFailed(now, err)
 			return nil
