Push a new version to eight peers; prove three more faults

Change: DefaultFanout is 8; tests with a slow platform and with lists of hosts that name too many or too few; benchmarks report processor time.

--- a/internal/core/gdsync/bench_test.go
+++ b/internal/core/gdsync/bench_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"runtime"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -70,6 +72,7 @@
 		for _, v := range values {
 			total += len(v)
 		}
+		before := cpuTime()
 		for b.Loop() {
 			idx, err := config.ParseIndex(values[config.IndexKey])
 			require.NoError(b, err)
@@ -78,6 +81,7 @@
 				require.NoError(b, err)
 			}
 		}
+		reportCPU(b, before)
 		b.ReportMetric(float64(len(values[config.IndexKey])), "index-B")
 		b.ReportMetric(float64(total), "values-B")
 	})
@@ -86,10 +90,12 @@
 func BenchmarkView(b *testing.B) {
 	eachSize(b, func(b *testing.B, services, upstreams int) {
 		d := sized(1, services, upstreams, 0)
+		before := cpuTime()
 		for b.Loop() {
 			_, err := gdconf.New(d)
 			require.NoError(b, err)
 		}
+		reportCPU(b, before)
 	})
 }
 
@@ -100,12 +106,14 @@
 		base, next := benchStates(b, services, upstreams)
 		data, err := Encode(next.update(base))
 		require.NoError(b, err)
+		before := cpuTime()
 		for b.Loop() {
 			u, err := Decode(data)
 			require.NoError(b, err)
 			_, err = base.apply(u)
 			require.NoError(b, err)
 		}
+		reportCPU(b, before)
 		b.ReportMetric(float64(len(data)), "delta-B")
 	})
 }
@@ -114,9 +122,11 @@
 func BenchmarkMakeDelta(b *testing.B) {
 	eachSize(b, func(b *testing.B, services, upstreams int) {
 		base, next := benchStates(b, services, upstreams)
+		before := cpuTime()
 		for b.Loop() {
 			_ = next.update(base)
 		}
+		reportCPU(b, before)
 		data, err := Encode(next.update(nil))
 		require.NoError(b, err)
 		b.ReportMetric(float64(len(data)), "snapshot-B")
@@ -174,3 +184,17 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// cpuTime returns the processor time of this process, which a busy machine
+// changes less than the time of day.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		panic(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+func reportCPU(b *testing.B, before time.Duration) {
+	b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/op")
+}
--- a/internal/core/gdsync/core.go
+++ b/internal/core/gdsync/core.go
@@ -11,7 +11,7 @@
 	// DefaultReadsPerSecond is the whole fleet's rate of platform calls.
 	DefaultReadsPerSecond = 100.0
 	// DefaultFanout is the number of peers to which a new version is pushed.
-	DefaultFanout = 6
+	DefaultFanout = 8
 	// DefaultDigestEvery is the mean time between two digests of one process.
 	DefaultDigestEvery = time.Second
 	// DefaultConfirmWithin bounds the wait for a peer after a pause.
--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -43,6 +43,41 @@
 	}
 }
 
+func TestChangeIsInForceInTimeUnderFaults(t *testing.T) {
+	t.Parallel()
+	const size = 500
+	faults := map[string]func(n *fakeNet){
+		"slow platform": func(n *fakeNet) { n.platform.slow = time.Second },
+		"a tenth of the listed hosts is gone": func(n *fakeNet) {
+			for i := range size / 10 {
+				n.hostList = append(n.hostList, NewMember(fmt.Sprintf("gone-%d", i), agentAddress(9000+i)))
+			}
+			n.hostList = append(n.hostList, n.hosts...)
+		},
+		"a tenth of the hosts is not listed": func(n *fakeNet) {
+			for i, h := range n.hosts {
+				if i%10 != 9 {
+					n.hostList = append(n.hostList, h)
+				}
+			}
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			n := warmNet(8, size, deployment(1, 2, 4, 0), nil)
+			fault(n)
+			for i, c := range n.cores {
+				n.do(i, c, c.Members(n.now, n.listed()))
+			}
+			n.loss = 0.1
+			n.run(3 * time.Second)
+			n.platform.publish(deployment(2, 2, 4, 2))
+			n.run(inForceWithin)
+			require.Equal(t, size, n.agreed(2))
+		})
+	}
+}
+
 func TestFleetThatStartsAtOnceStaysWithinTheReadBudget(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int{10, 100, 1000} {
--- a/internal/core/gdsync/net_test.go
+++ b/internal/core/gdsync/net_test.go
@@ -63,6 +63,7 @@
 	// old are the values that a stale answer comes from, with the probability.
 	old   map[string][]byte
 	stale float64
+	slow  time.Duration // added to each call
 	down  bool
 	calls int
 	// after is called after each call and may change the platform.
@@ -105,6 +106,7 @@
 	encoded  map[[2]gdconf.Version]int
 	spans    map[int]int // the part of the ring that a broadcast tree gave a process
 	hosts    []Member
+	hostList []Member // the platform's list of hosts, if it lags
 	platform *fakePlatform
 	loss     float64
 	cut      func(a, b int) bool
@@ -189,7 +191,7 @@
 	for i := range size {
 		c := n.newCore(i)
 		c.Start(n.now)
-		c.Members(n.now, n.hosts)
+		c.Members(n.now, n.listed())
 		c.enter(n.now, "peer", s)
 		n.inForce(i, s)
 		n.do(i, c, nil)
@@ -279,7 +281,8 @@
 	case ReadPlatform:
 		n.after(n.hop(), func() {
 			r := n.platform.read(n.rnd, a.Keys, n.isDown(i))
-			n.after(time.Duration(len(a.Keys)-1)*a.Pace, func() { n.do(i, c, c.PlatformRead(n.now, r)) })
+			wait := time.Duration(len(a.Keys)-1)*a.Pace + time.Duration(len(a.Keys))*n.platform.slow
+			n.after(wait, func() { n.do(i, c, c.PlatformRead(n.now, r)) })
 		})
 	case ReadHosts:
 		n.platform.calls++
@@ -287,7 +290,7 @@
 			c.HostsFailed(n.now, errors.New("platform: connection refused"))
 			return
 		}
-		n.after(n.hop(), func() { n.do(i, c, c.Members(n.now, n.hosts)) })
+		n.after(n.hop(), func() { n.do(i, c, c.Members(n.now, n.listed())) })
 	case Push:
 		n.push(i, a.To.Name(), a.Update)
 	case Pull:
@@ -318,6 +321,14 @@
 	}
 }
 
+// listed returns the platform's list of hosts.
+func (n *fakeNet) listed() []Member {
+	if n.hostList != nil {
+		return n.hostList
+	}
+	return n.hosts
+}
+
 func (n *fakeNet) isDown(i int) bool {
 	return n.platform.down || (n.noPlat != nil && n.noPlat(i))
 }
--- a/internal/wire/gdpeer/bench_test.go
+++ b/internal/wire/gdpeer/bench_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -64,6 +66,7 @@
 			go func() { done <- srv.Serve(ctx, metered) }()
 			d := &gdpeer.Dialer{Identity: id, Name: "booking-1"}
 			to := gdsync.NewMember("booking-2", l.Addr().String())
+			before := cpuTime(b)
 			for b.Loop() {
 				_, err := d.Digest(ctx, to, gdconf.NewVersion(3, 2))
 				require.NoError(b, err)
@@ -71,6 +74,7 @@
 					d.Close()
 				}
 			}
+			b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
 			b.ReportMetric(float64(metered.bytes.Load())/float64(b.N), "wire-B/op")
 			d.Close()
 			cancel()
@@ -78,3 +82,11 @@
 		})
 	}
 }
+
+// cpuTime returns the processor time of this process, both ends together.
+func cpuTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	require.NoError(b, syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
