--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -43,6 +43,41 @@
 	}
 }
 
+func TestChangeIsInForceInTimeUnderFaults(t *testing.T) {
+	t.Parallel()
+	const size = 500
+	faults := map[string]func(n *fakeNet){
+		"slow platform": func(n *fakeNet) { n.platform.slow = time.Second },
+		"a tenth of the listed hosts is gone": func(n *fakeNet) {
+			for i := range size / 10 {
+				n.hostList = append(n.hostList, NewMember(fmt.Sprintf("gone-%d", i), agentAddress(9000+i)))
+			}
+			n.hostList = append(n.hostList, n.hosts...)
+		},
+		"a tenth of the hosts is not listed": func(n *fakeNet) {
+			for i, h := range n.hosts {
+				if i%10 != 9 {
+					n.hostList = append(n.hostList, h)
+				}
+			}
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			n := warmNet(8, size, deployment(1, 2, 4, 0), nil)
+			fault(n)
+			for i, c := range n.cores {
+				n.do(i, c, c.Members(n.now, n.listed()))
+			}
+			n.loss = 0.1
+			n.run(3 * time.Second)
+			n.platform.publish(deployment(2, 2, 4, 2))
+			n.run(inForceWithin)
+			require.Equal(t, size, n.agreed(2))
+		})
+	}
+}
+
 func TestFleetThatStartsAtOnceStaysWithinTheReadBudget(t *testing.T) {
 	t.Parallel()
 	for _, size := range []int{10, 100, 1000} {
@@ -158,6 +193,22 @@
 	}
 }
 
+func TestUnchangedIndexIsTriedAgain(t *testing.T) {
+	n := settle(t, 19, 1)
+	c := n.cores[0]
+	values := split(deployment(2, 2, 4, 2))
+	index := PlatformValue{Key: config.IndexKey, Data: values[config.IndexKey]}
+	ask := c.PlatformRead(n.now, Result{Values: []PlatformValue{index}})
+	require.Len(t, ask, 1)
+	key := ask[0].(ReadPlatform).Keys[0]
+	require.Empty(t, c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: key}}}), "the value lags behind the index")
+	again := c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: config.IndexKey, Unchanged: true}}})
+	require.Equal(t, ask, again)
+	c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: key, Data: values[key]}}})
+	require.EqualValues(t, 2, c.View().Version().Revision())
+	require.Empty(t, c.PlatformRead(n.now, Result{Values: []PlatformValue{{Key: config.IndexKey, Unchanged: true}}}))
+}
+
 func TestFreshProcessesDuringAnOutage(t *testing.T) {
 	n := settle(t, 14, 100)
 	n.platform.down = true
