Find flows over doors whose views differ; test routing under random events

After a change of weight, doors with older and newer views rank differently.

Ruled out: starting the walk over at the ranking's head alone.

Change: a door that must accept nothing passes on what isn't its own. A packet in the middle of a flow follows the ranking for two hops, then the order of identifiers, which is the same under all weights and never jumps over an upstream that the agents on the way know. MaxHops is 9, for up to 8 upstreams.

What no process on the way can know is listed at the test.

--- a/internal/core/gdroute/door.go
+++ b/internal/core/gdroute/door.go
@@ -56,15 +56,19 @@
 	if d.view == nil || d.blocked {
 		return drop(NotReady)
 	}
-	self, ok := d.view.Upstream(d.Self)
+	s, ok := d.view.Service(p.service)
 	if !ok {
-		return drop(UnknownUpstream)
+		return drop(UnknownService)
 	}
-	if p.service != self.Service().ID() || d.foreign(self, p.address) {
+	self, ok := d.view.Upstream(d.Self)
+	if ok && self.Service() != s || d.foreign(s, p.address) {
 		return drop(WrongService)
 	}
+	if !ok {
+		return d.turnAway(now, s, p, UnknownUpstream)
+	}
 	if self.DomainOut() {
-		return drop(DomainOut)
+		return d.turnAway(now, s, p, DomainOut)
 	}
 	if p.hasToken {
 		return d.admitToken(p)
@@ -72,12 +76,30 @@
 	return d.admitKey(now, self, p)
 }
 
+// turnAway handles a packet at an agent that must accept none, because it was
+// removed or its failure domain is out. The flows of this agent are given up. A
+// packet of any other flow came from a process that does not know of the change
+// yet, and goes on to where its flow may be.
+func (d *Door) turnAway(now time.Time, s *gdconf.Service, p Packet, reason Reason) Decision {
+	switch {
+	case p.hasToken && p.token.Service() == p.service && p.token.Upstream() != d.Self:
+		return d.passToken(p)
+	case p.hasToken && p.token.Service() != p.service:
+		return drop(WrongService)
+	case p.hasToken || d.holds(now, p.key):
+		return drop(reason)
+	case p.opening:
+		return d.passKey(s, p, (*gdconf.Upstream).TakesNew)
+	}
+	return d.passKey(s, p, domainIn)
+}
+
 // foreign reports whether the address belongs to another service in this view.
 // A balancer that still holds an older view may have sent the packet of an
 // address that was given to another service since.
-func (d *Door) foreign(self *gdconf.Upstream, address netip.AddrPort) bool {
+func (d *Door) foreign(s *gdconf.Service, address netip.AddrPort) bool {
 	owner, ok := d.view.ServiceAt(address)
-	return ok && owner.ID() != self.Service().ID()
+	return ok && owner != s
 }
 
 // admitToken lets in the flows of this incarnation and passes on those of other
@@ -111,38 +133,49 @@
 	if d.holds(now, p.key) {
 		return Decision{verdict: Accept, reason: Held}
 	}
+	s := self.Service()
 	if !p.opening {
-		return d.passKey(self, p, domainIn)
+		return d.passKey(s, p, domainIn)
 	}
 	if d.takesNew(self) {
 		d.hold(now, p.key)
 		return Decision{verdict: Accept, reason: ByRank}
 	}
-	return d.passKey(self, p, (*gdconf.Upstream).TakesNew)
+	return d.passKey(s, p, (*gdconf.Upstream).TakesNew)
 }
 
 func (d *Door) takesNew(self *gdconf.Upstream) bool {
 	return self.TakesNew() && !d.stopping && !d.full
 }
 
-// passKey passes the packet to the next upstream of the key's ranking. A new
-// flow starts over at the ranking's head when its end is reached, since a ramp
-// may have made the balancer skip upstreams.
-func (d *Door) passKey(self *gdconf.Upstream, p Packet, allowed func(*gdconf.Upstream) bool) Decision {
+// passKey passes the packet to another upstream that may hold or take its flow.
+func (d *Door) passKey(s *gdconf.Service, p Packet, allowed func(*gdconf.Upstream) bool) Decision {
 	if p.hops >= MaxHops {
 		return drop(HopLimit)
 	}
-	s := self.Service()
-	u := after(s, p.key, self, allowed)
-	if u == nil && p.opening {
-		u = first(s, p.key, func(u *gdconf.Upstream) bool { return u.ID() != d.Self && allowed(u) })
-	}
+	u := d.next(s, p, allowed)
 	if u == nil {
 		return drop(UnknownFlow)
 	}
 	return forward(u, PassedOn)
 }
 
+// next follows the ranking. At its end a new flow starts over at the head, since
+// a ramp may have made the balancer skip upstreams. A flow in progress goes on
+// by identifier, at the ranking's end or after rankHops.
+func (d *Door) next(s *gdconf.Service, p Packet, allowed func(*gdconf.Upstream) bool) *gdconf.Upstream {
+	self, known := d.view.Upstream(d.Self)
+	if known && (p.opening || p.hops < rankHops) {
+		if u := after(s, p.key, self, allowed); u != nil {
+			return u
+		}
+	}
+	if p.opening {
+		return first(s, p.key, func(u *gdconf.Upstream) bool { return u.ID() != d.Self && allowed(u) })
+	}
+	return follower(s, d.Self, allowed)
+}
+
 func (d *Door) holds(now time.Time, key FlowKey) bool {
 	if d.held == nil {
 		return false
--- /dev/null
+++ b/internal/core/gdroute/fleet_test.go
@@ -0,0 +1,281 @@
+package gdroute_test
+
+import (
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdfix"
+	"godwitdrift.example/godwitdrift/internal/core/gdroute"
+	"godwitdrift.example/godwitdrift/internal/core/gdtoken"
+)
+
+// TestMain fixes the seed, so that each run gives the same verdict.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{
+		"rapid.seed": "4", "rapid.checks": "400", "rapid.steps": "60", "rapid.nofailfile": "true",
+	} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// process is what a balancer and an agent have in common.
+type process struct {
+	view   *gdconf.View
+	ring   *gdtoken.Ring
+	paused bool
+	// unsure is true from the end of a pause until the view is confirmed.
+	unsure bool
+}
+
+func (p *process) silent() bool { return p.paused || p.unsure }
+
+// older reports whether the process has yet to hear of the view.
+func (p *process) older(v *gdconf.View) bool {
+	return p.view == nil || p.view.Version().Compare(v.Version()) < 0
+}
+
+type entry struct {
+	process
+	core gdroute.Balancer
+}
+
+type agent struct {
+	process
+	core *gdroute.Door
+}
+
+// flow is one caller's flow at the address at which it was opened.
+type flow struct {
+	service     gdconf.ServiceID
+	address     netip.AddrPort
+	caller      netip.AddrPort
+	cid         []byte
+	token       gdtoken.Token
+	key         config.TokenKey
+	sealed      bool
+	home        gdconf.UpstreamID
+	incarnation uint32
+	ended       bool
+}
+
+// cluster is a number of balancer and door cores of two services. It does what
+// the adapters do: it finds the service of an address, opens tokens, and carries
+// packets from core to core.
+type cluster struct {
+	now      time.Time
+	latest   config.Deployment
+	views    []*gdconf.View
+	rings    map[*gdconf.View]*gdtoken.Ring
+	entries  []*entry
+	agents   map[gdconf.UpstreamID]*agent
+	flows    []*flow
+	sequence uint32
+}
+
+const (
+	clusterServices  = 2
+	clusterUpstreams = 5
+	clusterBalancers = 3
+	firstLife        = 1
+)
+
+func newCluster() *cluster {
+	c := &cluster{now: start, agents: map[gdconf.UpstreamID]*agent{}, rings: map[*gdconf.View]*gdtoken.Ring{}}
+	c.publish(gdfix.Deployment(clusterServices, clusterUpstreams))
+	for range clusterBalancers {
+		c.entries = append(c.entries, c.newEntry(c.newest()))
+	}
+	return c
+}
+
+func (c *cluster) newest() *gdconf.View { return c.views[len(c.views)-1] }
+
+// publish makes a deployment the newest one. No process but new agents has it.
+func (c *cluster) publish(d config.Deployment) {
+	d.Revision = uint64(len(c.views)) + 1
+	c.latest = d
+	c.views = append(c.views, gdfix.View(d))
+	for _, s := range d.Services {
+		for _, u := range s.Upstreams {
+			if id := gdconf.UpstreamID(u.ID); c.agents[id] == nil {
+				c.agents[id] = c.newAgent(id, firstLife)
+			}
+		}
+	}
+}
+
+func ringOf(v *gdconf.View) *gdtoken.Ring {
+	var keys []gdtoken.Key
+	for _, k := range v.Deployment().TokenKeys {
+		secret := fmt.Sprintf("%-16.16s", k.Name)
+		keys = append(keys, gdtoken.NewKey(k.Phase, []byte(secret)))
+	}
+	ring, err := gdtoken.NewRing(keys)
+	if err != nil {
+		panic(err)
+	}
+	return ring
+}
+
+func (c *cluster) newEntry(v *gdconf.View) *entry {
+	e := &entry{}
+	c.apply(e, v)
+	return e
+}
+
+func (c *cluster) newAgent(id gdconf.UpstreamID, incarnation uint32) *agent {
+	a := &agent{core: &gdroute.Door{Self: id, Incarnation: incarnation, Flows: 1000, Idle: time.Hour}}
+	c.apply(a, c.newest())
+	return a
+}
+
+// member is an entry or an agent.
+type member interface {
+	state() *process
+	set(now time.Time, v *gdconf.View)
+	block(bool)
+}
+
+func (p *process) state() *process { return p }
+
+func (e *entry) set(now time.Time, v *gdconf.View) { e.core.SetView(now, v) }
+
+func (a *agent) set(_ time.Time, v *gdconf.View) { a.core.SetView(v) }
+
+func (e *entry) block(b bool) { blockWhen(b, e.core.Block, e.core.Unblock) }
+
+func (a *agent) block(b bool) { blockWhen(b, a.core.Block, a.core.Unblock) }
+
+func blockWhen(b bool, block, unblock func()) {
+	if b {
+		block()
+		return
+	}
+	unblock()
+}
+
+// apply puts a view in force in a process.
+func (c *cluster) apply(m member, v *gdconf.View) {
+	p := m.state()
+	if c.rings[v] == nil {
+		c.rings[v] = ringOf(v)
+	}
+	p.view, p.ring = v, c.rings[v]
+	m.set(c.now, v)
+}
+
+// members returns all processes in a fixed order.
+func (c *cluster) members() []member {
+	var all []member
+	for _, e := range c.entries {
+		all = append(all, e)
+	}
+	for s := range clusterServices {
+		for u := range maxClusterUpstreams {
+			if a := c.agents[gdconf.UpstreamID((s+1)*100+u+1)]; a != nil {
+				all = append(all, a)
+			}
+		}
+	}
+	return all
+}
+
+// packet does what the adapters do with a datagram.
+func (p *process) packet(f *flow, s gdconf.ServiceID, opening bool, hops uint8) gdroute.Packet {
+	if t, ok := gdtoken.NewOpener(p.ring).Open(f.cid); ok {
+		return gdroute.NewPacket(s, 0).WithToken(t).WithHops(hops).At(f.address)
+	}
+	packet := gdroute.NewPacket(s, gdroute.KeyOf(f.caller, f.cid)).WithHops(hops).At(f.address)
+	if opening {
+		packet = packet.Opening()
+	}
+	return packet
+}
+
+// journey is the way of one packet.
+type journey struct {
+	verdict gdroute.Verdict
+	reason  gdroute.Reason
+	last    *agent
+	service gdconf.ServiceID
+	seen    []*process
+}
+
+// send carries a packet from a balancer to its end and checks, at each process,
+// what must hold there whatever the others know.
+func (c *cluster) send(t *rapid.T, e *entry, f *flow, opening bool) journey {
+	j := journey{seen: []*process{&e.process}}
+	s, ok := e.view.ServiceAt(f.address)
+	if !ok || e.paused {
+		return j // the balancer has no socket at this address, or does not run
+	}
+	j.service = s.ID()
+	d := e.core.Route(c.now, e.packet(f, s.ID(), opening, 0))
+	checkSilent(t, &e.process, d)
+	for hops := uint8(0); d.Verdict() == gdroute.Forward; hops++ {
+		if hops > gdroute.MaxHops {
+			t.Fatalf("packet was passed on %d times", hops)
+		}
+		checkForward(t, j.seen[len(j.seen)-1], s.ID(), d)
+		a := c.agents[d.Upstream().ID()]
+		j.last = a
+		j.seen = append(j.seen, &a.process)
+		if a.paused {
+			return journey{seen: j.seen}
+		}
+		d = a.core.Admit(c.now, a.packet(f, s.ID(), opening, hops))
+		checkSilent(t, &a.process, d)
+	}
+	j.verdict, j.reason = d.Verdict(), d.Reason()
+	if j.verdict == gdroute.Accept {
+		checkAccept(t, j, f)
+	}
+	return j
+}
+
+// checkSilent: a process that is not sure of its view decides nothing.
+func checkSilent(t *rapid.T, p *process, d gdroute.Decision) {
+	if p.unsure && d.Verdict() != gdroute.Drop {
+		t.Fatalf("a process that is not sure of its view decided %v", d.Verdict())
+	}
+}
+
+// checkForward: nobody forwards into a failure domain that it knows to be out,
+// nor to another service.
+func checkForward(t *rapid.T, p *process, s gdconf.ServiceID, d gdroute.Decision) {
+	u, ok := p.view.Upstream(d.Upstream().ID())
+	if !ok || u.DomainOut() || u.Service().ID() != s {
+		t.Fatalf("packet of service %d was forwarded to %s", s, d.Upstream().Name())
+	}
+}
+
+// checkAccept: the agent is one of the service that the address has in its own
+// view, its domain is in, and the flow is no other agent's.
+func checkAccept(t *rapid.T, j journey, f *flow) {
+	u, _ := j.last.view.Upstream(j.last.core.Self)
+	owner, ok := j.last.view.ServiceAt(f.address)
+	if u.Service().ID() != j.service || ok && owner.ID() != j.service {
+		t.Fatalf("agent of service %d accepted a packet of address %v", u.Service().ID(), f.address)
+	}
+	if u.DomainOut() {
+		t.Fatalf("agent of %s accepted a packet while its domain is out", u.Name())
+	}
+	if f.home != 0 && (j.last.core.Self != f.home || j.last.core.Incarnation != f.incarnation) {
+		t.Fatalf("flow of %d was accepted by %d", f.home, j.last.core.Self)
+	}
+	if f.home != 0 && j.service != f.service {
+		t.Fatalf("flow of service %d was accepted by service %d", f.service, j.service)
+	}
+}
--- a/internal/core/gdroute/packet.go
+++ b/internal/core/gdroute/packet.go
@@ -10,9 +10,17 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdtoken"
 )
 
-// MaxHops is how often agents pass one packet on. It reaches every upstream of a
-// service of up to eight.
-const MaxHops = 7
+const (
+	// rankHops is how often a packet in the middle of a flow is passed on along
+	// its key's ranking. A flow that was opened while an upstream before its own
+	// took no new flows is found by these hops.
+	rankHops = 2
+	// ringHops is how often it is passed on by identifier after that, which
+	// reaches every upstream of a service of up to eight.
+	ringHops = 7
+	// MaxHops is how often agents pass one packet on.
+	MaxHops = rankHops + ringHops
+)
 
 // FlowKey identifies a flow whose packets carry no token.
 type FlowKey uint64
--- a/internal/core/gdroute/rank.go
+++ b/internal/core/gdroute/rank.go
@@ -72,6 +72,26 @@
 	return first(s, key, behind)
 }
 
+// follower returns the upstream with the next higher identifier among those that
+// allowed accepts; the lowest one follows the highest. It is nil when there is
+// no other. Unlike the ranking, this order is the same under all weights, and a
+// packet that goes along it never jumps over an upstream that the agents on its
+// way know. So it reaches each of them even if the agents' views differ.
+func follower(s *gdconf.Service, self gdconf.UpstreamID, allowed func(*gdconf.Upstream) bool) *gdconf.Upstream {
+	var next *gdconf.Upstream
+	// distance wraps around for the identifiers below self.
+	distance := func(u *gdconf.Upstream) uint32 { return uint32(u.ID() - self) }
+	for _, u := range s.Upstreams() {
+		if u.ID() == self || !allowed(u) {
+			continue
+		}
+		if next == nil || distance(u) < distance(next) {
+			next = u
+		}
+	}
+	return next
+}
+
 // Rank returns the service's upstreams in the key's ranking. It is for reports
 // and benches; the cores do not need the whole order.
 func Rank(s *gdconf.Service, key FlowKey) []*gdconf.Upstream {
