Add the plan half-silence; take the imbalance by service; name reasons in load

Cause: something between the two ends may forget a caller at one balancer only. Change: Fabric.ForgetAt and its plan; Load keeps answers by service, so that 'gdrig load' has an imbalance; Result.Notes.

--- a/cmd/gdrig/load.go
+++ b/cmd/gdrig/load.go
@@ -64,8 +64,8 @@
 		return err
 	}
 	r := l.Result()
-	for _, words := range r.Faults {
-		progress("fault: " + words)
+	for _, words := range r.Notes() {
+		progress(words)
 	}
 	if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
 		return errors.Wrap(err, "print result")
--- a/internal/rig/gddemo/actions.go
+++ b/internal/rig/gddemo/actions.go
@@ -175,6 +175,16 @@
 	return nil
 }
 
+func (d *Demo) forgetAtBalancer(context.Context) error {
+	host := d.Rig.Balancers()[0].Host
+	for _, s := range d.Rig.Services() {
+		for _, caller := range d.Rig.Fabric.Callers(s.Name) {
+			d.Rig.Fabric.ForgetAt(caller, host)
+		}
+	}
+	return nil
+}
+
 func (d *Demo) rebindCallers(context.Context) error {
 	for _, s := range d.Rig.Services() {
 		for _, caller := range d.Rig.Fabric.Callers(s.Name) {
--- a/internal/rig/gddemo/plans.go
+++ b/internal/rig/gddemo/plans.go
@@ -58,6 +58,7 @@
 		{name: "agent-stop", about: "an agent is stopped gracefully and started again", steps: (*Demo).agentStop, breaks: true},
 		{name: "agent-kill", about: "an agent is killed and started again", steps: (*Demo).agentKill, breaks: true},
 		{name: "silence", about: "the fabric loses track of callers", steps: (*Demo).silence, breaks: true},
+		{name: "half-silence", about: "the fabric loses track of all callers at one balancer", steps: (*Demo).halfSilence},
 		{name: "rebind", about: "callers' addresses change in mid-flow", steps: (*Demo).rebind},
 	}
 }
@@ -168,6 +169,10 @@
 	return []step{{0.4, "the fabric forgets every fourth caller", d.forgetCallers}}
 }
 
+func (d *Demo) halfSilence() []step {
+	return []step{{0.3, "the fabric forgets all callers at one balancer", d.forgetAtBalancer}}
+}
+
 func (d *Demo) rebind() []step {
 	return []step{
 		{0.3, "all callers get new addresses", d.rebindCallers},
--- a/internal/rig/gddemo/steps.go
+++ b/internal/rig/gddemo/steps.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 )
 
@@ -96,8 +94,6 @@
 
 // report says what the result line has no room for.
 func (d *Demo) report() {
-	r := d.load.Result()
-	d.say(fmt.Sprintf("connects %d, failed connects %d, feed lines %d", r.Connects, r.FailedConnects, r.FeedLines))
 	for _, words := range d.drained.late {
 		d.say("late work: " + words)
 	}
@@ -110,11 +106,8 @@
 		}
 	}
 	d.say(fmt.Sprintf("requests over what an upstream bore: %d, of them shed: %d", over, shed))
-	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
-		d.say(fmt.Sprintf("not answered: %d %s", r.Reasons[reason], reason))
-	}
-	for _, words := range r.Faults {
-		d.say("fault: " + words)
+	for _, words := range d.load.Result().Notes() {
+		d.say(words)
 	}
 }
 
--- a/internal/rig/gdfabric/caller.go
+++ b/internal/rig/gdfabric/caller.go
@@ -38,7 +38,9 @@
 	conn      *net.UDPConn
 	rng       *rand.Rand // only used by run
 	forgotten atomic.Bool
-	last      atomic.Int64 // time of the last datagram, in nanoseconds
+	// lostAt is the balancer at which the caller is not known.
+	lostAt atomic.Pointer[netip.Addr]
+	last   atomic.Int64 // time of the last datagram, in nanoseconds
 }
 
 func newService(f *Fabric, name string, conn *net.UDPConn, n uint64) *service {
@@ -70,12 +72,12 @@
 	r := s.fabric.route.Load()
 	c := s.caller(from)
 	p := packet{buf: buf}
-	if c == nil || c.forgotten.Load() || len(r.live) == 0 {
+	if c == nil || len(r.live) == 0 {
 		s.fabric.lose(p)
 		return
 	}
 	b := r.live[s.rng.IntN(len(r.live))]
-	if r.cut[b.Host] {
+	if r.cut[b.Host] || c.lost(b.Host) {
 		s.fabric.lose(p)
 		return
 	}
@@ -160,6 +162,20 @@
 	return nil
 }
 
+func (s *service) forgetAt(addr netip.AddrPort, balancer netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c, ok := s.callers[addr]; ok {
+		c.lostAt.Store(&balancer)
+	}
+}
+
+// lost reports whether datagrams between caller and balancer vanish.
+func (c *caller) lost(balancer netip.Addr) bool {
+	at := c.lostAt.Load()
+	return c.forgotten.Load() || at != nil && *at == balancer
+}
+
 // remove forgets a caller that has ended, unless another has taken its place.
 func (s *service) remove(c *caller) {
 	s.mu.Lock()
@@ -209,7 +225,7 @@
 	f := c.service.fabric
 	p := packet{buf: buf, from: c.service.conn, to: c.addr}
 	r := f.route.Load()
-	if c.forgotten.Load() || r.cut[from] {
+	if c.lost(from) || r.cut[from] {
 		f.lose(p)
 		return
 	}
--- a/internal/rig/gdfabric/fabric.go
+++ b/internal/rig/gdfabric/fabric.go
@@ -135,6 +135,16 @@
 	}
 }
 
+// ForgetAt makes the fabric lose track of a caller at one balancer: datagrams
+// between the two vanish for good, while the other balancers still work.
+func (f *Fabric) ForgetAt(caller netip.AddrPort, balancer netip.Addr) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.sockets {
+		s.forgetAt(caller, balancer)
+	}
+}
+
 // Rebind gives a caller another address towards the balancers, as a middlebox
 // does that has renewed its mapping.
 func (f *Fabric) Rebind(caller netip.AddrPort) error {
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -127,7 +127,7 @@
 		t.fault(id+": wrong answer to "+a.header.Get(gdupstreamsim.HeaderRequestID), func(r *Result) { r.Wrong++ })
 		return Wrong
 	}
-	t.answered(a.header.Get(gdupstreamsim.HeaderUpstream), d)
+	t.answered(f.target.Service, a.header.Get(gdupstreamsim.HeaderUpstream), d)
 	return Answered
 }
 
--- a/internal/rig/gdload/tally.go
+++ b/internal/rig/gdload/tally.go
@@ -1,6 +1,7 @@
 package gdload
 
 import (
+	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -51,6 +52,19 @@
 	return r.Wrong+r.Misrouted+r.Doubled+r.BrokenFlows > 0
 }
 
+// Notes says in words what the numbers have no room for: why requests were not
+// answered, and the first faults.
+func (r Result) Notes() []string {
+	notes := []string{fmt.Sprintf("connects %d, failed connects %d, feed lines %d", r.Connects, r.FailedConnects, r.FeedLines)}
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		notes = append(notes, fmt.Sprintf("not answered: %d %s", r.Reasons[reason], reason))
+	}
+	for _, words := range r.Faults {
+		notes = append(notes, "fault: "+words)
+	}
+	return notes
+}
+
 // maxFaults bounds the faults that are kept in words.
 const maxFaults = 20
 
@@ -59,7 +73,7 @@
 	mu       sync.Mutex
 	sum      Result
 	latency  *hdrhistogram.Histogram
-	upstream map[string]int
+	upstream map[string]map[string]int // answers by service and upstream
 	samples  []Sample
 	refused  []string // request ids that were refused as not run
 }
@@ -102,15 +116,18 @@
 	})
 }
 
-func (t *tally) answered(upstream string, d time.Duration) {
+func (t *tally) answered(service, upstream string, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.latency == nil {
 		t.latency = hdrhistogram.New(1, maxLatency, latencyDigits)
-		t.upstream = make(map[string]int)
+		t.upstream = make(map[string]map[string]int)
+	}
+	if t.upstream[service] == nil {
+		t.upstream[service] = make(map[string]int)
 	}
 	t.sum.Answered++
-	t.upstream[upstream]++
+	t.upstream[service][upstream]++
 	_ = t.latency.RecordValue(min(d.Microseconds(), maxLatency))
 }
 
@@ -180,15 +197,20 @@
 
 // imbalance is the largest share of the target's upstreams over the mean share.
 func (t *tally) imbalance(target Target) float64 {
+	answers := t.upstream[target.Service]
+	names := target.Upstreams
+	if len(names) == 0 {
+		names = slices.Collect(maps.Keys(answers))
+	}
 	sum, most := 0, 0
-	for _, name := range target.Upstreams {
-		sum += t.upstream[name]
-		most = max(most, t.upstream[name])
+	for _, name := range names {
+		sum += answers[name]
+		most = max(most, answers[name])
 	}
 	if sum == 0 {
 		return 0
 	}
-	ratio := float64(most) * float64(len(target.Upstreams)) / float64(sum)
+	ratio := float64(most) * float64(len(names)) / float64(sum)
 	return math.Round(ratio*1000) / 1000
 }
 
