Carry the ledger's notices, write more events, start from the peers of the settings

Ruled out: answering not-run to a keyed request that the ledger has not seen: an earlier attempt may have run, and the key is not closed. It is unknown now, with a time to come back.

--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -196,12 +196,23 @@
 		a.flows.add(c)
 		go func() {
 			defer a.flows.remove(c)
-			// The error says how the caller ended the flow.
-			_ = server.ServeQUICConn(c)
+			a.Log.Event(gdlog.FlowOpened, "caller", c.RemoteAddr().String())
+			err := server.ServeQUICConn(c)
+			a.Log.Failure(flowEnd(err), err, "caller", c.RemoteAddr().String())
 		}()
 	}
 }
 
+// flowEnd returns the event for a flow that ended with the error. A flow from
+// which nothing came any more was lost by something on its path.
+func flowEnd(err error) gdlog.Event {
+	var idle *quic.IdleTimeoutError
+	if errors.As(err, &idle) {
+		return gdlog.FlowSilent
+	}
+	return gdlog.FlowClosed
+}
+
 // watch closes the flows when the failure domain is taken out, until the context
 // ends.
 func (a *Agent) watch(ctx context.Context) {
--- a/internal/process/gdnode/node.go
+++ b/internal/process/gdnode/node.go
@@ -89,6 +89,9 @@
 // PutBuffer gives a buffer back. Its content must not be used afterwards.
 func PutBuffer(b *Buffer) { buffers.Put(b) }
 
+// CountRingFull is the name of the counter of datagrams that a full ring dropped.
+const CountRingFull = "ring-full"
+
 // maxReasons bounds the reasons that Counters can count.
 const maxReasons = 32
 
@@ -161,6 +164,6 @@
 	add("envelope-replayed", &c.replayed)
 	add("no-header", &c.noHeader)
 	add("send-error", &c.sendError)
-	add("ring-full", &c.ringFull)
+	add(CountRingFull, &c.ringFull)
 	return out
 }
--- a/internal/process/gdrequest/headers.go
+++ b/internal/process/gdrequest/headers.go
@@ -102,3 +102,12 @@
 func unknown(reason string) refusal {
 	return refusal{status: http.StatusBadGateway, outcome: OutcomeUnknown, reason: reason}
 }
+
+// undecided answers a request with a key that the ledger has not seen. This
+// attempt did not run, but an earlier one may have, and the key is not closed:
+// the caller is to come back with the same key.
+func undecided(reason string) refusal {
+	f := unknown(reason)
+	f.retryAfter = notReadyRetry
+	return f
+}
--- a/internal/process/gdrequest/keyed.go
+++ b/internal/process/gdrequest/keyed.go
@@ -5,13 +5,16 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdadmit"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/core/gdonce"
 	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 )
 
 const (
@@ -57,7 +60,7 @@
 		})
 	})
 	if !ok {
-		notRun(reasonBusy, notReadyRetry).write(w)
+		undecided(reasonBusy).write(w)
 		return
 	}
 	s.followLedger(ctx, w, at)
@@ -89,6 +92,12 @@
 	return d.Sum64()
 }
 
+// keyHash names the key in a log, where the key itself must not stand: whoever
+// has it can read the kept answer.
+func keyHash(at *attempt) string {
+	return strconv.FormatUint(xxhash.Sum64String(at.Header.Get(headerKey)), 16)
+}
+
 // followLedger does what the ledger decides until the caller has an answer.
 func (s *Server) followLedger(ctx context.Context, w http.ResponseWriter, at *attempt) {
 	for {
@@ -127,6 +136,7 @@
 		f.write(w)
 	case gdonce.AnswerUnknown:
 		s.note(at.request, "unknown", string(act.Reason), 0)
+		s.Log.Event(gdlog.RequestUnknown, "request", at.name, "reason", string(act.Reason), "key-hash", keyHash(at))
 		unknown(string(act.Reason)).write(w)
 	case gdonce.AnswerConflict:
 		s.note(at.request, "refuse", reasonConflict, 0)
@@ -236,11 +246,22 @@
 	s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.Finished(now, id, o) })
 }
 
-// deliverLedger hands an action of the ledger to its attempt, or carries a
-// question out. It runs in the ledger's goroutine and does not block.
+// deliverLedger hands an action of the ledger to its attempt, or to a peer. It
+// runs in the ledger's goroutine and does not block.
 func (s *Server) deliverLedger(act gdonce.Action) {
-	if ask, ok := act.(gdonce.Ask); ok {
-		go s.ask(ask)
+	switch act := act.(type) {
+	case gdonce.Ask:
+		go s.ask(act)
+		return
+	case gdonce.Release:
+		go s.callPeerLedger(act.Peer, func(ctx context.Context, addr string) error {
+			return s.Peers.Release(ctx, addr, act.Question)
+		})
+		return
+	case gdonce.Tell:
+		go s.callPeerLedger(act.Peer, func(ctx context.Context, addr string) error {
+			return s.Peers.Tell(ctx, addr, act.Notice)
+		})
 		return
 	}
 	at, ok := s.attempts.get(act.RequestID())
@@ -255,6 +276,17 @@
 	}
 }
 
+// callPeerLedger calls the ledger of a peer and reports whether that succeeded.
+func (s *Server) callPeerLedger(peer gdconf.UpstreamID, call func(ctx context.Context, addr string) error) bool {
+	addr, ok := s.addressOf(peer)
+	if !ok || s.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), gdonce.ClaimTimeout)
+	defer cancel()
+	return call(ctx, addr) == nil
+}
+
 // abandon handles an action whose attempt is gone: a run that nobody will carry
 // out has certainly not begun.
 func (s *Server) abandon(act gdonce.Action) {
@@ -265,19 +297,34 @@
 
 // ask carries a question to a peer and its answer back.
 func (s *Server) ask(act gdonce.Ask) {
-	ctx, cancel := context.WithTimeout(context.Background(), gdonce.ClaimTimeout)
-	defer cancel()
 	a := gdonce.Answer{Verdict: gdonce.PeerFailed}
-	if addr, ok := s.addressOf(act.Peer); ok && s.Peers != nil {
-		if got, err := s.Peers.Ask(ctx, addr, act.Question); err == nil {
+	s.callPeerLedger(act.Peer, func(ctx context.Context, addr string) error {
+		got, err := s.Peers.Ask(ctx, addr, act.Question)
+		if err == nil {
 			a = got
 		}
-	}
+		return err
+	})
 	s.ledger.Post(func(now time.Time) []gdonce.Action {
 		return s.once.Answered(now, act.RequestID(), act.Peer, a)
 	})
 }
 
+// Released takes back a grant that a peer gives back.
+func (s *Server) Released(q gdonce.Question) {
+	s.init()
+	s.ledger.Post(func(now time.Time) []gdonce.Action {
+		s.once.Released(now, q)
+		return nil
+	})
+}
+
+// Told takes in what a peer tells about a key.
+func (s *Server) Told(n gdonce.Notice) {
+	s.init()
+	s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.Told(now, n) })
+}
+
 // Asked answers a peer's question about a key.
 func (s *Server) Asked(ctx context.Context, q gdonce.Question) (gdonce.Answer, error) {
 	s.init()
--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -47,12 +47,12 @@
 	now := time.Now()
 	v := s.Config.View()
 	if v == nil || !s.Config.MayDecide(now) {
-		notRun(reasonNotReady, notReadyRetry).write(w)
+		notReady(r).write(w)
 		return
 	}
 	u, ok := v.Upstream(s.Self)
 	if !ok || !sameService(r, u.Service().ID()) {
-		notRun(reasonNotReady, notReadyRetry).write(w)
+		notReady(r).write(w)
 		return
 	}
 	q := s.read(r, u.Service(), now)
@@ -66,6 +66,14 @@
 	s.servePlain(ctx, w, q)
 }
 
+// notReady refuses a request before any core has seen it.
+func notReady(r *http.Request) refusal {
+	if r.Header.Get(headerKey) != "" {
+		return undecided(reasonNotReady)
+	}
+	return notRun(reasonNotReady, notReadyRetry)
+}
+
 // sameService reports whether a relayed request is for the service. A caller's
 // own request names none.
 func sameService[ID ~uint16](r *http.Request, id ID) bool {
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -31,6 +31,10 @@
 	Relay(ctx context.Context, addr string, r *http.Request) (*http.Response, bool, error)
 	// Ask asks a peer about a key.
 	Ask(ctx context.Context, addr string, q gdonce.Question) (gdonce.Answer, error)
+	// Release gives the grant of a question back.
+	Release(ctx context.Context, addr string, q gdonce.Question) error
+	// Tell sends a notice about a key.
+	Tell(ctx context.Context, addr string, n gdonce.Notice) error
 	// ExchangeLoad tells a peer the own load and returns the peer's.
 	ExchangeLoad(ctx context.Context, addr string, l gdpeer.Load) (gdpeer.PeerLoad, error)
 }
@@ -71,6 +75,9 @@
 	// addresses remembers where each agent of the service was last known.
 	addresses table[netip.AddrPort]
 
+	// warm says whether the limit was last logged as warm. It belongs to the
+	// duty's goroutine.
+	warm   bool
 	core   *gdadmit.Core
 	duty   *gdduty.Duty[gdadmit.Action]
 	once   *gdonce.Core
@@ -201,9 +208,24 @@
 // noteBusy renews what TakesFlow returns. It runs in the duty's goroutine.
 func (s *Server) noteBusy(now time.Time) []gdadmit.Action {
 	s.busy.Store(!s.core.TakesFlow(now))
+	s.logWarmth(s.core.Load(now).Limit())
 	return nil
 }
 
+// logWarmth logs when the limit falls to the one request of a cold upstream, and
+// when it is back at all slots.
+func (s *Server) logWarmth(limit int) {
+	switch {
+	case s.core.Slots <= 1:
+	case limit == 1 && s.warm:
+		s.warm = false
+		s.Log.Event(gdlog.UpstreamCold)
+	case limit == s.core.Slots && !s.warm:
+		s.warm = true
+		s.Log.Event(gdlog.UpstreamWarm)
+	}
+}
+
 // TakesFlow reports whether a new flow should stay at this agent, as of the last
 // look.
 func (s *Server) TakesFlow() bool { return !s.busy.Load() }
--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -7,12 +7,14 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
 
 	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdsync"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
 	"godwitdrift.example/godwitdrift/internal/operate/gdoperator"
@@ -42,7 +44,9 @@
 func provideCommon(inj do.Injector, c gdsettings.Common, r role, w io.Writer) {
 	do.ProvideValue(inj, c)
 	do.ProvideValue(inj, r)
-	log := gdlog.New(w, gdlog.ParseLevel(string(c.LogLevel)))
+	queue := gdlog.NewQueue(w, gdlog.DefaultQueue)
+	do.ProvideValue(inj, queue)
+	log := gdlog.New(queue, gdlog.ParseLevel(string(c.LogLevel)))
 	do.ProvideValue(inj, log.With("process", c.Name, "role", string(r)))
 	do.Provide(inj, provideFleet)
 	do.ProvideValue(inj, incarnation(rand.Uint32()))
@@ -90,6 +94,7 @@
 	s := &gdconfsync.Syncer{
 		Name:     c.Name,
 		Seed:     rand.Uint64(),
+		Seeds:    seeds(c),
 		Platform: &gdplatform.Client{URL: c.Platform, Remember: []string{config.IndexKey}},
 		Peers:    dialer,
 		Observe:  logConfiguration(do.MustInvoke[gdlog.Logger](inj)),
@@ -98,6 +103,15 @@
 	return s, nil
 }
 
+// seeds returns the peers that the settings name.
+func seeds(c gdsettings.Common) []gdsync.Member {
+	var out []gdsync.Member
+	for _, p := range c.Peers {
+		out = append(out, gdsync.NewMember(p.Name(), p.Address().String()))
+	}
+	return out
+}
+
 func provideMetrics(inj do.Injector) (*gdmetric.Metrics, error) {
 	r := do.MustInvoke[role](inj)
 	return gdmetric.New("godwitdrift", map[string]string{"role": string(r)}), nil
@@ -218,18 +232,17 @@
 func runProcess(ctx context.Context, inj do.Injector, p *process, duty func(context.Context) error) error {
 	log := do.MustInvoke[gdlog.Logger](inj)
 	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer end()
-	for _, start := range []func() error{
-		func() error { return serveOperator(life, inj, p) },
-		func() error { return servePeers(life, p) },
-	} {
-		if err := start(); err != nil {
-			log.Failure(gdlog.ProcessFailed, err)
-			return err
-		}
-	}
-	go p.config.Run(life)
-	go countDecisions(life, do.MustInvoke[*gdmetric.Metrics](inj), p.counters)
+	wg.Go(func() { do.MustInvoke[*gdlog.Queue](inj).Run(life) })
+	if err := errors.WithMessage(p.open(life, inj), "start"); err != nil {
+		log.Failure(gdlog.ProcessFailed, err)
+		return err
+	}
+	wg.Go(func() { p.config.Run(life) })
+	wg.Go(func() { countDecisions(life, do.MustInvoke[*gdmetric.Metrics](inj), p.counters) })
+	wg.Go(func() { p.watch(life, log) })
 	log.Event(gdlog.ProcessStarted)
 	if err := duty(ctx); err != nil {
 		log.Failure(gdlog.ProcessFailed, err)
@@ -238,3 +251,11 @@
 	log.Event(gdlog.ProcessStopped)
 	return nil
 }
+
+// open opens the process's two ports.
+func (p *process) open(ctx context.Context, inj do.Injector) error {
+	if err := serveOperator(ctx, inj, p); err != nil {
+		return err
+	}
+	return servePeers(ctx, p)
+}
--- a/internal/wire/gdpeer/dialer.go
+++ b/internal/wire/gdpeer/dialer.go
@@ -167,3 +167,27 @@
 	err = cbor.Unmarshal(r.GetAnswer(), &a)
 	return a, errors.Wrapf(err, "ask about a key at peer %s", addr)
 }
+
+// Release gives the grant of a question back.
+func (d *Dialer) Release(ctx context.Context, addr string, question gdonce.Question) error {
+	data, err := cbor.Marshal(question)
+	if err != nil {
+		return errors.Wrap(err, "encode a question")
+	}
+	return d.notify(ctx, addr, &gdpeerpb.NotifyRequest{Released: data})
+}
+
+// Tell sends a notice about a key.
+func (d *Dialer) Tell(ctx context.Context, addr string, notice gdonce.Notice) error {
+	data, err := cbor.Marshal(notice)
+	if err != nil {
+		return errors.Wrap(err, "encode a notice")
+	}
+	return d.notify(ctx, addr, &gdpeerpb.NotifyRequest{Notice: data})
+}
+
+func (d *Dialer) notify(ctx context.Context, addr string, q *gdpeerpb.NotifyRequest) error {
+	q.Sender = d.sender()
+	_, err := call(ctx, d, "notify about a key", addr, gdpeerpb.Peer.Notify, q)
+	return err
+}
--- a/internal/wire/gdpeer/peer_test.go
+++ b/internal/wire/gdpeer/peer_test.go
@@ -24,6 +24,7 @@
 
 // fakeProcess is everything that a server asks of its process.
 type fakeProcess struct {
+	told   []gdonce.Notice
 	pushed atomic.Pointer[gdsync.Update]
 	seen   atomic.Pointer[gdconf.Version]
 	digest atomic.Pointer[gdconf.Version]
@@ -45,6 +46,10 @@
 	return update, have != update.Version(), nil
 }
 
+func (p *fakeProcess) Released(gdonce.Question) {}
+
+func (p *fakeProcess) Told(n gdonce.Notice) { p.told = append(p.told, n) }
+
 func (p *fakeProcess) Asked(_ context.Context, q gdonce.Question) (gdonce.Answer, error) {
 	return gdonce.Answer{Verdict: gdonce.Done, Stored: gdonce.Stored{Status: int(q.Digest)}}, nil
 }
@@ -130,6 +135,9 @@
 	a, err := d.Ask(ctx, addr, gdonce.Question{Digest: 7})
 	require.NoError(t, err)
 	require.Equal(t, gdonce.Answer{Verdict: gdonce.Done, Stored: gdonce.Stored{Status: 7}}, a)
+	notice := gdonce.Notice{Digest: 9, Stored: gdonce.Stored{Status: 200}}
+	require.NoError(t, d.Tell(ctx, addr, notice))
+	require.Equal(t, []gdonce.Notice{notice}, p.told)
 	require.EqualValues(t, 1, accepted.Load())
 }
 
--- a/internal/wire/gdpeer/server.go
+++ b/internal/wire/gdpeer/server.go
@@ -50,6 +50,9 @@
 // Questions answers peers about the keys of requests that run at most once.
 type Questions interface {
 	Asked(ctx context.Context, q gdonce.Question) (gdonce.Answer, error)
+	// Released takes back a grant, and Told takes a notice in. Neither waits.
+	Released(q gdonce.Question)
+	Told(n gdonce.Notice)
 }
 
 // Server serves the peers of one process. Set the exported fields before Serve.
@@ -196,6 +199,29 @@
 	return &gdpeerpb.AskResponse{Answer: data, Incarnation: s.server.Incarnation}, nil
 }
 
+// Notify implements the generated service.
+func (s *service) Notify(_ context.Context, r *gdpeerpb.NotifyRequest) (*gdpeerpb.NotifyResponse, error) {
+	if s.server.Questions == nil {
+		return nil, twirp.NewError(twirp.Unimplemented, "this process keeps no outcomes")
+	}
+	s.sender(r.GetSender())
+	if data := r.GetReleased(); len(data) > 0 {
+		var q gdonce.Question
+		if err := cbor.Unmarshal(data, &q); err != nil {
+			return nil, twirp.InvalidArgumentError("released", err.Error())
+		}
+		s.server.Questions.Released(q)
+	}
+	if data := r.GetNotice(); len(data) > 0 {
+		var n gdonce.Notice
+		if err := cbor.Unmarshal(data, &n); err != nil {
+			return nil, twirp.InvalidArgumentError("notice", err.Error())
+		}
+		s.server.Questions.Told(n)
+	}
+	return &gdpeerpb.NotifyResponse{}, nil
+}
+
 // sender hands the sender's version to the configuration.
 func (s *service) sender(p *gdpeerpb.Sender) Sender {
 	from := toSender(p)
