--- /dev/null
+++ b/internal/core/gdpath/path_test.go
@@ -0,0 +1,115 @@
+package gdpath_test
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdpath"
+)
+
+var (
+	start  = time.Unix(1_800_000_000, 0)
+	caller = addr(1)
+	first  = addr(100)
+	second = addr(101)
+	third  = addr(102)
+)
+
+func addr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, byte(n >> 8), byte(n)}), 443)
+}
+
+func table(seed uint64, balancers ...netip.AddrPort) *gdpath.Table {
+	t := &gdpath.Table{Size: 8, Rand: rand.New(rand.NewPCG(seed, 1))}
+	for i, b := range balancers {
+		t.Received(start, addr(10+i), b)
+	}
+	t.Received(start, caller, first)
+	return t
+}
+
+// silence sends every 100 ms without an answer and returns the balancers used.
+func silence(t *testing.T, tab *gdpath.Table, from time.Time, sends int) []netip.AddrPort {
+	var used []netip.AddrPort
+	for i := range sends {
+		via, ok := tab.Send(from.Add(time.Duration(i)*100*time.Millisecond), caller)
+		require.True(t, ok)
+		used = append(used, via)
+	}
+	return used
+}
+
+func TestPathChangesAfterSilence(t *testing.T) {
+	tab := table(1, second)
+	used := silence(t, tab, start, 4)
+	require.Equal(t, []netip.AddrPort{first, first, first, second}, used)
+	require.EqualValues(t, 1, tab.Changed())
+}
+
+func TestAnsweredPathStays(t *testing.T) {
+	tab := table(1, second)
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 200 * time.Millisecond)
+		via, _ := tab.Send(now, caller)
+		require.Equal(t, first, via)
+		tab.Received(now, caller, first)
+	}
+	require.Zero(t, tab.Changed())
+}
+
+func TestOneLostPacketOnIdleFlowChangesNothing(t *testing.T) {
+	tab := table(1, second)
+	require.Equal(t, []netip.AddrPort{first}, silence(t, tab, start, 1))
+	require.Equal(t, []netip.AddrPort{first, first}, silence(t, tab, start.Add(30*time.Second), 2))
+	require.Zero(t, tab.Changed())
+}
+
+func TestReceivedDecidesThePath(t *testing.T) {
+	tab := table(1, second)
+	tab.Received(start, caller, third)
+	require.Equal(t, []netip.AddrPort{third}, silence(t, tab, start, 1))
+}
+
+func TestIdleBalancersAreNotUsed(t *testing.T) {
+	tab := table(1, second)
+	late := start.Add(2 * time.Minute)
+	tab.Received(late, caller, first)
+	for _, via := range silence(t, tab, late, 20) {
+		require.Equal(t, first, via)
+	}
+}
+
+func TestNoOtherBalancerKeepsThePath(t *testing.T) {
+	tab := table(1)
+	for _, via := range silence(t, tab, start, 20) {
+		require.Equal(t, first, via)
+	}
+	require.Zero(t, tab.Changed())
+}
+
+func TestTableIsBounded(t *testing.T) {
+	tab := table(1)
+	for i := range 1000 {
+		tab.Received(start, addr(1000+i), first)
+	}
+	require.Equal(t, 8, tab.Callers())
+	_, ok := tab.Send(start, caller)
+	require.False(t, ok, "the caller that was idle longest is forgotten")
+	_, ok = tab.Send(start, addr(1999))
+	require.True(t, ok)
+}
+
+// TestSameSeedSamePaths: the choice depends on the seed alone, and over a long
+// silence every live balancer is tried.
+func TestSameSeedSamePaths(t *testing.T) {
+	for seed := range uint64(20) {
+		one := silence(t, table(seed, second, third), start, 60)
+		require.Equal(t, one, silence(t, table(seed, second, third), start, 60))
+		require.Contains(t, one, second)
+		require.Contains(t, one, third)
+	}
+}
--- a/internal/core/gdtoken/token.go
+++ b/internal/core/gdtoken/token.go
@@ -80,6 +80,9 @@
 // NewKey returns a key of KeySize bytes for the phase.
 func NewKey(phase uint8, secret []byte) Key { return Key{phase: phase, secret: secret} }
 
+// Phase returns the phase that stands in the key's tokens.
+func (k Key) Phase() uint8 { return k.phase }
+
 // Ring holds the keys in force, one for each phase. It is immutable.
 type Ring struct {
 	blocks [config.MaxPhase + 1]cipher.Block
