Bound a balancer's memory at the size to design for

Ruled out: remembering fewer senders: a forgotten one costs a key derivation for each datagram, and its replay window.

--- a/internal/process/gdserve/balancer.go
+++ b/internal/process/gdserve/balancer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"io"
+	"math"
+	"runtime/debug"
 
 	"github.com/samber/do/v2"
 
@@ -13,8 +15,21 @@
 	"godwitdrift.example/godwitdrift/internal/wire/gdkey"
 )
 
+// balancerMemory is the soft limit in bytes of a balancer's memory. Near it the
+// collector works more often, which costs a balancer little: it allocates while
+// the configuration changes, and hardly otherwise.
+const balancerMemory = 60_000_000
+
+// limitMemory sets the limit, unless the host's environment sets one.
+func limitMemory() {
+	if debug.SetMemoryLimit(-1) == math.MaxInt64 {
+		debug.SetMemoryLimit(balancerMemory)
+	}
+}
+
 // Balancer runs a balancer until the context ends. It logs to w.
 func Balancer(ctx context.Context, s gdsettings.Balancer, w io.Writer) error {
+	limitMemory()
 	inj := do.New()
 	provideCommon(inj, s.Common, roleBalancer, w)
 	conf, err := do.Invoke[*gdconfsync.Syncer](inj)
