--- /dev/null
+++ b/internal/core/gdfix/layers_test.go
@@ -0,0 +1,48 @@
+package gdfix_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const module = "godwitdrift.example/godwitdrift/"
+
+// forbidden are the parts of the standard library with which a core would do
+// input or output, or look at a clock's ticks.
+var forbidden = []string{"net", "net/http", "os", "io/fs", "log", "log/slog", "syscall", "crypto/tls"}
+
+// TestCoresImportNoAdapter reads the imports of each core and of config.
+func TestCoresImportNoAdapter(t *testing.T) {
+	files := 0
+	walk := func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		files++
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		require.NoError(t, err)
+		for _, spec := range f.Imports {
+			name, err := strconv.Unquote(spec.Path.Value)
+			require.NoError(t, err)
+			require.NotContains(t, forbidden, name, path)
+			if own, ok := strings.CutPrefix(name, module); ok {
+				require.True(t, allowed(own), "%s imports %s", path, own)
+			}
+		}
+		return nil
+	}
+	require.NoError(t, filepath.WalkDir("..", walk))
+	require.NoError(t, filepath.WalkDir("../../../config", walk))
+	require.Greater(t, files, 30)
+}
+
+func allowed(own string) bool {
+	return own == "config" || strings.HasPrefix(own, "internal/core/") || strings.HasPrefix(own, "internal/text/")
+}
