Rank feeds before other requests in the examples; measure overload by class

Cause: at ten times the requests the kiosks' status feeds were refused, as they had the same priority as all other requests to bay-control.

--- a/cmd/gdrig/demo.go
+++ b/cmd/gdrig/demo.go
@@ -44,6 +44,7 @@
 		Flags: append(rigFlags(),
 			&cli.StringFlag{Name: "plan", Usage: "what happens under load: " + planNames(), Value: "change"},
 			&cli.StringFlag{Name: "plot", Usage: "PNG file for latency, refusals and imbalance over time"},
+			&cli.IntFlag{Name: "factor", Usage: "multiplies the flows that send requests", Value: 1},
 			&cli.IntFlag{Name: "seconds", Usage: "length of the load", Value: defaultDemoSeconds}),
 		Action: demo,
 	}
@@ -68,6 +69,7 @@
 		Rig:      rig,
 		Plan:     cmd.String("plan"),
 		Length:   time.Duration(cmd.Int("seconds")) * time.Second,
+		Factor:   cmd.Int("factor"),
 		Seed:     rig.Spec.Settings.Seed,
 		Progress: progress,
 	}
--- a/examples/kiosks/main.go
+++ b/examples/kiosks/main.go
@@ -35,7 +35,7 @@
 	}
 	d.Services = []config.Service{
 		{
-			Name: "bay-control", ID: 1, Address: "192.0.2.10:443", Priority: 2,
+			Name: "bay-control", ID: 1, Address: "192.0.2.10:443", Priority: 3,
 			Routes: []config.Route{
 				{PathPrefix: "/unlock", Priority: 1, AtMostOnce: true},
 				{PathPrefix: "/feed", Priority: 2, Stream: true},
@@ -44,7 +44,7 @@
 			Upstreams:   upstreams("bay-control", 100, 7),
 		},
 		{
-			Name: "receipts", ID: 2, Address: "192.0.2.11:443", Priority: 3,
+			Name: "receipts", ID: 2, Address: "192.0.2.11:443", Priority: 4,
 			RampSeconds: 10,
 			Upstreams:   upstreams("receipts", 200, 4),
 		},
--- a/examples/rejilla-norte/main.go
+++ b/examples/rejilla-norte/main.go
@@ -35,7 +35,7 @@
 	}
 	d.Services = []config.Service{
 		{
-			Name: "booking", ID: 1, Address: "192.0.2.10:443", Priority: 1,
+			Name: "booking", ID: 1, Address: "192.0.2.10:443", Priority: 2,
 			Routes: []config.Route{
 				{PathPrefix: "/repairs", Priority: 1, AtMostOnce: true},
 				{PathPrefix: "/feed", Priority: 1, Stream: true},
@@ -44,7 +44,7 @@
 			Upstreams:   upstreams("booking", 100, 7),
 		},
 		{
-			Name: "gallery", ID: 2, Address: "192.0.2.11:443", Priority: 2,
+			Name: "gallery", ID: 2, Address: "192.0.2.11:443", Priority: 3,
 			RampSeconds: 10,
 			Upstreams:   upstreams("gallery", 200, 4),
 		},
--- a/internal/rig/gddemo/demo.go
+++ b/internal/rig/gddemo/demo.go
@@ -20,6 +20,8 @@
 	Plan string
 	// Length is the length of the whole run.
 	Length time.Duration
+	// Factor multiplies the flows that send requests; 0 means 1.
+	Factor int
 	// Seed seeds the load.
 	Seed uint64
 	// Progress, when set, is called with each step in words.
@@ -85,11 +87,12 @@
 func (d *Demo) targets() []gdload.Target {
 	addrs := lo.KeyBy(d.Rig.Services(), func(s gdrigup.ServiceAddr) string { return s.Name })
 	services := lo.KeyBy(d.Rig.Deployment().Services, func(s config.Service) string { return s.Name })
+	factor := max(d.Factor, 1)
 	return lo.Map(d.Rig.Spec.Settings.Load, func(row gdrigup.LoadRow, _ int) gdload.Target {
 		return gdload.Target{
 			Service: row.Service, Addr: addrs[row.Service].Addr,
 			Upstreams: d.steady(services[row.Service]),
-			Echo:      row.Echo, Feeds: row.Feeds, Once: row.Once, OncePath: row.OncePath,
+			Echo:      row.Echo * factor, Feeds: row.Feeds, Once: row.Once * factor, OncePath: row.OncePath,
 			Interval: time.Duration(row.IntervalMS * float64(time.Millisecond)),
 		}
 	})
--- a/internal/rig/gddemo/plans.go
+++ b/internal/rig/gddemo/plans.go
@@ -46,6 +46,7 @@
 func plans() []plan {
 	return []plan{
 		{name: defaultPlan, about: "a balancer dies and is replaced, an upstream drains, a failure domain leaves and returns", steps: (*Demo).change},
+		{name: "steady", about: "nothing changes", steps: func(*Demo) []step { return nil }},
 		{name: "rough", about: "the fabric drops, doubles and reorders packets", steps: (*Demo).rough},
 		{name: "rough-domain", about: "a failure domain leaves and returns while packets are lost", steps: (*Demo).roughDomain},
 		{name: "balancer-pause", about: "a balancer sleeps through a failure domain's leaving and wakes", steps: (*Demo).balancerPause},
--- a/internal/rig/gddemo/steps.go
+++ b/internal/rig/gddemo/steps.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdload"
 )
 
 const (
@@ -106,6 +108,9 @@
 		}
 	}
 	d.say(fmt.Sprintf("requests over what an upstream bore: %d, of them shed: %d", over, shed))
+	for _, c := range gdload.Classes(d.load.Samples()) {
+		d.say(c.String())
+	}
 	for _, words := range d.load.Result().Notes() {
 		d.say(words)
 	}
--- a/internal/rig/gdload/flow.go
+++ b/internal/rig/gdload/flow.go
@@ -14,10 +14,12 @@
 )
 
 const (
-	packetSize      = 1280 // bytes; leaves room for the balancer's envelope
-	idleTimeout     = 15 * time.Second
-	keepAlive       = 3 * time.Second
-	connectTimeout  = 5 * time.Second
+	packetSize     = 1280 // bytes; leaves room for the balancer's envelope
+	idleTimeout    = 15 * time.Second
+	keepAlive      = 3 * time.Second
+	connectTimeout = 5 * time.Second
+	// connectWithin is the time over which all flows connect.
+	connectWithin   = 100 * time.Millisecond
 	reconnectPause  = 100 * time.Millisecond
 	maxOnceAttempts = 4
 )
@@ -50,7 +52,7 @@
 
 // run connects and uses the connection, again and again, until ctx ends.
 func (f *flow) run(ctx context.Context) {
-	f.pause(ctx, f.load.interval(f.target))
+	f.pause(ctx, connectWithin/2)
 	for ctx.Err() == nil {
 		c, err := f.connect(ctx)
 		if err != nil {
