--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -60,6 +60,8 @@
 type Agent struct {
 	// NodeAddress is where balancers and other agents send envelopes.
 	NodeAddress netip.AddrPort
+	// Name is the name of the upstream, for decision records.
+	Name string
 	// Upstream is the upstream beside which the agent runs.
 	Upstream gdconf.UpstreamID
 	// Incarnation tells this process from earlier ones in its place. It is random
--- a/internal/process/gdagent/door.go
+++ b/internal/process/gdagent/door.go
@@ -42,7 +42,7 @@
 		a: a, conn: conn, sealer: sealer,
 		opener:   gdenvelope.NewOpener(a.Fleet),
 		watcher:  gdnode.Watcher{Fleet: a.Fleet, Config: a.Config},
-		recorder: gdnode.Recorder{Decided: a.Decided},
+		recorder: gdnode.Recorder{Decided: a.Decided, Self: a.Name},
 		core: gdroute.Door{
 			Self: a.Upstream, Incarnation: a.Incarnation, Flows: a.MaxFlows, Idle: handshakeHold,
 		},
--- a/internal/process/gdbalancer/answer.go
+++ b/internal/process/gdbalancer/answer.go
@@ -78,7 +78,7 @@
 	defer a.b.mu.RUnlock()
 	live := make(map[*net.UDPConn]bool, len(a.b.callers))
 	for _, c := range a.b.callers {
-		live[c.conn] = true
+		live[c.conns[0]] = true
 	}
 	for conn := range a.out {
 		if !live[conn] {
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -6,9 +6,11 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
@@ -31,6 +33,9 @@
 	NodeAddress netip.AddrPort
 	// ListenHost takes the place of each service's own host when it is valid.
 	ListenHost netip.Addr
+	// Sockets is the number of sockets for each service address, at least one.
+	// The host spreads the callers over them, and each has a goroutine of its own.
+	Sockets int
 	// Fleet is the key that all processes share.
 	Fleet gdkey.Fleet
 	// Config is the configuration in force.
@@ -45,29 +50,39 @@
 
 	node *net.UDPConn
 	mu   sync.RWMutex
-	// callers holds the socket of each service. Guarded by mu.
-	callers map[gdconf.ServiceID]*callerSocket
+	// callers holds the sockets of each service. Guarded by mu.
+	callers map[gdconf.ServiceID]*callerSockets
 }
 
-// callerSocket is the socket on which one service's callers are served.
-type callerSocket struct {
-	conn *net.UDPConn
-	// addr is where the socket listens, and service the address in the
+// callerSockets are the sockets on which one service's callers are served.
+type callerSockets struct {
+	conns []*net.UDPConn
+	// addr is where the sockets listen, and service the address in the
 	// configuration. They differ when ListenHost is set.
 	addr    netip.AddrPort
 	service netip.AddrPort
-	done    chan struct{}
+	// readers ends when all sockets are closed.
+	readers sync.WaitGroup
+}
+
+func (c *callerSockets) close() {
+	for _, conn := range c.conns {
+		conn.Close()
+	}
+	c.readers.Wait()
 }
 
 // Run serves until the context ends. It returns an error when the node address
 // can't be opened.
 func (b *Balancer) Run(ctx context.Context) error {
-	node, err := listen(b.NodeAddress)
+	node, err := listen(b.NodeAddress, false)
 	if err != nil {
 		return errors.Wrap(err, "open the node address")
 	}
 	b.node = node
-	b.callers = make(map[gdconf.ServiceID]*callerSocket)
+	b.mu.Lock() // State may be asked for already
+	b.callers = make(map[gdconf.ServiceID]*callerSockets)
+	b.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(newAnswerer(b).run)
 	b.watchServices(ctx)
@@ -76,19 +91,39 @@
 	return nil
 }
 
-// listen opens a UDP socket with large buffers.
-func listen(addr netip.AddrPort) (*net.UDPConn, error) {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+// listen opens a UDP socket with large buffers. A shared one lets further
+// sockets listen on the same address.
+func listen(addr netip.AddrPort, shared bool) (*net.UDPConn, error) {
+	var lc net.ListenConfig
+	if shared {
+		lc.Control = shareAddress
+	}
+	pc, err := lc.ListenPacket(context.Background(), "udp", addr.String())
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	c, ok := pc.(*net.UDPConn)
+	if !ok {
+		return nil, errors.Errorf("listen on %s: not a UDP socket", addr)
+	}
 	// A host that grants less than this still serves, with more drops in bursts.
 	_ = c.SetReadBuffer(socketBuffer)
 	_ = c.SetWriteBuffer(socketBuffer)
 	return c, nil
 }
 
-// watchServices keeps one socket open for each configured service.
+func shareAddress(_, _ string, raw syscall.RawConn) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// watchServices keeps sockets open for each configured service.
 func (b *Balancer) watchServices(ctx context.Context) {
 	t := time.NewTicker(lookInterval)
 	defer t.Stop()
@@ -133,8 +168,7 @@
 		if ok && b.listenAddress(s) == c.addr && s.Address() == c.service {
 			continue
 		}
-		c.conn.Close()
-		<-c.done
+		c.close()
 		delete(b.callers, id)
 	}
 }
@@ -147,25 +181,37 @@
 }
 
 func (b *Balancer) open(s *gdconf.Service) error {
-	addr := b.listenAddress(s)
-	conn, err := listen(addr)
+	c := &callerSockets{addr: b.listenAddress(s), service: s.Address()}
+	n := max(b.Sockets, 1)
+	for range n {
+		if err := b.addSocket(c, s.ID(), n > 1); err != nil {
+			c.close()
+			return errors.Wrapf(err, "open service %s at %s", s.Name(), c.addr)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.callers[s.ID()] = c
+	return nil
+}
+
+// addSocket opens one more socket with the goroutine that reads it.
+func (b *Balancer) addSocket(c *callerSockets, id gdconf.ServiceID, shared bool) error {
+	conn, err := listen(c.addr, shared)
 	if err != nil {
-		return errors.Wrapf(err, "open service %s at %s", s.Name(), addr)
+		return err
 	}
-	c := &callerSocket{conn: conn, addr: addr, service: s.Address(), done: make(chan struct{})}
-	r, err := newReader(b, c, s.ID())
+	c.conns = append(c.conns, conn)
+	r, err := newReader(b, conn, c.service, id)
 	if err != nil {
-		conn.Close()
 		return err
 	}
-	b.mu.Lock()
-	b.callers[s.ID()] = c
-	b.mu.Unlock()
-	go r.run()
+	c.readers.Go(r.run)
 	return nil
 }
 
-// socket returns the socket of a service, or nil.
+// socket returns the socket through which a service's callers are answered, or
+// nil.
 func (b *Balancer) socket(id gdconf.ServiceID) *net.UDPConn {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
@@ -173,7 +219,7 @@
 	if !ok {
 		return nil
 	}
-	return c.conn
+	return c.conns[0]
 }
 
 func (b *Balancer) closeAll() {
@@ -181,8 +227,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, c := range b.callers {
-		c.conn.Close()
-		<-c.done
+		c.close()
 	}
 }
 
--- a/internal/process/gdbalancer/bound_test.go
+++ b/internal/process/gdbalancer/bound_test.go
@@ -53,7 +53,7 @@
 
 func newCounter(tb testing.TB) *counter {
 	tb.Helper()
-	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), false)
 	require.NoError(tb, err)
 	c := &counter{conn: conn}
 	go func() {
@@ -104,15 +104,15 @@
 func newBenchReader(tb testing.TB, sink *counter) (*reader, []byte) {
 	tb.Helper()
 	fleet := testFleet(tb)
-	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), false)
 	require.NoError(tb, err)
-	node, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	node, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), false)
 	require.NoError(tb, err)
 	tb.Cleanup(func() { conn.Close(); node.Close() })
 	addr := conn.LocalAddr().(*net.UDPAddr).AddrPort()
 	v := benchView(tb, addr, sink.address())
 	b := &Balancer{Fleet: fleet, Config: fixedConfig{v}, node: node}
-	r, err := newReader(b, &callerSocket{conn: conn, addr: addr, service: addr, done: make(chan struct{})}, 1)
+	r, err := newReader(b, conn, addr, 1)
 	require.NoError(tb, err)
 	return r, tokenDatagram(tb, fleet, v)
 }
@@ -144,7 +144,7 @@
 func flood(tb testing.TB, to netip.AddrPort, datagram []byte, sink *counter) measured {
 	tb.Helper()
 	const window = 300 * time.Millisecond
-	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	conn, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), false)
 	require.NoError(tb, err)
 	defer conn.Close()
 	w := gdbatch.NewWriter(conn, gdenvelope.MaxSize)
@@ -170,14 +170,14 @@
 	sink := newCounter(b)
 	r, datagram := newBenchReader(b, sink)
 	go r.run()
-	in, err := listen(netip.MustParseAddrPort("127.0.0.1:0"))
+	in, err := listen(netip.MustParseAddrPort("127.0.0.1:0"), false)
 	require.NoError(b, err)
 	defer in.Close()
 	go relay(in, r.b.node, sink.address())
 	var ratios, offered, forwarded []float64
 	for b.Loop() {
 		bare := flood(b, in.LocalAddr().(*net.UDPAddr).AddrPort(), datagram, sink)
-		own := flood(b, r.socket.addr, datagram, sink)
+		own := flood(b, r.address, datagram, sink)
 		ratios = append(ratios, own.arrived/bare.arrived)
 		offered = append(offered, own.offered)
 		forwarded = append(forwarded, own.arrived)
--- a/internal/process/gdbalancer/forward.go
+++ b/internal/process/gdbalancer/forward.go
@@ -1,6 +1,7 @@
 package gdbalancer
 
 import (
+	"net"
 	"net/netip"
 	"time"
 
@@ -15,8 +16,9 @@
 
 // reader forwards the datagrams of one service's callers.
 type reader struct {
-	b       *Balancer
-	socket  *callerSocket
+	b *Balancer
+	// address is the service's address in the configuration.
+	address netip.AddrPort
 	service gdconf.ServiceID
 	watcher gdnode.Watcher
 	core    gdroute.Balancer
@@ -29,14 +31,14 @@
 	out      *gdbatch.Writer
 }
 
-func newReader(b *Balancer, c *callerSocket, s gdconf.ServiceID) (*reader, error) {
+func newReader(b *Balancer, conn *net.UDPConn, address netip.AddrPort, s gdconf.ServiceID) (*reader, error) {
 	sealer, err := gdenvelope.NewSealer(b.Fleet)
 	if err != nil {
 		return nil, err
 	}
 	return &reader{
-		b: b, socket: c, service: s, sealer: sealer,
-		in:       gdbatch.NewReader(c.conn, gdenvelope.MaxPayload+1),
+		b: b, address: address, service: s, sealer: sealer,
+		in:       gdbatch.NewReader(conn, gdenvelope.MaxPayload+1),
 		out:      gdbatch.NewWriter(b.node, gdenvelope.MaxSize),
 		watcher:  gdnode.Watcher{Fleet: b.Fleet, Config: b.Config},
 		recorder: gdnode.Recorder{Decided: b.Decided},
@@ -46,7 +48,6 @@
 
 // run forwards until the socket is closed.
 func (r *reader) run() {
-	defer close(r.socket.done)
 	for {
 		n, err := r.in.Read()
 		if err != nil {
@@ -118,7 +119,7 @@
 		Service:  r.service,
 		Caller:   caller,
 		Balancer: r.self,
-		Arrived:  r.socket.service,
+		Arrived:  r.address,
 		Payload:  datagram,
 	})
 	if err != nil {
--- a/internal/process/gdnode/record.go
+++ b/internal/process/gdnode/record.go
@@ -28,6 +28,9 @@
 type Recorder struct {
 	// Decided takes the records; it may be nil.
 	Decided func(Decision)
+	// Self is the name of the agent's own upstream, which takes the packets that
+	// are accepted; a balancer has none.
+	Self string
 
 	second int64
 	n      int
@@ -48,6 +51,8 @@
 	rec := Decision{Time: now, Caller: caller, Service: p.Service(), Verdict: d.Verdict(), Reason: d.Reason()}
 	if u := d.Upstream(); u != nil {
 		rec.Upstream = u.Name()
+	} else if d.Verdict() == gdroute.Accept {
+		rec.Upstream = r.Self
 	}
 	r.Decided(rec)
 }
--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -203,5 +203,7 @@
 	if s.Decided == nil {
 		return
 	}
-	s.Decided(Decision{Request: q.name, Service: q.service.Name(), Action: action, Reason: reason, Peer: peer})
+	s.Decided(Decision{
+		Request: q.name, Flow: q.RemoteAddr, Service: q.service.Name(), Action: action, Reason: reason, Peer: peer,
+	})
 }
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -88,6 +88,8 @@
 type Decision struct {
 	// Request is the identifier that the caller got in HeaderRequest.
 	Request string
+	// Flow is the caller's address, or the address of the peer that relayed.
+	Flow    string
 	Service string
 	Action  string
 	Reason  string
--- a/internal/process/gdserve/agent.go
+++ b/internal/process/gdserve/agent.go
@@ -48,6 +48,7 @@
 	}
 	a := &gdagent.Agent{
 		NodeAddress: s.NodeAddress,
+		Name:        s.Name,
 		Upstream:    gdconf.UpstreamID(s.UpstreamID),
 		Incarnation: uint32(do.MustInvoke[incarnation](inj)),
 		Requests:    requests,
--- a/internal/process/gdserve/balancer.go
+++ b/internal/process/gdserve/balancer.go
@@ -39,6 +39,7 @@
 	b := &gdbalancer.Balancer{
 		NodeAddress: s.NodeAddress,
 		ListenHost:  s.ListenHost,
+		Sockets:     s.Sockets,
 		Fleet:       do.MustInvoke[gdkey.Fleet](inj),
 		Config:      conf,
 		Decided:     recordPacket(inj),
--- a/internal/process/gdserve/observe.go
+++ b/internal/process/gdserve/observe.go
@@ -71,6 +71,7 @@
 		ring.Add(gdoperator.Record{
 			Time:     time.Now(),
 			Process:  name,
+			Flow:     d.Flow,
 			Request:  d.Request,
 			Service:  d.Service,
 			Action:   d.Action,
