Issue no session tickets

Cause: an idle flow costs the agent 80 kB; crypto data that was written for tickets stays with the flow, and a ticket of one agent is of no use at another. Ruled out: ticket keys from the fleet key, so that a caller resumes at any agent: it saves processor time, not memory, and is left for a measurement of its own. Change: SessionTicketsDisabled at the agents.

--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -171,6 +171,7 @@
 	return http3.ConfigureTLSConfig(&tls.Config{
 		MinVersion:     tls.VersionTLS13,
 		GetCertificate: a.Certificate,
+		SessionTicketsDisabled: true,
 	})
 }
 
