Record traces of the decision cores and replay them

Change: gdtrace has the format (CBOR records, keyed by integers), a Writer, a Player of fresh cores (balancer, door, admission, at-most-once) and Replay, which lists the first differences with their place. Two traces, one for each deployment, come from a seeded generator in the tests; they hold an upstream that leaves and returns, a failure domain out and in, a balancer that sleeps through it, a cold upstream, and keys sent again over other agents. The stated outcomes are checked against promises as well (no key run twice, no token accepted elsewhere). `gdrig replay FILE...` exits with 1 on a difference.

Ruled out: storing opened secrets or fleet keys in a trace. The signer's secret of a replayed core is drawn from the header's seed.

One changed reason is reported with its event; a trace that was cut, and a run without a file, end with exit code 1.

A change of a policy changes the traces: write them anew with go test -run TestWriteTraces ./internal/core/gdtrace -update.

--- a/cmd/gdrig/main.go
+++ b/cmd/gdrig/main.go
@@ -19,7 +19,7 @@
 	root := &cli.Command{
 		Name:     "gdrig",
 		Usage:    "run godwitdrift on one machine against stand-ins",
-		Commands: []*cli.Command{upCommand(), demoCommand(), capacityCommand()},
+		Commands: []*cli.Command{upCommand(), demoCommand(), capacityCommand(), replayCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "gdrig:", err)
--- a/internal/core/gdroute/packet.go
+++ b/internal/core/gdroute/packet.go
@@ -90,6 +90,10 @@
 // Token returns the route token and whether there is one.
 func (p Packet) Token() (gdtoken.Token, bool) { return p.token, p.hasToken }
 
+// Address returns the service address at which the packet arrived, or the zero
+// address.
+func (p Packet) Address() netip.AddrPort { return p.address }
+
 // Hops returns how often agents passed the packet on.
 func (p Packet) Hops() uint8 { return p.hops }
 
--- /dev/null
+++ b/internal/core/gdtrace/generate_test.go
@@ -0,0 +1,313 @@
+package gdtrace
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
+	"godwitdrift.example/godwitdrift/internal/core/gdroute"
+	"godwitdrift.example/godwitdrift/internal/core/gdtoken"
+)
+
+var update = flag.Bool("update", false, "write the traces in testdata anew")
+
+// traces are the committed traces with the seeds of their generator.
+var traces = []struct {
+	name string
+	seed uint64
+}{{"rejilla-norte", 41}, {"kiosks", 42}}
+
+const (
+	step   = 20 * time.Millisecond
+	length = 24 * time.Second
+	// balancers is their number; they stand first in the header.
+	balancers = 2
+	// serving is how long a warm upstream takes, and cold a cold one.
+	serving = 30 * time.Millisecond
+	cold    = 400 * time.Millisecond
+)
+
+// TestWriteTraces writes the traces with -update. Without it, the generator must
+// still give the committed bytes.
+func TestWriteTraces(t *testing.T) {
+	for _, tr := range traces {
+		data := generate(t, tr.name, tr.seed)
+		require.Less(t, len(data), 200_000, "%s", tr.name)
+		if *update {
+			require.NoError(t, os.WriteFile(tracePath(tr.name), data, 0o644))
+		}
+		committed, err := os.ReadFile(tracePath(tr.name))
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(committed, data), "%s: run with -update and look at what changed", tr.name)
+	}
+}
+
+func tracePath(name string) string { return "testdata/" + name + ".trace" }
+
+// generator plays a scenario to fresh cores and records it.
+type generator struct {
+	*testing.T
+	*rand.Rand
+	w      *Writer
+	p      *Player
+	h      Header
+	d      config.Deployment
+	now    time.Duration
+	next   uint64
+	doors  map[gdconf.UpstreamID]int
+	onces  map[gdconf.UpstreamID]int
+	admit  int
+	flows  []gdroute.Packet
+	finish map[uint64]time.Duration // at the admission core
+	keys   []string
+}
+
+func generate(t *testing.T, name string, seed uint64) []byte {
+	text, err := os.ReadFile("../../../examples/" + name + "/deployment.toml")
+	require.NoError(t, err)
+	g := &generator{
+		T: t, Rand: rand.New(rand.NewPCG(seed, 0)), finish: map[uint64]time.Duration{},
+		doors: map[gdconf.UpstreamID]int{}, onces: map[gdconf.UpstreamID]int{},
+	}
+	g.d, err = config.Parse(text)
+	require.NoError(t, err)
+	g.h = Header{Name: name, Start: time.Unix(1_800_000_000, 0).UnixNano(), Deployment: string(text)}
+	g.processes(seed)
+	var out bytes.Buffer
+	g.p, err = NewPlayer(g.h)
+	require.NoError(t, err)
+	g.w, err = NewWriter(&out, g.h)
+	require.NoError(t, err)
+	g.play()
+	return out.Bytes()
+}
+
+// processes are two balancers, all doors, one admission core, and the
+// at-most-once cores of the first service.
+func (g *generator) processes(seed uint64) {
+	add := func(p Process) int {
+		g.h.Processes = append(g.h.Processes, p)
+		return len(g.h.Processes) - 1
+	}
+	for _, name := range []string{"balancer-1", "balancer-2"} {
+		add(Process{Name: name, Role: RoleBalancer})
+	}
+	for _, s := range g.d.Services {
+		for _, u := range s.Upstreams {
+			id := gdconf.UpstreamID(u.ID)
+			g.doors[id] = add(Process{Name: u.Name + "-door", Role: RoleDoor, Upstream: id, Incarnation: 1})
+		}
+	}
+	us := g.d.Services[0].Upstreams
+	self, peer := gdconf.UpstreamID(us[0].ID), gdconf.UpstreamID(us[1].ID)
+	g.admit = add(Process{
+		Name: us[0].Name + "-admission", Role: RoleAdmission, Upstream: self, Seed: seed,
+		Slots: us[0].Slots, Peers: []gdconf.UpstreamID{peer},
+	})
+	for _, u := range us {
+		id := gdconf.UpstreamID(u.ID)
+		g.onces[id] = add(Process{Name: u.Name + "-once", Role: RoleAtMostOnce, Upstream: id, Incarnation: 1, Seed: seed})
+	}
+}
+
+// tell plays one event and records it with its outcomes.
+func (g *generator) tell(process int, e Event) []Outcome {
+	e.At, e.Process = g.now, process
+	out, err := g.p.Apply(e)
+	require.NoError(g, err)
+	g.record(e, out)
+	return out
+}
+
+func (g *generator) record(e Event, out []Outcome) {
+	e.Outcomes = out
+	require.NoError(g, g.w.Write(e))
+}
+
+// play runs the scenario: an upstream leaves, a failure domain goes out and
+// comes back while the second balancer sleeps, the upstream turns cold.
+func (g *generator) play() {
+	g.spread(func(int) bool { return true })
+	at := map[time.Duration]func(){
+		4 * time.Second:  func() { g.publish(func() { g.d.Services[0].Upstreams[0].State = config.StateLeaving }) },
+		5 * time.Second:  func() { g.tell(g.admit, Event{Kind: KindMode, Mode: "leaving"}) },
+		7 * time.Second:  func() { g.publish(func() { g.d.Services[0].Upstreams[0].State = config.StateIn }) },
+		8 * time.Second:  func() { g.tell(g.admit, Event{Kind: KindMode, Mode: "serving"}) },
+		10 * time.Second: func() { g.publish(func() { g.d.Domains[1].State = config.StateOut }) },
+		13 * time.Second: func() { g.tell(1, Event{Kind: KindBlock}) },
+		14 * time.Second: func() { g.spread(func(i int) bool { return i != 1 }) },
+		15 * time.Second: func() {
+			g.spread(func(i int) bool { return i == 1 })
+			g.tell(1, Event{Kind: KindUnblock})
+		},
+		18 * time.Second: func() { g.publish(func() { g.d.Domains[1].State = config.StateIn }) },
+		20 * time.Second: func() { g.spread(func(int) bool { return true }) },
+	}
+	for ; g.now < length; g.now += step {
+		if f := at[g.now]; f != nil {
+			f()
+		}
+		g.serve()
+		if g.now%(8*step) == 0 {
+			g.packets()
+		}
+		if g.now%(10*step) == 0 {
+			g.keyed()
+		}
+	}
+}
+
+// publish changes the configuration and puts it in force in some processes.
+func (g *generator) publish(change func()) {
+	g.d.Revision++
+	change()
+	var text bytes.Buffer
+	require.NoError(g, config.Print(&text, g.d))
+	g.tell(0, Event{Kind: KindConfiguration, Deployment: text.String()})
+	g.spread(func(int) bool { return g.IntN(2) == 0 })
+}
+
+func (g *generator) spread(who func(int) bool) {
+	for i, p := range g.h.Processes {
+		if p.Role != RoleAdmission && who(i) {
+			g.tell(i, Event{Kind: KindView, Revision: g.d.Revision})
+		}
+	}
+}
+
+// packets opens a flow and sends on for some of those that are open.
+func (g *generator) packets() {
+	s := g.d.Services[g.IntN(len(g.d.Services))]
+	p := gdroute.NewPacket(gdconf.ServiceID(s.ID), gdroute.FlowKey(g.Uint64()))
+	if home := g.deliver(p.Opening()); home != 0 {
+		if g.IntN(2) == 0 {
+			p = p.WithToken(gdtoken.New(p.Service(), home, 1, uint32(len(g.flows))))
+		}
+		g.flows = append(g.flows, p)
+	}
+	for range min(2, len(g.flows)) {
+		g.deliver(g.flows[g.IntN(len(g.flows))])
+	}
+}
+
+// deliver carries a packet to its end and returns the agent that accepted it.
+func (g *generator) deliver(p gdroute.Packet) gdconf.UpstreamID {
+	at := g.IntN(balancers)
+	for hops := uint8(0); ; hops++ {
+		o := g.tell(at, Event{Kind: KindPacket, Packet: PacketOf(p)})[0]
+		switch o.Action {
+		case "accept":
+			return g.h.Processes[at].Upstream
+		case "forward":
+			at, p = g.doors[o.Upstream], p.WithHops(hops)
+		default:
+			return 0
+		}
+	}
+}
+
+// serve brings requests to the admission core and ends those that are due.
+func (g *generator) serve() {
+	var out []Outcome
+	for id := uint64(1); id <= g.next; id++ {
+		if due, ok := g.finish[id]; ok && due <= g.now {
+			delete(g.finish, id)
+			out = append(out, g.tell(g.admit, Event{Kind: KindFinish, Finish: &Finish{ID: id, Result: "ok", Started: true}})...)
+		}
+	}
+	if g.IntN(3) == 0 {
+		g.next++
+		r := &Request{ID: g.next, Priority: 1 + g.IntN(3), Deadline: g.now + time.Second, Established: g.IntN(2) == 0}
+		out = append(out, g.tell(g.admit, Event{Kind: KindRequest, Request: r})...)
+	}
+	if g.now%(50*step) == 0 {
+		l := &PeerLoad{InFlight: g.IntN(4), Limit: 3}
+		g.tell(g.admit, Event{Kind: KindPeerLoad, Peer: g.h.Processes[g.admit].Peers[0], Load: l})
+	}
+	took := serving
+	if g.now > length/2 && g.now < length/2+3*time.Second {
+		took = cold
+	}
+	if len(g.finish) > 0 {
+		out = append(out, g.tell(g.admit, Event{Kind: KindTick})...)
+	}
+	for _, o := range out {
+		if o.Action == "start" {
+			g.finish[o.Request] = g.now + took
+		}
+	}
+}
+
+// keyed sends a request with a new key or one that was sent before to any agent,
+// and carries the questions to the peers.
+func (g *generator) keyed() {
+	us := g.d.Services[0].Upstreams
+	agent := func() int { return g.onces[gdconf.UpstreamID(us[g.IntN(len(us))].ID)] }
+	service := gdconf.ServiceID(g.d.Services[0].ID)
+	if g.now%time.Second == 0 {
+		for _, u := range us {
+			g.tell(g.onces[gdconf.UpstreamID(u.ID)], Event{Kind: KindTick})
+		}
+	}
+	switch g.IntN(4) {
+	case 0:
+		out := g.tell(agent(), Event{Kind: KindIssue, Request: &Request{Service: service}})
+		g.keys = append(g.keys, out[0].Key)
+	case 1:
+		g.keys = append(g.keys, g.stamped())
+	}
+	if len(g.keys) == 0 {
+		return
+	}
+	g.next++
+	key := g.keys[max(0, len(g.keys)-1-g.IntN(4))]
+	g.arrive(agent(), Request{ID: g.next, Service: service, Key: key, Digest: 1})
+}
+
+// stamped returns a UUID of version 7 with the present time.
+func (g *generator) stamped() string {
+	ms := uint64(g.p.start.Add(g.now).UnixMilli())
+	return fmt.Sprintf("%08x-%04x-7%03x-8%03x-%012x", ms>>16, ms&0xffff, g.IntN(1<<12), g.IntN(1<<12), g.Int64N(1<<48))
+}
+
+// arrive brings a request to an at-most-once core and does what the core says.
+func (g *generator) arrive(at int, r Request) {
+	c := g.p.cores[at].(*onceCore)
+	actions := c.Arrive(g.p.start.Add(g.now), r.keyed())
+	g.record(Event{At: g.now, Process: at, Kind: KindRequest, Request: &r}, OnceOutcomes(actions))
+	for _, a := range actions {
+		switch a := a.(type) {
+		case gdonce.Run:
+			f := &Finish{ID: r.ID, Result: "done", Stored: &gdonce.Stored{Status: 200}}
+			g.tell(at, Event{Kind: KindFinish, Finish: f})
+		case gdonce.Relay:
+			relayed := r
+			relayed.Hops++
+			g.arrive(g.onces[a.Home], relayed)
+			g.tell(at, Event{Kind: KindRelayed, Finish: &Finish{ID: r.ID, Result: "ok"}})
+		case gdonce.Ask:
+			g.ask(at, r, a)
+		}
+	}
+}
+
+func (g *generator) ask(at int, r Request, a gdonce.Ask) {
+	peer := g.onces[a.Peer]
+	answer := g.p.cores[peer].(*onceCore).Asked(g.p.start.Add(g.now), a.Question)
+	g.record(Event{At: g.now, Process: peer, Kind: KindQuestion, Question: &a.Question}, AnswerOutcomes(answer))
+	out := g.tell(at, Event{Kind: KindAnswer, Request: &Request{ID: r.ID}, Peer: a.Peer, Answer: &answer})
+	for _, o := range out {
+		if o.Action == "run" {
+			g.tell(at, Event{Kind: KindFinish, Finish: &Finish{ID: r.ID, Result: "unknown"}})
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/gdtrace/route.go
@@ -0,0 +1,74 @@
+package gdtrace
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdroute"
+)
+
+const (
+	// doorFlows and doorIdle bound the flows without token of a replayed door.
+	doorFlows = 4096
+	doorIdle  = time.Minute
+)
+
+// balancerCore is a balancer.
+type balancerCore struct{ gdroute.Balancer }
+
+func (c *balancerCore) apply(p *Player, now time.Time, e Event) ([]Outcome, error) {
+	set := func(v *gdconf.View) { c.SetView(now, v) }
+	decide := func(q gdroute.Packet) gdroute.Decision { return c.Route(now, q) }
+	return applyRoute(p, e, routeCore{set, c.Block, c.Unblock, decide})
+}
+
+// doorCore is an agent's door.
+type doorCore struct{ gdroute.Door }
+
+func newDoorCore(p Process) *doorCore {
+	return &doorCore{gdroute.Door{
+		Self: p.Upstream, Incarnation: p.Incarnation, Flows: doorFlows, Idle: doorIdle,
+	}}
+}
+
+func (c *doorCore) apply(p *Player, now time.Time, e Event) ([]Outcome, error) {
+	decide := func(q gdroute.Packet) gdroute.Decision { return c.Admit(now, q) }
+	return applyRoute(p, e, routeCore{c.SetView, c.Block, c.Unblock, decide})
+}
+
+// routeCore is what the two routing cores have in common.
+type routeCore struct {
+	set            func(*gdconf.View)
+	block, unblock func()
+	decide         func(gdroute.Packet) gdroute.Decision
+}
+
+func applyRoute(p *Player, e Event, c routeCore) ([]Outcome, error) {
+	switch e.Kind {
+	case KindView:
+		v, err := p.view(e)
+		if err == nil {
+			c.set(v)
+		}
+		return nil, err
+	case KindBlock:
+		c.block()
+		return nil, nil
+	case KindUnblock:
+		c.unblock()
+		return nil, nil
+	case KindPacket:
+		record, err := need(e.Packet, "packet")
+		if err != nil {
+			return nil, err
+		}
+		packet, err := record.packet()
+		if err != nil {
+			return nil, errors.Wrap(err, "address of the packet")
+		}
+		return RouteOutcomes(c.decide(packet)), nil
+	}
+	return nil, unfit(e)
+}
