--- a/internal/core/gdroute/doc.go
+++ b/internal/core/gdroute/doc.go
@@ -23,6 +23,6 @@
 // of state moves no established flow. A packet that may open a flow goes to the
 // first upstream of the ranking that takes new flows and whose ramp accepts the
 // key. Any other goes to the first whose failure domain is in. An agent that
-// does not hold the flow passes the packet on to the next one in the ranking,
-// within [MaxHops].
+// does not hold the flow passes the packet on to another, within [MaxHops], so
+// that it meets every agent of the service even if their views differ.
 package gdroute
