End stray packets after one hop for each upstream

Cause: since packets in mid-flow go round by identifier, one that belongs to no flow was passed on nine times whatever the size of the service (before the round it ended with the ranking: 3 hops for 4 upstreams, 6 for 7). Anybody can send such packets.

Ruled out: ending it with exactly one round, n-1 hops: an agent that doesn't know of a new upstream yet would end the packet one hop early.

Change: a packet in mid-flow ends after two hops along the ranking and one for each upstream that the agent knows.

--- a/internal/core/gdroute/door.go
+++ b/internal/core/gdroute/door.go
@@ -173,6 +173,9 @@
 	if p.opening {
 		return first(s, p.key, func(u *gdconf.Upstream) bool { return u.ID() != d.Self && allowed(u) })
 	}
+	if int(p.hops) >= rankHops+len(s.Upstreams()) {
+		return nil
+	}
 	return follower(s, d.Self, allowed)
 }
 
--- a/internal/core/gdroute/route_test.go
+++ b/internal/core/gdroute/route_test.go
@@ -218,6 +218,29 @@
 	})
 }
 
+// TestUnknownFlowIsNotPassedOnForLong bounds what a stray packet costs: two hops
+// along the ranking and one for each upstream.
+func TestUnknownFlowIsNotPassedOnForLong(t *testing.T) {
+	for _, n := range []int{1, 2, 4, 7, 8} {
+		d := gdfix.Deployment(1, n)
+		f := newFleet(d)
+		v := gdfix.View(d)
+		f.balancer.SetView(start, v)
+		for _, door := range f.doors {
+			door.SetView(v)
+		}
+		for key := range gdroute.FlowKey(100) {
+			p := gdroute.NewPacket(1, key)
+			dec, hops := f.balancer.Route(start, p), uint8(0)
+			for dec = f.doors[dec.Upstream().ID()].Admit(start, p); dec.Verdict() == gdroute.Forward; hops++ {
+				dec = f.doors[dec.Upstream().ID()].Admit(start, p.WithHops(hops+1))
+			}
+			require.Equal(t, gdroute.Drop, dec.Verdict())
+			require.LessOrEqual(t, int(hops), min(2+n, gdroute.MaxHops), "%d upstreams", n)
+		}
+	}
+}
+
 func BenchmarkRouteToken(b *testing.B) {
 	core := balancer(gdfix.View(gdfix.Deployment(2, 7)))
 	p := gdroute.NewPacket(1, 0).WithToken(gdtoken.New(1, 101, 7, 1))
