--- a/internal/core/gdroute/event_test.go
+++ b/internal/core/gdroute/event_test.go
@@ -53,6 +53,7 @@
 				c.changeUpstream(t, func(u *config.Upstream) { u.Weight = rapid.Float64Range(1, 4).Draw(t, "weight") })
 			},
 			"upstream-set": c.changeSet,
+			"agent":        c.loadAgent,
 			"domain":       c.changeDomain,
 			"address":      c.moveAddress,
 			"keys":         c.rotateKeys,
@@ -171,6 +172,17 @@
 	rapid.SampledFrom(c.members()).Draw(t, "member").state().paused = true
 }
 
+// loadAgent makes an agent full or busy, or no longer so, or lets it shut down.
+func (c *cluster) loadAgent(t *rapid.T) {
+	s := rapid.SampledFrom(c.latest.Services).Draw(t, "service")
+	door := c.agents[gdconf.UpstreamID(rapid.SampledFrom(s.Upstreams).Draw(t, "upstream").ID)].core
+	door.SetFull(rapid.Bool().Draw(t, "full"))
+	door.SetBusy(rapid.Bool().Draw(t, "busy"))
+	if rapid.IntRange(0, 4).Draw(t, "stop") == 0 {
+		door.SetStopping()
+	}
+}
+
 // wake ends the pauses. Each process blocks until it has confirmed its view.
 func (c *cluster) wake(*rapid.T) {
 	for _, m := range c.members() {
--- a/internal/core/gdtrace/admit.go
+++ b/internal/core/gdtrace/admit.go
@@ -52,6 +52,14 @@
 			c.PeerLoad(now, e.Peer, gdspread.NewLoad(l.InFlight, l.Queued, l.Limit, l.Started))
 		}
 		return nil, err
+	case KindSlots:
+		if e.Slots < 1 {
+			return nil, errors.New("slots are missing")
+		}
+		return AdmitOutcomes(c.SetSlots(now, e.Slots)...), nil
+	case KindProbe:
+		c.Probe(now, e.On)
+		return nil, nil
 	case KindTick:
 		return AdmitOutcomes(c.Tick(now)...), nil
 	case KindFinish:
--- a/internal/core/gdtrace/format.go
+++ b/internal/core/gdtrace/format.go
@@ -66,6 +66,11 @@
 	// still holds, and KindUnblock ends it [balancer, door].
 	KindBlock   Kind = "block"
 	KindUnblock Kind = "unblock"
+	// KindStopping, KindFull and KindBusy say that an agent shuts down, holds all
+	// the flows that it may, and has an upstream that bears no more [door].
+	KindStopping Kind = "stopping"
+	KindFull     Kind = "full"
+	KindBusy     Kind = "busy"
 	// KindPacket is the arrival of a packet [balancer, door].
 	KindPacket Kind = "packet"
 	// KindRequest is the arrival of a request [admission, at-most-once].
@@ -80,6 +85,10 @@
 	KindCancel Kind = "cancel"
 	// KindMode changes the mode [admission].
 	KindMode Kind = "mode"
+	// KindSlots changes the upstream's slots [admission].
+	KindSlots Kind = "slots"
+	// KindProbe is what the health endpoint says [admission].
+	KindProbe Kind = "probe"
 	// KindPeerLoad is the load that a peer reported [admission].
 	KindPeerLoad Kind = "peer-load"
 	// KindTick is the timer [admission, at-most-once].
@@ -92,6 +101,8 @@
 	// [at-most-once].
 	KindQuestion Kind = "question"
 	KindAnswer   Kind = "answer"
+	// KindRelease is a peer's release of a grant [at-most-once].
+	KindRelease Kind = "release"
 	// KindNotice is a peer's notice of a run that is done [at-most-once].
 	KindNotice Kind = "notice"
 )
@@ -118,8 +129,12 @@
 	Question *gdonce.Question  `cbor:"12,keyasint,omitempty"`
 	Answer   *gdonce.Answer    `cbor:"13,keyasint,omitempty"`
 	Notice   *gdonce.Notice    `cbor:"14,keyasint,omitempty"`
+	// On is the state for KindFull, KindBusy and KindProbe.
+	On bool `cbor:"15,keyasint,omitempty"`
+	// Slots is the number of slots for KindSlots.
+	Slots int `cbor:"16,keyasint,omitempty"`
 	// Outcomes are the observed actions in their order.
-	Outcomes []Outcome `cbor:"15,keyasint,omitempty"`
+	Outcomes []Outcome `cbor:"17,keyasint,omitempty"`
 }
 
 // Packet is a packet as a routing core sees it.
--- a/internal/core/gdtrace/once.go
+++ b/internal/core/gdtrace/once.go
@@ -50,6 +50,12 @@
 			return nil, err
 		}
 		return AnswerOutcomes(c.Asked(now, q)), nil
+	case KindRelease:
+		q, err := need(e.Question, "question")
+		if err == nil {
+			c.Released(now, q)
+		}
+		return nil, err
 	case KindNotice:
 		n, err := need(e.Notice, "notice")
 		return c.outcomes(err, func() []gdonce.Action { return c.Told(now, n) })
--- a/internal/core/gdtrace/outcome.go
+++ b/internal/core/gdtrace/outcome.go
@@ -48,6 +48,8 @@
 		return Outcome{Action: "relay", Upstream: a.Home}
 	case gdonce.Ask:
 		return Outcome{Action: "ask", Upstream: a.Peer}
+	case gdonce.Release:
+		return Outcome{Action: "release", Upstream: a.Peer}
 	case gdonce.Tell:
 		return Outcome{Action: "tell", Upstream: a.Peer}
 	case gdonce.Wait:
--- a/internal/core/gdtrace/route.go
+++ b/internal/core/gdtrace/route.go
@@ -34,6 +34,17 @@
 }
 
 func (c *doorCore) apply(p *Player, now time.Time, e Event) ([]Outcome, error) {
+	switch e.Kind {
+	case KindStopping:
+		c.SetStopping()
+		return nil, nil
+	case KindFull:
+		c.SetFull(e.On)
+		return nil, nil
+	case KindBusy:
+		c.SetBusy(e.On)
+		return nil, nil
+	}
 	decide := func(q gdroute.Packet) gdroute.Decision { return c.Admit(now, q) }
 	return applyRoute(p, e, routeCore{c.SetView, c.Block, c.Unblock, decide})
 }
--- a/internal/operate/gdsettings/check.go
+++ b/internal/operate/gdsettings/check.go
@@ -1,19 +1,18 @@
 package gdsettings
 
 import (
+	"crypto/tls"
 	"fmt"
 	"net/netip"
 	"net/url"
 	"os"
 	"path/filepath"
-	"regexp"
 	"strings"
 
+	"godwitdrift.example/godwitdrift/config"
 	"godwitdrift.example/godwitdrift/internal/text/gdtoml"
 )
 
-var kebab = regexp.MustCompile(`^[a-z0-9]+(-[a-z0-9]+)*$`)
-
 // checker gathers the problems of one settings file.
 type checker struct {
 	file     string
@@ -50,7 +49,7 @@
 }
 
 func (k *checker) name(key, s string) {
-	if !kebab.MatchString(s) {
+	if !config.ValidName(s) {
 		k.missingOr(key, "name %q is not in kebab case", s)
 	}
 }
@@ -61,8 +60,10 @@
 	}
 }
 
-func (k *checker) url(key, s string) {
-	u, err := url.Parse(s)
+// url wants an http URL and takes a slash off its end, as paths are put behind it.
+func (k *checker) url(key string, s *string) {
+	*s = strings.TrimSuffix(*s, "/")
+	u, err := url.Parse(*s)
 	if err != nil || u.Scheme != "http" || u.Host == "" {
 		k.missingOr(key, "an http URL is needed, such as http://192.0.2.1:8080")
 		return
@@ -107,6 +108,26 @@
 	return true
 }
 
+// keyPair reports a certificate that doesn't belong to the private key. The
+// library's errors quote neither.
+func (k *checker) keyPair(certKey string, certFile *string, keyKey string, keyFile *string) {
+	cert := k.readableFile(certKey, certFile)
+	key := k.readableFile(keyKey, keyFile)
+	if !cert || !key {
+		return
+	}
+	if _, err := tls.LoadX509KeyPair(*certFile, *keyFile); err != nil {
+		k.add(certKey, "%v", err)
+	}
+}
+
+// different reports two listeners on one address.
+func (k *checker) different(key string, a netip.AddrPort, otherKey string, b netip.AddrPort) {
+	if a.IsValid() && a == b {
+		k.add(key, "the address is that of %s", otherKey)
+	}
+}
+
 func (k *checker) keyFile(key string, name *string) {
 	if !k.readableFile(key, name) {
 		return
--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -7,7 +7,7 @@
 // LogLevel is the least urgent level that a process writes to its log.
 type LogLevel string
 
-// The log levels, from the most talkative to the quietest.
+// The log levels, from the one with most events to the one with fewest.
 const (
 	LevelDebug LogLevel = "debug"
 	LevelInfo  LogLevel = "info"
@@ -25,6 +25,7 @@
 	DefaultHealthPath = "/health"
 
 	maxSockets       = 16
+	maxPeers         = 64
 	maxFlows         = 1_000_000
 	maxBodyBufferKiB = 64 * 1024
 )
@@ -48,6 +49,10 @@
 	Platform string `toml:"platform"`
 	// FleetKeyFile names the file with the fleet's key: 32 bytes in hexadecimal.
 	FleetKeyFile string `toml:"fleet-key-file"`
+	// Peers are a few other processes of the fleet, from which this one gets the
+	// configuration if it starts while the platform is out of reach. It may be
+	// empty; a peer that is gone does no harm.
+	Peers []Peer `toml:"peers"`
 	// LogLevel defaults to LevelInfo.
 	LogLevel LogLevel `toml:"log-level"`
 }
@@ -106,8 +111,10 @@
 	k.name("domain", c.Domain)
 	k.address("node-address", c.NodeAddress)
 	k.address("operator-address", c.OperatorAddress)
-	k.url("platform", c.Platform)
+	k.different("operator-address", c.OperatorAddress, "node-address", c.NodeAddress)
+	k.url("platform", &c.Platform)
 	k.keyFile("fleet-key-file", &c.FleetKeyFile)
+	k.between("peers", len(c.Peers), 0, maxPeers)
 	k.level("log-level", c.LogLevel)
 }
 
@@ -121,13 +128,12 @@
 	if a.UpstreamID == 0 {
 		k.missingOr("upstream-id", "0 is not allowed")
 	}
-	k.url("upstream-url", a.UpstreamURL)
+	k.url("upstream-url", &a.UpstreamURL)
 	k.path("health-path", a.HealthPath)
 	if a.LoadPath != "" {
 		k.path("load-path", a.LoadPath)
 	}
-	k.readableFile("cert-file", &a.CertFile)
-	k.readableFile("key-file", &a.KeyFile)
+	k.keyPair("cert-file", &a.CertFile, "key-file", &a.KeyFile)
 	k.between("max-flows", a.MaxFlows, 1, maxFlows)
 	k.between("max-body-buffer-kib", a.MaxBodyBufferKiB, 1, maxBodyBufferKiB)
 }
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -31,6 +31,10 @@
 	Relay(ctx context.Context, addr string, r *http.Request) (*http.Response, bool, error)
 	// Ask asks a peer about a key.
 	Ask(ctx context.Context, addr string, q gdonce.Question) (gdonce.Answer, error)
+	// Release gives the grant of a question back.
+	Release(ctx context.Context, addr string, q gdonce.Question) error
+	// Tell sends a notice about a key.
+	Tell(ctx context.Context, addr string, n gdonce.Notice) error
 	// ExchangeLoad tells a peer the own load and returns the peer's.
 	ExchangeLoad(ctx context.Context, addr string, l gdpeer.Load) (gdpeer.PeerLoad, error)
 }
@@ -63,12 +67,17 @@
 	lastID     atomic.Uint64
 	inProgress atomic.Int64
 	stopping   atomic.Bool
-	proxy      *proxy
-	waiting    table[chan gdadmit.Action]
-	attempts   table[*attempt]
+	// busy is renewed by watch.
+	busy     atomic.Bool
+	proxy    *proxy
+	waiting  table[chan gdadmit.Action]
+	attempts table[*attempt]
 	// addresses remembers where each agent of the service was last known.
 	addresses table[netip.AddrPort]
 
+	// warm says whether the limit was last logged as warm. It belongs to the
+	// duty's goroutine.
+	warm   bool
 	core   *gdadmit.Core
 	duty   *gdduty.Duty[gdadmit.Action]
 	once   *gdonce.Core
@@ -135,6 +144,7 @@
 			s.duty.Post(func(now time.Time) []gdadmit.Action { return s.apply(now, v, stop) })
 			s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.SetView(now, v) })
 		}
+		s.duty.Offer(s.noteBusy)
 		select {
 		case <-ctx.Done():
 			return
@@ -184,9 +194,9 @@
 	switch {
 	case u.DomainOut():
 		return gdadmit.ModeOut
-	case stopping:
-		return gdadmit.ModeStopping
-	case u.Leaving():
+	case u.Leaving(), stopping:
+		// The requests of the flows that a stopping agent still holds move to
+		// peers, as those of a leaving upstream do.
 		return gdadmit.ModeLeaving
 	}
 	return gdadmit.ModeServing
@@ -195,6 +205,31 @@
 // Stop makes the server refuse new requests; those in progress go on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
+// noteBusy renews what TakesFlow returns. It runs in the duty's goroutine.
+func (s *Server) noteBusy(now time.Time) []gdadmit.Action {
+	s.busy.Store(!s.core.TakesFlow(now))
+	s.logWarmth(s.core.Load(now).Limit())
+	return nil
+}
+
+// logWarmth logs when the limit falls to the one request of a cold upstream, and
+// when it is back at all slots.
+func (s *Server) logWarmth(limit int) {
+	switch {
+	case s.core.Slots <= 1:
+	case limit == 1 && s.warm:
+		s.warm = false
+		s.Log.Event(gdlog.UpstreamCold)
+	case limit == s.core.Slots && !s.warm:
+		s.warm = true
+		s.Log.Event(gdlog.UpstreamWarm)
+	}
+}
+
+// TakesFlow reports whether a new flow should stay at this agent, as of the last
+// look.
+func (s *Server) TakesFlow() bool { return !s.busy.Load() }
+
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
--- a/internal/rig/gdload/request.go
+++ b/internal/rig/gdload/request.go
@@ -70,6 +70,7 @@
 	o := f.judge(a, err, id, one.body, end.Sub(began))
 	f.load.tally.sample(Sample{
 		Service: f.target.Service, Kind: string(f.kind), Latency: end.Sub(began), Outcome: o,
+		Upstream: a.header.Get(gdupstreamsim.HeaderUpstream),
 	}, end)
 	if err != nil && c.dead() {
 		return o, errors.Wrap(err, "request "+id)
@@ -126,7 +127,7 @@
 		t.fault(id+": wrong answer to "+a.header.Get(gdupstreamsim.HeaderRequestID), func(r *Result) { r.Wrong++ })
 		return Wrong
 	}
-	t.answered(a.header.Get(gdupstreamsim.HeaderUpstream), d)
+	t.answered(f.target.Service, a.header.Get(gdupstreamsim.HeaderUpstream), d)
 	return Answered
 }
 
