Compare passing a new flow on along the ranking

Cause: the way that is now in use for new flows was not in the placement table.

Conclusion: the simpler way stays for flows.

--- a/internal/core/gdroute/placement_test.go
+++ b/internal/core/gdroute/placement_test.go
@@ -46,6 +46,7 @@
 var placements = []placement{
 	{name: "rendezvous alone", balancer: head},
 	{name: "two choices of the ranking by reported load", balancer: lighter},
+	{name: "rendezvous, passed on once along the ranking", balancer: head, agent: passOn},
 	{name: "rendezvous, relay to the lighter of two peers", balancer: head, agent: relayFlow},
 }
 
@@ -58,10 +59,21 @@
 	return rank[0].ID()
 }
 
-// relayFlow moves a new flow when home holds more than relayRoom of the mean.
-func relayFlow(r *rand.Rand, home gdconf.UpstreamID, rank []*gdconf.Upstream, live loads) gdconf.UpstreamID {
+// busy reports whether the agent holds more than relayRoom of the mean.
+func busy(home gdconf.UpstreamID, rank []*gdconf.Upstream, live loads) bool {
 	mean := float64(lo.Sum(lo.Values(live))) / float64(len(rank))
-	if float64(live[home]) < relayRoom*mean+1 {
+	return float64(live[home]) >= relayRoom*mean+1
+}
+
+func passOn(_ *rand.Rand, home gdconf.UpstreamID, rank []*gdconf.Upstream, live loads) gdconf.UpstreamID {
+	if busy(home, rank, live) {
+		return rank[1].ID()
+	}
+	return home
+}
+
+func relayFlow(r *rand.Rand, home gdconf.UpstreamID, rank []*gdconf.Upstream, live loads) gdconf.UpstreamID {
+	if !busy(home, rank, live) {
 		return home
 	}
 	best := home
@@ -96,9 +108,10 @@
 			part := func(n int) string { return fmt.Sprintf("%.1f %%", 100*float64(n)/float64(flows)) }
 			t.Logf("| %s | %d | %.3f | %s | %s | %s |", p.name, flows, r.imbalance, part(r.astray), part(r.moved), part(r.own))
 		}
-		alone, two, relay := results[0], results[1], results[2]
+		alone, two, passed, relay := results[0], results[1], results[2], results[3]
 		require.Zero(t, alone.astray)
 		require.Equal(t, alone.own, alone.moved, "a leaving upstream moves its own flows only")
+		require.Less(t, passed.astray, two.astray)
 		require.Less(t, relay.astray, two.astray)
 	}
 }
