Never forget an established flow without token for a new one

Cause: a door remembers its flows without token in one bounded table, where the one that was idle longest gave way to any new opening packet. A burst of openings broke established flows that were silent for a moment.

Ruled out: passing on every opening once the table is full. Opening packets alone, which anybody can send, would then make a door refuse new flows, also those of QUIC callers, whose later packets carry tokens.

Change: a flow is established by its first packet that opens none; established flows have a table of their own, and give way only when idle or ended. While it is full, new flows are passed on.

Without tokens, a caller who forges a whole flow still takes a place; tokens do not have this limit.

--- a/internal/core/gdroute/door.go
+++ b/internal/core/gdroute/door.go
@@ -4,8 +4,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/hashicorp/golang-lru/v2/simplelru"
-
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 )
 
@@ -20,13 +18,14 @@
 	Self gdconf.UpstreamID
 	// Incarnation tells this process from earlier ones in its place.
 	Incarnation uint32
-	// Flows bounds the flows without token that the door remembers.
+	// Flows bounds the established flows without token that the door remembers,
+	// and as many that have only been opened. New ones are passed on beyond it.
 	Flows int
 	// Idle is how long such a flow is remembered after its last packet.
 	Idle time.Duration
 
 	view     *gdconf.View
-	held     *simplelru.LRU[FlowKey, time.Time]
+	held     *flowTable
 	blocked  bool
 	stopping bool
 	full     bool
@@ -92,7 +91,7 @@
 		return d.passToken(p)
 	case p.hasToken && p.token.Service() != p.service:
 		return drop(WrongService)
-	case p.hasToken || d.holds(now, p.key):
+	case p.hasToken || d.holds(now, p):
 		return drop(reason)
 	case p.opening:
 		return d.passKey(s, p, (*gdconf.Upstream).TakesNew)
@@ -136,29 +135,29 @@
 
 // admitKey lets in held flows, opens new ones and passes on the rest.
 func (d *Door) admitKey(now time.Time, self *gdconf.Upstream, p Packet) Decision {
-	if d.holds(now, p.key) {
+	if d.holds(now, p) {
 		return Decision{verdict: Accept, reason: Held}
 	}
 	s := self.Service()
 	if !p.opening {
 		return d.passKey(s, p, domainIn)
 	}
-	if d.passesOn(self, p) {
-		if next := d.passKey(s, p, (*gdconf.Upstream).TakesNew); next.verdict == Forward || !d.takesNew(self) {
+	if d.passesOn(now, self, p) {
+		if next := d.passKey(s, p, (*gdconf.Upstream).TakesNew); next.verdict == Forward || !d.takesNew(now, self) {
 			return next
 		}
 	}
-	d.hold(now, p.key)
+	d.table().open(now, p.key)
 	return Decision{verdict: Accept, reason: ByRank}
 }
 
 // passesOn reports whether a new flow is better placed at another agent.
-func (d *Door) passesOn(self *gdconf.Upstream, p Packet) bool {
-	return !d.takesNew(self) || d.busy && p.hops == 0
+func (d *Door) passesOn(now time.Time, self *gdconf.Upstream, p Packet) bool {
+	return !d.takesNew(now, self) || d.busy && p.hops == 0
 }
 
-func (d *Door) takesNew(self *gdconf.Upstream) bool {
-	return self.TakesNew() && !d.stopping && !d.full
+func (d *Door) takesNew(now time.Time, self *gdconf.Upstream) bool {
+	return self.TakesNew() && !d.stopping && !d.full && !d.table().full(now)
 }
 
 // passKey passes the packet to another upstream that may hold or take its flow.
@@ -192,33 +191,21 @@
 	return follower(s, d.Self, allowed)
 }
 
-func (d *Door) holds(now time.Time, key FlowKey) bool {
+// table returns the flows without token, which it makes with the first of them.
+func (d *Door) table() *flowTable {
 	if d.held == nil {
-		return false
-	}
-	last, ok := d.held.Get(key)
-	if !ok {
-		return false
+		d.held = newFlowTable(d.Flows, d.Idle)
 	}
-	if now.Sub(last) > d.Idle {
-		d.held.Remove(key)
-		return false
-	}
-	d.held.Add(key, now)
-	return true
+	return d.held
 }
 
-func (d *Door) hold(now time.Time, key FlowKey) {
-	if d.held == nil {
-		// NewLRU fails only for a size below one.
-		d.held, _ = simplelru.NewLRU[FlowKey, time.Time](max(d.Flows, 1), nil)
-	}
-	d.held.Add(key, now)
+func (d *Door) holds(now time.Time, p Packet) bool {
+	return d.held != nil && d.held.holds(now, p.key, p.opening)
 }
 
 // End forgets a flow without token.
 func (d *Door) End(key FlowKey) {
 	if d.held != nil {
-		d.held.Remove(key)
+		d.held.end(key)
 	}
 }
--- a/internal/core/gdroute/route_test.go
+++ b/internal/core/gdroute/route_test.go
@@ -244,6 +244,34 @@
 	})
 }
 
+// TestNewFlowsDoNotPushOutEstablishedOnes: a door that remembers as many flows
+// without token as it may passes new ones on. Flows of which only the opening
+// packet came are not established, so a flood of those makes no door full.
+func TestNewFlowsDoNotPushOutEstablishedOnes(t *testing.T) {
+	const flows = 4
+	door := gdroute.Door{Self: 101, Incarnation: 1, Flows: flows, Idle: time.Minute}
+	door.SetView(gdfix.View(gdfix.Deployment(1, 2)))
+	packet := func(key gdroute.FlowKey) gdroute.Packet { return gdroute.NewPacket(1, key) }
+	open := func(now time.Time, key gdroute.FlowKey) gdroute.Verdict {
+		return door.Admit(now, packet(key).Opening()).Verdict()
+	}
+	for key := range gdroute.FlowKey(100) {
+		require.Equal(t, gdroute.Accept, open(start, key), "a flood of opening packets")
+	}
+	for key := range gdroute.FlowKey(flows) {
+		require.Equal(t, gdroute.Accept, open(start, key))
+		require.Equal(t, gdroute.Accept, door.Admit(start, packet(key)).Verdict())
+	}
+	for key := gdroute.FlowKey(200); key < 300; key++ {
+		require.Equal(t, gdroute.Forward, open(start, key))
+	}
+	later := start.Add(50 * time.Second)
+	for key := range gdroute.FlowKey(flows) {
+		require.Equal(t, gdroute.Accept, door.Admit(later, packet(key)).Verdict(), "flow %d", key)
+	}
+	require.Equal(t, gdroute.Accept, open(later.Add(2*time.Minute), 400), "idle flows make room")
+}
+
 // TestUnknownFlowIsNotPassedOnForLong bounds what a stray packet costs: two hops
 // along the ranking and one for each upstream.
 func TestUnknownFlowIsNotPassedOnForLong(t *testing.T) {
