Record the end of flows without token in traces

Cause: Door.End is an event of the door core that a trace couldn't hold. Change: the kind end; the traces were written anew with it.

--- a/internal/core/gdtrace/format.go
+++ b/internal/core/gdtrace/format.go
@@ -73,6 +73,8 @@
 	KindBusy     Kind = "busy"
 	// KindPacket is the arrival of a packet [balancer, door].
 	KindPacket Kind = "packet"
+	// KindEnd is the end of a flow without token [door].
+	KindEnd Kind = "end"
 	// KindRequest is the arrival of a request [admission, at-most-once].
 	KindRequest Kind = "request"
 	// KindHeader is the response header of a started request [admission].
--- a/internal/core/gdtrace/generate_test.go
+++ b/internal/core/gdtrace/generate_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"testing"
 	"time"
 
@@ -195,11 +196,27 @@
 		}
 		g.flows = append(g.flows, p)
 	}
+	if n := len(g.flows); n > 0 && g.IntN(8) == 0 {
+		i := g.IntN(n)
+		g.end(g.flows[i])
+		g.flows = slices.Delete(g.flows, i, i+1)
+	}
 	for range min(2, len(g.flows)) {
 		g.deliver(g.flows[g.IntN(len(g.flows))])
 	}
 }
 
+// end ends a flow at all agents of its service.
+func (g *generator) end(p gdroute.Packet) {
+	for _, s := range g.d.Services {
+		for _, u := range s.Upstreams {
+			if _, sealed := p.Token(); !sealed && gdconf.ServiceID(s.ID) == p.Service() {
+				g.tell(g.doors[gdconf.UpstreamID(u.ID)], Event{Kind: KindEnd, Packet: PacketOf(p)})
+			}
+		}
+	}
+}
+
 // deliver carries a packet to its end and returns the agent that accepted it.
 func (g *generator) deliver(p gdroute.Packet) gdconf.UpstreamID {
 	at := g.IntN(balancers)
--- a/internal/core/gdtrace/route.go
+++ b/internal/core/gdtrace/route.go
@@ -44,6 +44,10 @@
 	case KindBusy:
 		c.SetBusy(e.On)
 		return nil, nil
+	case KindEnd:
+		packet, err := need(e.Packet, "packet")
+		c.End(packet.Key)
+		return nil, err
 	}
 	decide := func(q gdroute.Packet) gdroute.Decision { return c.Admit(now, q) }
 	return applyRoute(p, e, routeCore{c.SetView, c.Block, c.Unblock, decide})
