--- a/internal/core/gdsync/core.go
+++ b/internal/core/gdsync/core.go
@@ -24,7 +24,7 @@
 	// another peer.
 	pullRetry = 500 * time.Millisecond
 	// snapshotRetry is the same for a new process, which gets a snapshot.
-	snapshotRetry = 2 * time.Second
+	snapshotRetry = time.Second
 	// pullTries bounds the peers that are asked for one version.
 	pullTries = 8
 	// pushAgain is the least time between two corrections of the same peer.
--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -221,6 +221,15 @@
 	require.Equal(t, 100, n.agreed(1))
 }
 
+func TestProcessWithoutAnyListLearnsItsPeersFromTheirDigests(t *testing.T) {
+	n := settle(t, 21, 20)
+	n.platform.down = true
+	n.setup = func(c *Core) { c.Seeds = nil }
+	n.start(10)
+	n.run(inForceWithin)
+	require.Equal(t, 20, n.agreed(1))
+}
+
 func TestNewProcessFetchesOneSnapshot(t *testing.T) {
 	n := settle(t, 18, 100)
 	pulls := 0
--- a/internal/core/gdsync/member.go
+++ b/internal/core/gdsync/member.go
@@ -9,7 +9,8 @@
 )
 
 // membership is the list of the fleet's processes: the agents of the
-// configuration, the platform's hosts and the peers from the settings. It lags
+// configuration, the platform's hosts, the peers from the settings and those that
+// sent a digest. It lags
 // and may name processes that are gone. It may hold the process itself, which
 // is never picked.
 type membership struct {
@@ -17,6 +18,8 @@
 	seeds  []Member
 	hosts  []Member
 	agents []Member
+	// learned are peers that sent a digest and are on no list.
+	learned []Member
 	// list is the union, sorted by name. It is the slice of the hosts when that
 	// has all others.
 	list []Member
@@ -26,6 +29,8 @@
 }
 
 const (
+	// maxLearned bounds the peers that are known from their digests alone.
+	maxLearned = 16
 	// nearPeers is the number of peers that get digests.
 	nearPeers = 8
 	// nearChange is the probability that a digest replaces one of them.
@@ -69,7 +74,7 @@
 			return
 		}
 	}
-	for _, p := range m.seeds {
+	for _, p := range slices.Concat(m.seeds, m.learned) {
 		if _, ok := m.search(p.name); !ok {
 			m.list = m.union()
 			return
@@ -78,12 +83,24 @@
 }
 
 func (m *membership) union() []Member {
-	all := slices.Concat(m.agents, m.hosts, m.seeds)
+	all := slices.Concat(m.agents, m.hosts, m.seeds, m.learned)
 	slices.SortStableFunc(all, byName)
 	same := func(a, b Member) bool { return a.name == b.name }
 	return slices.CompactFunc(all, same)
 }
 
+// learn adds a peer that is on no list. The oldest of the learned ones gives way.
+func (m *membership) learn(p Member) {
+	if _, ok := m.search(p.name); ok || p.address == "" {
+		return
+	}
+	m.learned = append(m.learned, p)
+	if len(m.learned) > maxLearned {
+		m.learned = m.learned[1:]
+	}
+	m.merge()
+}
+
 func (m *membership) search(name string) (int, bool) {
 	return slices.BinarySearchFunc(m.list, name, func(p Member, s string) int {
 		return strings.Compare(p.name, s)
--- a/internal/core/gdsync/peer.go
+++ b/internal/core/gdsync/peer.go
@@ -49,16 +49,22 @@
 		c.confirmAt = v
 		c.tryConfirm()
 	}
-	return c.Digested(now, from, v)
+	if v.Compare(c.state.Version()) <= 0 {
+		return nil
+	}
+	return c.pull(now, from, v)
 }
 
 // Digested takes in a digest from a peer. Of the two ends the older one pulls,
-// so that one difference is not mended twice.
-func (c *Core) Digested(now time.Time, from string, v gdconf.Version) []Action {
+// so that one difference is not mended twice. A peer that was not known is a
+// member from now on: a process that started without any list learns its peers
+// in this way.
+func (c *Core) Digested(now time.Time, from Member, v gdconf.Version) []Action {
 	if v.Compare(c.state.Version()) <= 0 {
 		return nil
 	}
-	return c.pull(now, from, v)
+	c.members.learn(from)
+	return c.pull(now, from.name, v)
 }
 
 // tryConfirm ends the wait when the version that a peer answered is reached.
--- a/internal/process/gdconfsync/syncer.go
+++ b/internal/process/gdconfsync/syncer.go
@@ -190,7 +190,7 @@
 }
 
 // Digested takes in a digest from a peer.
-func (s *Syncer) Digested(from string, v gdconf.Version) {
+func (s *Syncer) Digested(from gdsync.Member, v gdconf.Version) {
 	if s.Version().Compare(v) >= 0 {
 		return
 	}
--- a/internal/wire/gdpeer/dialer.go
+++ b/internal/wire/gdpeer/dialer.go
@@ -32,6 +32,9 @@
 	// Name and Incarnation say who calls.
 	Name        string
 	Incarnation uint64
+	// Address is the control address under which peers reach this process, if
+	// they are to learn it from its digests.
+	Address string
 	// Version returns the configuration version in force.
 	Version func() gdconf.Version
 	// Timeout bounds one call; zero means DefaultTimeout.
@@ -81,7 +84,7 @@
 }
 
 func (d *Dialer) sender() *gdpeerpb.Sender {
-	s := &gdpeerpb.Sender{Name: d.Name, Incarnation: d.Incarnation}
+	s := &gdpeerpb.Sender{Name: d.Name, Incarnation: d.Incarnation, Address: d.Address}
 	if d.Version != nil {
 		s.Version = fromVersion(d.Version())
 	}
--- a/internal/wire/gdpeer/server.go
+++ b/internal/wire/gdpeer/server.go
@@ -33,7 +33,7 @@
 type Config interface {
 	Pushed(from string, u gdsync.Update)
 	PeerVersion(from string, v gdconf.Version)
-	Digested(from string, v gdconf.Version)
+	Digested(from gdsync.Member, v gdconf.Version)
 	Leased(from string, l gdsync.Lease)
 	Answer(ctx context.Context, have gdconf.Version) (gdsync.Update, bool, error)
 	Version() gdconf.Version
@@ -131,7 +131,8 @@
 // Digest implements the generated service.
 func (s *service) Digest(_ context.Context, r *gdpeerpb.DigestRequest) (*gdpeerpb.DigestResponse, error) {
 	from := toSender(r.GetSender())
-	s.server.Config.Digested(from.name, from.version)
+	peer := gdsync.NewMember(from.name, r.GetSender().GetAddress())
+	s.server.Config.Digested(peer, from.version)
 	return &gdpeerpb.DigestResponse{Version: fromVersion(s.server.Config.Version())}, nil
 }
 
