--- a/internal/core/gdsync/doc.go
+++ b/internal/core/gdsync/doc.go
@@ -15,6 +15,8 @@
 //     random peers at once, and so does each process at first sight.
 //   - A periodic digest to one peer repairs what the pushes missed, and each
 //     message that carries a version corrects the older of its two ends.
+//   - A change with many values is read under an advisory [Lease]: the first
+//     reader announces it, and the others hold off.
 //   - A new process asks its peers first, and the platform only when no peer
 //     answers. A process that was paused confirms its version with a peer
 //     before it decides anything else, within a bounded time.
@@ -34,5 +36,6 @@
 //
 // The caller carries each [Action] out and reports its result as an event:
 // [ReadPlatform] by PlatformRead, [ReadHosts] by Members or HostsFailed, [Pull]
-// by Pushed, [Digest] by DigestAnswer. A lost message needs no event.
+// by Pushed, [Digest] by DigestAnswer. A lost message needs no event. What peers send comes
+// in as Pushed, Digested, Leased and PeerVersion.
 package gdsync
