--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -78,9 +78,11 @@
 	if err != nil {
 		return nil, err
 	}
+	c := do.MustInvoke[gdsettings.Common](inj)
 	return &gdpeer.Dialer{
 		Identity:    id,
-		Name:        do.MustInvoke[gdsettings.Common](inj).Name,
+		Name:        c.Name,
+		Address:     c.NodeAddress.String(),
 		Incarnation: uint64(do.MustInvoke[incarnation](inj)),
 	}, nil
 }
