--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -169,8 +169,8 @@
 
 func (a *Agent) tlsConfig() *tls.Config {
 	return http3.ConfigureTLSConfig(&tls.Config{
-		MinVersion:     tls.VersionTLS13,
-		GetCertificate: a.Certificate,
+		MinVersion:             tls.VersionTLS13,
+		GetCertificate:         a.Certificate,
 		SessionTicketsDisabled: true,
 	})
 }
