Replay damaged traces

Cause: gdrig replay reads files from elsewhere. Change: a seeded test changes bytes of a trace; a replay must end without a panic.

--- a/internal/core/gdtrace/trace_test.go
+++ b/internal/core/gdtrace/trace_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"math/rand/v2"
 	"os"
 	"testing"
 
@@ -146,3 +147,25 @@
 		})
 	}
 }
+
+// TestReplaySurvivesDamage changes bytes anywhere in a trace. A replay may report
+// differences or an error, and must end.
+func TestReplaySurvivesDamage(t *testing.T) {
+	h, events := read(t, "kiosks")
+	whole := write(t, h, events[:600]).Bytes()
+	r := rand.New(rand.NewPCG(20261203, 3))
+	noticed := 0
+	const runs = 300
+	for range runs {
+		damaged := bytes.Clone(whole)
+		for range 1 + r.IntN(4) {
+			damaged[r.IntN(len(damaged))] = byte(r.Uint32())
+		}
+		report, err := Replay(bytes.NewReader(damaged))
+		if err != nil || report.Different() > 0 {
+			noticed++
+		}
+	}
+	t.Logf("%d of %d damaged traces were reported", noticed, runs)
+	require.NotZero(t, noticed)
+}
