Repeat the close of a flow, and hold the limit of a cold upstream down

A slow answer halved the limit without the slow start's hold, so that four good answers brought it back. Ruled out: letting packets into a domain that is out so that the transport repeats the close; the promise says otherwise. Change: the agent keeps what it sends while it closes flows and repeats it six times over 3 s (three times over 0.35 s at its own end), each through another balancer; each verdict that lowers the limit now starts the hold. The policy table is the same to the letter.

--- a/internal/core/gdadmit/slowstart.go
+++ b/internal/core/gdadmit/slowstart.go
@@ -168,9 +168,6 @@
 	certain := kind == OutcomeShed || kind == OutcomeTimeout
 	s.good = 0
 	s.bad++
-	if certain {
-		s.distrust(now)
-	}
 	switch {
 	case s.bad >= collapseAfter:
 		if s.limit == 1 && kind != OutcomeOK {
@@ -179,6 +176,8 @@
 		s.Restart(now)
 		return verdictCold
 	case certain || s.bad > 1:
+		// The limit is lowered on this verdict, and must not come back at once.
+		s.distrust(now)
 		return verdictBad
 	}
 	return verdictNone
--- a/internal/core/gdpath/path.go
+++ b/internal/core/gdpath/path.go
@@ -88,24 +88,43 @@
 	return p.via, true
 }
 
+// Other returns a random live balancer other than the caller's, or the caller's
+// own when no other is known. It counts no send and changes no path.
+func (t *Table) Other(now time.Time, caller netip.AddrPort) (netip.AddrPort, bool) {
+	t.init()
+	p, ok := t.paths.Peek(caller)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	if others := t.others(now, p.via); len(others) > 0 {
+		return others[t.Rand.IntN(len(others))], true
+	}
+	return p.via, true
+}
+
 // reroute moves the path to another live balancer. If none is known, the path
 // stays, and the next attempt comes after DeadAfter again.
 func (t *Table) reroute(now time.Time, p path) path {
 	next := path{via: p.via, since: now, sends: 1}
-	var others []netip.AddrPort
-	for _, b := range t.balancers.Keys() {
-		last, _ := t.balancers.Peek(b)
-		if b != p.via && now.Sub(last) < balancerIdle {
-			others = append(others, b)
-		}
-	}
-	if len(others) > 0 {
+	if others := t.others(now, p.via); len(others) > 0 {
 		next.via = others[t.Rand.IntN(len(others))]
 		t.changed++
 	}
 	return next
 }
 
+// others returns the balancers that delivered a packet of late, but for one.
+func (t *Table) others(now time.Time, except netip.AddrPort) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, b := range t.balancers.Keys() {
+		last, _ := t.balancers.Peek(b)
+		if b != except && now.Sub(last) < balancerIdle {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
 // Changed returns how often a path was changed.
 func (t *Table) Changed() uint64 { return t.changed }
 
--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -39,6 +39,13 @@
 	watchInterval = 100 * time.Millisecond
 	// drainInterval is how often a draining agent looks whether it is done.
 	drainInterval = 10 * time.Millisecond
+	// firstRepeat is the time until a flow's close is repeated; each repeat waits
+	// twice as long as the one before.
+	firstRepeat = 50 * time.Millisecond
+	// closeRepeats is how often the close of a flow is repeated: over 3 s.
+	closeRepeats = 6
+	// stopRepeats is how often it is repeated when the process ends: over 0.35 s.
+	stopRepeats = 3
 	// maxNamedFlows bounds the callers that the log names when a drain is held.
 	maxNamedFlows = 20
 	// streamsPerFlow bounds the requests that one caller has open on a flow.
@@ -85,8 +92,11 @@
 	// Log takes the events.
 	Log gdlog.Logger
 
-	node     *net.UDPConn
-	flows    flows
+	node    *net.UDPConn
+	flows   flows
+	callers *callerConn
+	// closing waits for the repeats of closes.
+	closing  sync.WaitGroup
 	stopping atomic.Bool
 }
 
@@ -143,6 +153,7 @@
 	conn := newCallerConn(a.node, sealer, 2*a.MaxFlows, uint64(a.Incarnation))
 	conn.counters = &a.Counters
 	conn.service = a.service
+	a.callers = conn
 	var reset quic.StatelessResetKey
 	copy(reset[:], a.Fleet.Derive("stateless-reset", len(reset)))
 	return conn, &quic.Transport{
@@ -240,11 +251,29 @@
 }
 
 func (a *Agent) giveUp() {
-	if n := a.flows.closeAll(CodeDomainOut, "failure domain out"); n > 0 {
+	if n := a.closeFlows(CodeDomainOut, "failure domain out", closeRepeats); n > 0 {
 		a.Log.Event(gdlog.FlowGivenUp, "flows", n)
 	}
 }
 
+// closeFlows closes all flows and repeats the datagrams that say so to the
+// callers. The QUIC transport repeats them only when a caller's packet asks for
+// it, and none comes in any more, so a lost one would leave its caller waiting.
+func (a *Agent) closeFlows(code quic.ApplicationErrorCode, reason string, repeats int) int {
+	var n int
+	partings := a.callers.keep(func() { n = a.flows.closeAll(code, reason) })
+	if n == 0 {
+		return 0
+	}
+	a.closing.Go(func() {
+		for i := range repeats {
+			time.Sleep(firstRepeat << i)
+			a.callers.repeat(time.Now(), partings)
+		}
+	})
+	return n
+}
+
 func (a *Agent) logDomain(out bool) {
 	if out {
 		a.Log.Event(gdlog.DomainOut)
@@ -275,7 +304,8 @@
 	if n := a.Requests.InProgress(); n > 0 {
 		a.Log.Event(gdlog.DrainHeld, "requests", n, "callers", a.flows.callers(maxNamedFlows))
 	}
-	a.flows.closeAll(CodeStopping, "agent stopping")
+	a.closeFlows(CodeStopping, "agent stopping", stopRepeats)
+	a.closing.Wait()
 	a.Log.Event(gdlog.DrainEnded)
 }
 
--- a/internal/process/gdagent/conn.go
+++ b/internal/process/gdagent/conn.go
@@ -45,8 +45,20 @@
 	sealer *gdenvelope.Sealer
 	paths  gdpath.Table
 	out    gdnode.Buffer
+	// keeping says that what is sent is kept as well, to be repeated.
+	keeping bool
+	kept    []parting
 }
 
+// parting is a datagram that closes a flow.
+type parting struct {
+	caller netip.AddrPort
+	data   []byte
+}
+
+// maxKept bounds the datagrams that are kept to be repeated.
+const maxKept = 16384
+
 func newCallerConn(node *net.UDPConn, sealer *gdenvelope.Sealer, callers int, seed uint64) *callerConn {
 	return &callerConn{
 		node:   node,
@@ -108,13 +120,21 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.keeping && len(c.kept) < maxKept {
+		c.kept = append(c.kept, parting{caller: caller, data: append([]byte(nil), p...)})
+	}
 	via, ok := c.paths.Send(now, caller)
 	if !ok {
 		return nil
 	}
-	wire, err := c.sealer.Seal(c.out[:0], gdenvelope.Envelope{
+	return c.sendVia(via, gdenvelope.Envelope{
 		Kind: gdenvelope.ToCaller, Version: version, Service: service, Caller: caller, Payload: p,
 	})
+}
+
+// sendVia sends through a balancer. It is called with the lock held.
+func (c *callerConn) sendVia(via netip.AddrPort, e gdenvelope.Envelope) error {
+	wire, err := c.sealer.Seal(c.out[:0], e)
 	if err != nil {
 		return err
 	}
@@ -125,6 +145,37 @@
 	return nil
 }
 
+// keep runs f and returns what was sent meanwhile.
+func (c *callerConn) keep(f func()) []parting {
+	c.mu.Lock()
+	c.keeping = true
+	c.mu.Unlock()
+	f()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.kept
+	c.keeping, c.kept = false, nil
+	return kept
+}
+
+// repeat sends the datagrams once more, each through another balancer.
+func (c *callerConn) repeat(now time.Time, partings []parting) {
+	service, version, ok := c.service()
+	if !ok {
+		return
+	}
+	for _, p := range partings {
+		c.mu.Lock()
+		if via, ok := c.paths.Other(now, p.caller); ok {
+			// It was sealed once, so it is not too large.
+			_ = c.sendVia(via, gdenvelope.Envelope{
+				Kind: gdenvelope.ToCaller, Version: version, Service: service, Caller: p.caller, Payload: p.data,
+			})
+		}
+		c.mu.Unlock()
+	}
+}
+
 // LocalAddr returns the agent's node address.
 func (c *callerConn) LocalAddr() net.Addr { return c.node.LocalAddr() }
 
