Keep the paths of callers with a flow apart from those of openings

Cause: the agent's table of paths took each accepted first packet, so that made-up callers beyond twice the flows pushed out the path of an idle caller, whose feed stalled until it sent again. TestSpoofedCallersPushNoPathOut failed with no answer. Ruled out: a larger table, which a flood fills all the same. Change: packets without a route token have a table of their own.

--- a/internal/process/gdagent/conn.go
+++ b/internal/process/gdagent/conn.go
@@ -43,8 +43,12 @@
 
 	mu     sync.Mutex
 	sealer *gdenvelope.Sealer
-	paths  gdpath.Table
-	out    gdnode.Buffer
+	// paths are those of callers with a flow. Opening are those of callers whose
+	// packets carried no token yet: anyone can make such packets up, and their
+	// paths must not push out the others.
+	paths   gdpath.Table
+	opening gdpath.Table
+	out     gdnode.Buffer
 	// keeping says that what is sent is kept as well, to be repeated.
 	keeping bool
 	kept    []parting
@@ -60,19 +64,26 @@
 const maxKept = 16384
 
 func newCallerConn(node *net.UDPConn, sealer *gdenvelope.Sealer, callers int, seed uint64) *callerConn {
+	rnd := rand.New(rand.NewPCG(seed, seed))
 	return &callerConn{
-		node:   node,
-		sealer: sealer,
-		ring:   make(chan arrival, ringSize),
-		closed: make(chan struct{}),
-		paths:  gdpath.Table{Size: callers, Rand: rand.New(rand.NewPCG(seed, seed))},
+		node:    node,
+		sealer:  sealer,
+		ring:    make(chan arrival, ringSize),
+		closed:  make(chan struct{}),
+		paths:   gdpath.Table{Size: callers, Rand: rnd},
+		opening: gdpath.Table{Size: callers, Rand: rnd},
 	}
 }
 
-// deliver hands a datagram to the transport. It takes over the buffer.
-func (c *callerConn) deliver(now time.Time, e gdenvelope.Envelope, buf *gdnode.Buffer) {
+// deliver hands a datagram to the transport. It takes over the buffer. Established
+// says that the datagram carried a route token.
+func (c *callerConn) deliver(now time.Time, e gdenvelope.Envelope, buf *gdnode.Buffer, established bool) {
 	c.mu.Lock()
-	c.paths.Received(now, e.Caller, e.Balancer)
+	if established {
+		c.paths.Received(now, e.Caller, e.Balancer)
+	} else {
+		c.opening.Received(now, e.Caller, e.Balancer)
+	}
 	c.mu.Unlock()
 	a := arrival{buf: buf, data: e.Payload, caller: net.UDPAddrFromAddrPort(e.Caller)}
 	select {
@@ -124,6 +135,9 @@
 		c.kept = append(c.kept, parting{caller: caller, data: append([]byte(nil), p...)})
 	}
 	via, ok := c.paths.Send(now, caller)
+	if !ok {
+		via, ok = c.opening.Send(now, caller)
+	}
 	if !ok {
 		return nil
 	}
--- a/internal/process/gdagent/door.go
+++ b/internal/process/gdagent/door.go
@@ -90,7 +90,8 @@
 	case gdroute.Accept, gdroute.Reset:
 		// The transport answers a packet of an unknown flow with a stateless
 		// reset, which is what Reset asks for.
-		d.conn.deliver(now, e, buf)
+		_, established := p.Token()
+		d.conn.deliver(now, e, buf, established)
 		return true
 	case gdroute.Forward:
 		d.pass(e, dec.Upstream())
