Show live counts at a terminal and name the processes in gdrig up

Cause: status and dump need the platform's URL and the operator addresses of a running rig; a long demo said nothing between its steps. Change: both go to standard error; one place finds the product's program. Conclusion: no change to what is measured.

--- a/cmd/gdrig/capacity.go
+++ b/cmd/gdrig/capacity.go
@@ -3,10 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"path/filepath"
 
-	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdcapacity"
@@ -38,13 +35,9 @@
 }
 
 func capacity(ctx context.Context, cmd *cli.Command) error {
-	binary := cmd.String("binary")
-	if binary == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return errors.Wrap(err, "find own program")
-		}
-		binary = filepath.Join(filepath.Dir(self), "godwitdrift")
+	binary, err := product(cmd)
+	if err != nil {
+		return err
 	}
 	m := &gdcapacity.Meter{
 		Binary:   binary,
--- a/cmd/gdrig/demo.go
+++ b/cmd/gdrig/demo.go
@@ -73,6 +73,9 @@
 		Seed:     rig.Spec.Settings.Seed,
 		Progress: progress,
 	}
+	if isTerminal(os.Stderr) {
+		d.Live = live
+	}
 	r, err := d.Run(ctx)
 	if err != nil {
 		return err
--- a/cmd/gdrig/up.go
+++ b/cmd/gdrig/up.go
@@ -17,7 +17,8 @@
 
    SERVICE NAME ADDRESS CA-FILE
 
-It runs until interrupted and removes its temporary directory at the end.
+The platform's URL and the processes' operator addresses, for godwitdrift status
+and dump, go to standard error. It runs until interrupted and removes its temporary directory at the end.
 
 Example:
    gdrig up --deployment examples/rejilla-norte`
@@ -51,19 +52,24 @@
 	if cmd.IsSet("seed") {
 		spec.Settings.Seed = cmd.Uint64("seed")
 	}
-	binary := cmd.String("binary")
-	if binary == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return nil, errors.Wrap(err, "find own program")
-		}
-		binary = filepath.Join(filepath.Dir(self), "godwitdrift")
+	binary, err := product(cmd)
+	if err != nil {
+		return nil, err
 	}
 	return &gdrigup.Rig{Spec: spec, Binary: binary, LogLevel: cmd.String("log-level"), Progress: progress}, nil
 }
 
-// progress prints one step for a person.
-func progress(words string) { fmt.Fprintln(os.Stderr, "gdrig:", words) }
+// product returns the file of the godwitdrift program.
+func product(cmd *cli.Command) (string, error) {
+	if file := cmd.String("binary"); file != "" {
+		return file, nil
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return "", errors.Wrap(err, "find own program")
+	}
+	return filepath.Join(filepath.Dir(self), "godwitdrift"), nil
+}
 
 func up(ctx context.Context, cmd *cli.Command) error {
 	rig, err := newRig(cmd)
@@ -74,6 +80,10 @@
 		return err
 	}
 	defer rig.Stop()
+	progress("platform " + rig.Platform.URL())
+	for _, p := range rig.Processes() {
+		progress(p.Role() + " " + p.Name() + ", operator address " + p.OperatorAddress())
+	}
 	for _, s := range rig.Services() {
 		fmt.Println("SERVICE", s.Name, s.Addr, rig.CAFile())
 	}
--- a/internal/rig/gddemo/demo.go
+++ b/internal/rig/gddemo/demo.go
@@ -26,6 +26,8 @@
 	Seed uint64
 	// Progress, when set, is called with each step in words.
 	Progress func(string)
+	// Live, when set, is called every second with the counts so far.
+	Live func(string)
 
 	plan    plan
 	load    *gdload.Load
@@ -62,6 +64,7 @@
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- d.load.Run(ctx) }()
+	go d.live(ctx)
 	err = d.steps(ctx)
 	cancel()
 	if e := <-done; err == nil {
@@ -112,6 +115,13 @@
 	}
 }
 
+// live shows the counts every second until ctx ends.
+func (d *Demo) live(ctx context.Context) {
+	for d.Live != nil && sleep(ctx, time.Second) {
+		d.Live(d.summary())
+	}
+}
+
 func (d *Demo) mark(name string) {
 	d.marks = append(d.marks, Mark{At: time.Now(), Name: name})
 	d.say(name)
--- a/internal/rig/gdrigup/rig.go
+++ b/internal/rig/gdrigup/rig.go
@@ -1,10 +1,13 @@
 package gdrigup
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -137,11 +140,14 @@
 // Upstream returns the stand-in of the named upstream, or nil.
 func (r *Rig) Upstream(name string) *gdupstreamsim.Upstream { return r.upstreams[name] }
 
-// Processes returns the processes that the rig has started and not replaced.
+// Processes returns the processes that the rig has started and not replaced, in
+// the order of their names.
 func (r *Rig) Processes() []*Process {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return lo.Values(r.processes)
+	return slices.SortedFunc(maps.Values(r.processes), func(a, b *Process) int {
+		return cmp.Compare(a.Name(), b.Name())
+	})
 }
 
 func (r *Rig) progress(words string) {
