Measure the path's overhead in one place, and never print the fleet key

Cause: gdrig bench and gdrig capacity measured the same; a fleet key inside a struct was printed by %x and %d. Change: gdcapacity no longer measures the overhead; gdkey.Fleet hides itself from each verb and encoder.

--- a/cmd/gdrig/capacity.go
+++ b/cmd/gdrig/capacity.go
@@ -28,7 +28,6 @@
 			&cli.IntSliceFlag{Name: "flows", Usage: "numbers of idle flows", Value: []int{250, 500, 1000, 2000}},
 			&cli.IntSliceFlag{Name: "feeds", Usage: "numbers of open feeds", Value: []int{250, 500, 1000}},
 			&cli.IntSliceFlag{Name: "requests", Usage: "numbers of requests", Value: []int{1000, 2000, 4000}},
-			&cli.IntFlag{Name: "overhead", Usage: "number of requests for the path's overhead", Value: 2000},
 		},
 		Action: capacity,
 	}
@@ -51,12 +50,5 @@
 	for _, l := range lines {
 		fmt.Println(l)
 	}
-	if err != nil {
-		return err
-	}
-	ways, err := m.Overhead(ctx, cmd.Int("overhead"))
-	for _, w := range ways {
-		fmt.Println(w)
-	}
 	return err
 }
--- a/internal/wire/gdkey/key.go
+++ b/internal/wire/gdkey/key.go
@@ -16,6 +16,8 @@
 	"crypto/hkdf"
 	"crypto/sha256"
 	"encoding/hex"
+	"fmt"
+	"io"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -60,8 +62,14 @@
 	return b
 }
 
+// hidden stands wherever a key would be printed.
+const hidden = "fleet key (hidden)"
+
 // String hides the key from logs and dumps.
-func (f Fleet) String() string { return "fleet key (hidden)" }
+func (f Fleet) String() string { return hidden }
+
+// Format hides the key from each verb.
+func (f Fleet) Format(w fmt.State, _ rune) { _, _ = io.WriteString(w, hidden) }
 
-// GoString hides the key from %#v.
-func (f Fleet) GoString() string { return f.String() }
+// MarshalText hides the key from encoders.
+func (f Fleet) MarshalText() ([]byte, error) { return []byte(hidden), nil }
