Let a leaving agent offer no key of its own, cut no short request at the end of a drain

Ruled out: stateless resets by balancers for flows of a domain that is out; a balancer that is behind would end flows of a domain that has come back. Change: a request without a key of use moves to a peer, which offers one; after the drain time new requests are refused and those that are no open streams finish; requests wait for the first view; the dump shows the admission and the ledger.

--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -46,6 +46,8 @@
 	closeRepeats = 6
 	// stopRepeats is how often it is repeated when the process ends: over 0.35 s.
 	stopRepeats = 3
+	// shortLimit bounds the wait for short requests after the drain time.
+	shortLimit = 5 * time.Second
 	// maxNamedFlows bounds the callers that the log names when a drain is held.
 	maxNamedFlows = 20
 	// streamsPerFlow bounds the requests that one caller has open on a flow.
@@ -55,8 +57,13 @@
 // Requests serves the requests of callers.
 type Requests interface {
 	http.Handler
-	// Stop makes it refuse new requests; those in progress go on.
+	// Stop makes it take no new work: new requests move to peers, and those in
+	// progress go on.
 	Stop()
+	// Refuse makes it refuse each new request; those in progress go on.
+	Refuse()
+	// Busy returns the number of requests in progress that are no open streams.
+	Busy() int
 	// InProgress returns the number of requests in progress.
 	InProgress() int
 	// TakesFlow reports whether a new flow should stay at this agent.
@@ -303,12 +310,22 @@
 	}
 	if n := a.Requests.InProgress(); n > 0 {
 		a.Log.Event(gdlog.DrainHeld, "requests", n, "callers", a.flows.callers(maxNamedFlows))
+		a.finishShort()
 	}
 	a.closeFlows(CodeStopping, "agent stopping", stopRepeats)
 	a.closing.Wait()
 	a.Log.Event(gdlog.DrainEnded)
 }
 
+// finishShort refuses what comes now and lets requests that are no open streams
+// finish, so that the end of the drain time cuts none of them.
+func (a *Agent) finishShort() {
+	a.Requests.Refuse()
+	for limit := time.Now().Add(shortLimit); a.Requests.Busy() > 0 && time.Now().Before(limit); {
+		time.Sleep(drainInterval)
+	}
+}
+
 func (a *Agent) drainTime() time.Duration {
 	v := a.Config.View()
 	if v == nil {
--- a/internal/process/gdrequest/keyed.go
+++ b/internal/process/gdrequest/keyed.go
@@ -42,6 +42,10 @@
 
 // serveKeyed serves a request that runs at most once.
 func (s *Server) serveKeyed(ctx context.Context, w http.ResponseWriter, q *request) {
+	if s.leaving.Load() && q.hops == 0 && !s.runnable(q.Header.Get(headerKey)) {
+		s.offerFromPeer(ctx, w, q)
+		return
+	}
 	if q.Header.Get(headerKey) == "" {
 		s.offerKey(ctx, w, q)
 		return
@@ -66,6 +70,30 @@
 	s.followLedger(ctx, w, at)
 }
 
+// runnable reports whether some agent would run the key.
+func (s *Server) runnable(key string) bool {
+	_, err := s.Signer.Parse(key)
+	return err == nil
+}
+
+// offerFromPeer passes a request without a key of use to a peer, which refuses it
+// with a key of its own: the key of an agent that leaves would be of no use.
+func (s *Server) offerFromPeer(ctx context.Context, w http.ResponseWriter, q *request) {
+	a, ok := s.admit(ctx, q.admission())
+	switch {
+	case !ok:
+		undecided(reasonBusy).write(w)
+	case a.Kind() == gdadmit.KindRelay:
+		s.relay(ctx, w, q, a)
+	case a.Kind() == gdadmit.KindStart:
+		// The upstream has come back meanwhile. Without a key nothing runs.
+		s.finish(q.id, gdadmit.NewOutcome(gdadmit.OutcomeCancelled, 0, false))
+		s.offerKey(ctx, w, q)
+	default:
+		s.refuse(w, a)
+	}
+}
+
 // offerKey refuses a request that needs a key and has none, with one to use.
 func (s *Server) offerKey(ctx context.Context, w http.ResponseWriter, q *request) {
 	got := make(chan gdonce.Key, 1)
--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -46,7 +46,7 @@
 	defer s.inProgress.Add(-1)
 	now := time.Now()
 	v := s.Config.View()
-	if v == nil || !s.Config.MayDecide(now) {
+	if v == nil || !s.takesRequests(now) {
 		notReady(r).write(w)
 		return
 	}
@@ -66,6 +66,11 @@
 	s.servePlain(ctx, w, q)
 }
 
+// takesRequests reports whether the server may decide on a request now.
+func (s *Server) takesRequests(now time.Time) bool {
+	return s.ready.Load() && !s.refusing.Load() && s.Config.MayDecide(now)
+}
+
 // notReady refuses a request before any core has seen it.
 func notReady(r *http.Request) refusal {
 	if r.Header.Get(headerKey) != "" {
@@ -123,6 +128,10 @@
 	}
 	s.header(q.id)
 	defer s.finish(q.id, rep.outcome)
+	if q.stream {
+		s.streams.Add(1)
+		defer s.streams.Add(-1)
+	}
 	answer(w, rep.response)
 }
 
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -67,6 +67,14 @@
 	lastID     atomic.Uint64
 	inProgress atomic.Int64
 	stopping   atomic.Bool
+	// ready says that the cores have had a configuration.
+	ready atomic.Bool
+	// leaving says that the upstream gets no new work. It is renewed by watch.
+	leaving atomic.Bool
+	// refusing says that no request is taken any more.
+	refusing atomic.Bool
+	// streams counts the open streams among the requests in progress.
+	streams atomic.Int64
 	// busy is renewed by watch.
 	busy     atomic.Bool
 	proxy    *proxy
@@ -144,7 +152,10 @@
 			view, stopping = v, stop
 			s.remember(v)
 			s.duty.Post(func(now time.Time) []gdadmit.Action { return s.apply(now, v, stop) })
-			s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.SetView(now, v) })
+			s.ledger.Post(func(now time.Time) []gdonce.Action {
+				defer s.ready.Store(true)
+				return s.once.SetView(now, v)
+			})
 		}
 		s.duty.Offer(s.noteBusy)
 		select {
@@ -189,7 +200,9 @@
 	if s.core.Slots != u.Slots() {
 		actions = s.core.SetSlots(now, u.Slots())
 	}
-	return append(actions, s.core.SetMode(now, modeOf(u, stopping))...)
+	mode := modeOf(u, stopping)
+	s.leaving.Store(mode == gdadmit.ModeLeaving)
+	return append(actions, s.core.SetMode(now, mode)...)
 }
 
 func modeOf(u *gdconf.Upstream, stopping bool) gdadmit.Mode {
@@ -204,7 +217,8 @@
 	return gdadmit.ModeServing
 }
 
-// Stop makes the server refuse new requests; those in progress go on.
+// Stop makes the server take no new work: new requests move to peers, and those
+// in progress go on.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
 // noteBusy renews what TakesFlow returns. It runs in the duty's goroutine.
@@ -232,6 +246,12 @@
 // look.
 func (s *Server) TakesFlow() bool { return !s.busy.Load() }
 
+// Refuse makes the server refuse each new request; those in progress go on.
+func (s *Server) Refuse() { s.refusing.Store(true) }
+
+// Busy returns the number of requests in progress that are no open streams.
+func (s *Server) Busy() int { return int(s.inProgress.Load() - s.streams.Load()) }
+
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
--- a/internal/process/gdserve/agent.go
+++ b/internal/process/gdserve/agent.go
@@ -30,6 +30,12 @@
 	*gdpeer.Relayer
 }
 
+// agentState is the part of the dump that only agents have.
+type agentState struct {
+	gdagent.State
+	Requests gdrequest.State `json:"requests"`
+}
+
 // Agent runs an agent until the context ends, and then until it has drained. It
 // logs to w.
 func Agent(ctx context.Context, s gdsettings.Agent, w io.Writer) error {
@@ -59,7 +65,9 @@
 		Decided:     recordPacket(inj),
 		Log:         do.MustInvoke[gdlog.Logger](inj),
 	}
-	p := newProcess(inj, &a.Counters, func() any { return a.State() })
+	p := newProcess(inj, &a.Counters, func() any {
+		return agentState{State: a.State(), Requests: requests.State()}
+	})
 	p.peers.Loads = requests
 	p.peers.Questions = requests
 	p.peers.Handlers = map[string]http.Handler{
