Bound the memory of the configuration and the cost of a packet's look at it

Ruled out: a bound on time, which a shared machine would break. Change: TestBoundMemory, TestBoundPacketCostsNoAllocation.

--- a/internal/core/gdsync/bench_test.go
+++ b/internal/core/gdsync/bench_test.go
@@ -44,7 +44,7 @@
 	return states[0], states[1]
 }
 
-func assemble(b *testing.B, idx config.Index, values map[string][]byte) *State {
+func assemble(b testing.TB, idx config.Index, values map[string][]byte) *State {
 	var entries []*entry
 	for _, row := range idx.Services {
 		e, err := newEntry(row.Name, values[config.ServiceKey(row.Name)])
@@ -198,3 +198,22 @@
 func reportCPU(b *testing.B, before time.Duration) {
 	b.ReportMetric(float64(cpuTime()-before)/float64(b.N), "cpu-ns/op")
 }
+
+// maxControlBytes is the memory that a process may take for control.
+const maxControlBytes = 64_000_000
+
+// TestBoundMemory holds the largest configuration with its former states, and
+// one more of each while a change is built, to the bound.
+func TestBoundMemory(t *testing.T) {
+	largest := benchSizes[len(benchSizes)-1]
+	before := heapBytes()
+	values := split(sized(1, largest.services, largest.upstreams, 0))
+	idx, err := config.ParseIndex(values[config.IndexKey])
+	require.NoError(t, err)
+	states := []*State{assemble(t, idx, values), assemble(t, idx, values)}
+	for range keptStates {
+		states = append(states, states[0].withoutView())
+	}
+	require.Less(t, heapBytes()-before, int64(maxControlBytes))
+	runtime.KeepAlive(states)
+}
--- /dev/null
+++ b/internal/process/gdconfsync/bound_test.go
@@ -0,0 +1,24 @@
+package gdconfsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+)
+
+// TestBoundPacketCostsNoAllocation holds the bound of a decision per packet:
+// each one looks at the version, the view and whether it may decide.
+func TestBoundPacketCostsNoAllocation(t *testing.T) {
+	s := &Syncer{Name: "booking-1", Platform: &fakePlatform{}}
+	s.init()
+	s.core.Start(time.Now())
+	s.publish(time.Now())
+	require.Zero(t, testing.AllocsPerRun(1000, func() {
+		s.PeerVersion("booking-2", gdconf.Version{})
+		_ = s.View()
+		_ = s.MayDecide(time.Now())
+	}))
+}
