--- /dev/null
+++ b/internal/process/gdrequest/ledger.go
@@ -0,0 +1,104 @@
+package gdrequest
+
+import (
+	"context"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
+)
+
+// deliverLedger hands an action of the ledger to its attempt, or to a peer. It
+// runs in the ledger's goroutine and does not block.
+func (s *Server) deliverLedger(act gdonce.Action) {
+	switch act := act.(type) {
+	case gdonce.Ask:
+		go s.ask(act)
+		return
+	case gdonce.Release:
+		go s.callPeerLedger(act.Peer, func(ctx context.Context, addr string) error {
+			return s.Peers.Release(ctx, addr, act.Question)
+		})
+		return
+	case gdonce.Tell:
+		go s.callPeerLedger(act.Peer, func(ctx context.Context, addr string) error {
+			return s.Peers.Tell(ctx, addr, act.Notice)
+		})
+		return
+	}
+	at, ok := s.attempts.get(act.RequestID())
+	if !ok {
+		s.abandon(act)
+		return
+	}
+	select {
+	case at.actions <- act:
+	default:
+		s.abandon(act)
+	}
+}
+
+// callPeerLedger calls the ledger of a peer and reports whether that succeeded.
+func (s *Server) callPeerLedger(peer gdconf.UpstreamID, call func(ctx context.Context, addr string) error) bool {
+	addr, ok := s.addressOf(peer)
+	if !ok || s.Peers == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), gdonce.ClaimTimeout)
+	defer cancel()
+	return call(ctx, addr) == nil
+}
+
+// abandon handles an action whose attempt is gone: a run that nobody will carry
+// out has certainly not begun.
+func (s *Server) abandon(act gdonce.Action) {
+	if run, ok := act.(gdonce.Run); ok {
+		go s.ended(run.RequestID(), gdonce.Outcome{Result: gdonce.ResultNotRun})
+	}
+}
+
+// ask carries a question to a peer and its answer back.
+func (s *Server) ask(act gdonce.Ask) {
+	a := gdonce.Answer{Verdict: gdonce.PeerFailed}
+	s.callPeerLedger(act.Peer, func(ctx context.Context, addr string) error {
+		got, err := s.Peers.Ask(ctx, addr, act.Question)
+		if err == nil {
+			a = got
+		}
+		return err
+	})
+	s.ledger.Post(func(now time.Time) []gdonce.Action {
+		return s.once.Answered(now, act.RequestID(), act.Peer, a)
+	})
+}
+
+// Released takes back a grant that a peer gives back.
+func (s *Server) Released(q gdonce.Question) {
+	s.init()
+	s.ledger.Post(func(now time.Time) []gdonce.Action {
+		s.once.Released(now, q)
+		return nil
+	})
+}
+
+// Told takes in what a peer tells about a key.
+func (s *Server) Told(n gdonce.Notice) {
+	s.init()
+	s.ledger.Post(func(now time.Time) []gdonce.Action { return s.once.Told(now, n) })
+}
+
+// Asked answers a peer's question about a key.
+func (s *Server) Asked(ctx context.Context, q gdonce.Question) (gdonce.Answer, error) {
+	s.init()
+	got := make(chan gdonce.Answer, 1)
+	s.ledger.Post(func(now time.Time) []gdonce.Action {
+		got <- s.once.Asked(now, q)
+		return nil
+	})
+	select {
+	case a := <-got:
+		return a, nil
+	case <-ctx.Done():
+		return gdonce.Answer{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/process/gdrequest/run.go
@@ -0,0 +1,93 @@
+package gdrequest
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdadmit"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
+	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+)
+
+// runKeyed runs the request and tells the ledger how it ended. Only its home may
+// run it, so it is admitted here or refused: it counts as relayed as often as it
+// may be.
+func (s *Server) runKeyed(ctx context.Context, at *attempt) {
+	r := gdadmit.NewRequest(at.id, at.priority, at.deadline, gdadmit.Relayed(gdspread.DefaultHops))
+	a, ok := s.admit(ctx, r)
+	if !ok {
+		s.ended(at.id, gdonce.Outcome{Result: gdonce.ResultNotRun, RetryAfter: notReadyRetry})
+		return
+	}
+	s.note(at.request, a.Kind().String(), a.Reason().String(), 0)
+	if a.Kind() != gdadmit.KindStart {
+		s.ended(at.id, gdonce.Outcome{Result: gdonce.ResultNotRun, RetryAfter: a.RetryAfter()})
+		return
+	}
+	run, cancel := context.WithTimeout(context.WithoutCancel(ctx), keyedLimit)
+	defer cancel()
+	rep := s.proxy.send(run, at.request, io.NopCloser(bytes.NewReader(at.body)))
+	out, outcome := s.keyedOutcome(at, rep)
+	s.finish(at.id, out)
+	s.ended(at.id, outcome)
+}
+
+// keyedOutcome reads the whole answer and says how the run ended.
+func (s *Server) keyedOutcome(at *attempt, rep reply) (gdadmit.Outcome, gdonce.Outcome) {
+	if rep.err != nil {
+		return rep.outcome, failedRun(rep.outcome.MayHaveStarted())
+	}
+	defer rep.response.Body.Close()
+	if isShed(rep.response) {
+		return rep.outcome, failedRun(false)
+	}
+	body, err := io.ReadAll(io.LimitReader(rep.response.Body, maxKeyedAnswer+1))
+	if err != nil || len(body) > maxKeyedAnswer {
+		return gdadmit.NewOutcome(gdadmit.OutcomeFailed, 0, true), failedRun(true)
+	}
+	st := gdonce.Stored{Status: rep.response.StatusCode, Headers: storedHeaders(rep.response.Header), Body: body}
+	if len(body) > gdonce.MaxBodyBytes {
+		at.whole = body
+		st.Body, st.Omitted = nil, true
+	}
+	return rep.outcome, gdonce.Outcome{Result: gdonce.ResultDone, Answer: st}
+}
+
+func failedRun(mayHaveStarted bool) gdonce.Outcome {
+	if mayHaveStarted {
+		return gdonce.Outcome{Result: gdonce.ResultUnknown}
+	}
+	return gdonce.Outcome{Result: gdonce.ResultNotRun, RetryAfter: notReadyRetry}
+}
+
+// storedHeaders returns the headers that later attempts get as well.
+func storedHeaders(h http.Header) []gdonce.Header {
+	removeHopHeaders(h)
+	var out []gdonce.Header
+	for name, values := range h {
+		for _, v := range values {
+			out = append(out, gdonce.Header{Name: name, Value: v})
+		}
+	}
+	return out
+}
+
+// writeStored answers with a run's answer. Whole is set at the attempt that ran
+// and had a large answer.
+func writeStored(w http.ResponseWriter, st gdonce.Stored, whole []byte) {
+	for _, h := range st.Headers {
+		w.Header().Add(h.Name, h.Value)
+	}
+	body := st.Body
+	if st.Omitted {
+		body = whole
+		if whole == nil {
+			w.Header().Del("Content-Length")
+			w.Header().Set(HeaderReason, reasonOmitted)
+		}
+	}
+	w.WriteHeader(st.Status)
+	_, _ = w.Write(body) // the caller is gone if this fails
+}
