--- /dev/null
+++ b/internal/process/gdrequest/server_test.go
@@ -0,0 +1,146 @@
+package gdrequest_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/config"
+	"godwitdrift.example/godwitdrift/internal/core/gdconf"
+	"godwitdrift.example/godwitdrift/internal/core/gdfix"
+	"godwitdrift.example/godwitdrift/internal/core/gdonce"
+	"godwitdrift.example/godwitdrift/internal/core/gdspread"
+	"godwitdrift.example/godwitdrift/internal/process/gdrequest"
+	"godwitdrift.example/godwitdrift/internal/wire/gdpeer"
+)
+
+const self = 101
+
+type fixedConfig struct{ view *gdconf.View }
+
+func (c fixedConfig) View() *gdconf.View               { return c.view }
+func (fixedConfig) MayDecide(time.Time) bool           { return true }
+func (fixedConfig) PeerVersion(string, gdconf.Version) {}
+
+// fakePeers has room, and offers a key of its own.
+type fakePeers struct{ relayed atomic.Int64 }
+
+func (p *fakePeers) Relay(context.Context, string, *http.Request) (*http.Response, bool, error) {
+	p.relayed.Add(1)
+	h := http.Header{}
+	h.Set(gdrequest.HeaderKey, "key-of-a-peer")
+	h.Set(gdrequest.HeaderOutcome, gdrequest.OutcomeNotRun)
+	return &http.Response{StatusCode: http.StatusPreconditionRequired, Header: h, Body: http.NoBody}, true, nil
+}
+
+func (*fakePeers) Ask(context.Context, string, gdonce.Question) (gdonce.Answer, error) {
+	return gdonce.Answer{}, io.ErrUnexpectedEOF
+}
+func (*fakePeers) Release(context.Context, string, gdonce.Question) error { return nil }
+func (*fakePeers) Tell(context.Context, string, gdonce.Notice) error      { return nil }
+
+func (*fakePeers) ExchangeLoad(context.Context, string, gdpeer.Load) (gdpeer.PeerLoad, error) {
+	room := gdspread.NewLoad(0, 0, 3, 0)
+	return gdpeer.PeerLoad{Load: gdpeer.Load{Upstream: self + 1, Load: room}}, nil
+}
+
+// start runs a server for the first upstream of the deployment.
+func start(t *testing.T, d config.Deployment, upstream http.Handler) (*gdrequest.Server, *fakePeers) {
+	t.Helper()
+	backend := httptest.NewServer(upstream)
+	t.Cleanup(backend.Close)
+	target, err := url.Parse(backend.URL)
+	require.NoError(t, err)
+	peers := &fakePeers{}
+	s := &gdrequest.Server{
+		Self: self, Incarnation: 7, Config: fixedConfig{gdfix.View(d)}, Target: target, Peers: peers,
+		Signer: gdonce.NewSigner([]byte("secret")), Rand: rand.New(rand.NewPCG(1, 1)),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { s.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	return s, peers
+}
+
+func deployment() config.Deployment {
+	d := gdfix.Deployment(1, 2)
+	d.Services[0].Routes = []config.Route{{PathPrefix: "/unlock", Priority: 1, AtMostOnce: true}}
+	return d
+}
+
+func post(s http.Handler, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/unlock", strings.NewReader("bay 7"))
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w
+}
+
+// awaitOffer asks without a key until the server is ready, and returns the key
+// that it offers.
+func awaitOffer(t *testing.T, s http.Handler) string {
+	t.Helper()
+	var key string
+	require.Eventually(t, func() bool {
+		key = post(s, "").Header().Get(gdrequest.HeaderKey)
+		return key != ""
+	}, 10*time.Second, time.Millisecond)
+	return key
+}
+
+func TestSameKeyRunsOnceAndGetsTheSameAnswer(t *testing.T) {
+	var runs atomic.Int64
+	s, _ := start(t, deployment(), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, "run %d", runs.Add(1))
+	}))
+	key := awaitOffer(t, s)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			w := post(s, key)
+			if w.Code != http.StatusOK || w.Body.String() != "run 1" {
+				t.Errorf("status %d, body %q", w.Code, w.Body)
+			}
+		})
+	}
+	wg.Wait()
+	require.EqualValues(t, 1, runs.Load())
+}
+
+// TestLeavingAgentOffersNoKeyOfItsOwn wants a key that somebody will run.
+func TestLeavingAgentOffersNoKeyOfItsOwn(t *testing.T) {
+	d := deployment()
+	d.Services[0].Upstreams[0].State = config.StateLeaving
+	s, peers := start(t, d, http.NotFoundHandler())
+	require.Equal(t, "key-of-a-peer", awaitOffer(t, s))
+	require.NotZero(t, peers.relayed.Load())
+	require.Equal(t, "key-of-a-peer", post(s, "a key that no agent runs").Header().Get(gdrequest.HeaderKey))
+}
+
+// TestRequestBeforeTheFirstViewIsNotDecided sends to a server that does not run
+// yet. A key is not closed by it, so that its outcome is unknown.
+func TestRequestBeforeTheFirstViewIsNotDecided(t *testing.T) {
+	s := &gdrequest.Server{
+		Self: self, Config: fixedConfig{gdfix.View(deployment())}, Target: &url.URL{},
+		Signer: gdonce.NewSigner([]byte("secret")), Rand: rand.New(rand.NewPCG(1, 1)),
+	}
+	for key, want := range map[string]string{"": gdrequest.OutcomeNotRun, "a-key": gdrequest.OutcomeUnknown} {
+		w := post(s, key)
+		require.Equal(t, want, w.Header().Get(gdrequest.HeaderOutcome))
+		require.NotEmpty(t, w.Header().Get("Retry-After"))
+	}
+}
