Pause agents in the rig

Cause: paused agents were shown in the cores only. Change: the plans agent-pause and agent-sleep stop an agent with SIGSTOP for a tenth of the run, and through the leaving of its own failure domain.

--- a/internal/rig/gddemo/actions.go
+++ b/internal/rig/gddemo/actions.go
@@ -60,11 +60,11 @@
 }
 
 func (d *Demo) pauseBalancer(context.Context) error {
-	return d.Rig.PauseBalancer(d.Rig.Balancers()[0].Name)
+	return d.Rig.Pause(d.Rig.Balancers()[0].Name)
 }
 
 func (d *Demo) resumeBalancer(context.Context) error {
-	return d.Rig.ResumeBalancer(d.Rig.Balancers()[0].Name)
+	return d.Rig.Resume(d.Rig.Balancers()[0].Name)
 }
 
 func (d *Demo) cutBalancer(context.Context) error {
@@ -139,6 +139,17 @@
 
 func (d *Demo) agent() string { return d.drained.upstream }
 
+func (d *Demo) pauseAgent(context.Context) error { return d.Rig.Pause(d.agent()) }
+
+func (d *Demo) resumeAgent(context.Context) error { return d.Rig.Resume(d.agent()) }
+
+// member is an upstream of the failure domain that goes out.
+func (d *Demo) member() string { return d.drained.members[0] }
+
+func (d *Demo) pauseMember(context.Context) error { return d.Rig.Pause(d.member()) }
+
+func (d *Demo) resumeMember(context.Context) error { return d.Rig.Resume(d.member()) }
+
 func (d *Demo) stopAgent(context.Context) error {
 	p := d.Rig.Process(d.agent())
 	if p == nil {
--- a/internal/rig/gddemo/plans.go
+++ b/internal/rig/gddemo/plans.go
@@ -57,6 +57,8 @@
 		{name: "platform-garbage", about: "the platform answers garbage while a balancer is replaced", steps: (*Demo).platformGarbage},
 		{name: "cold", about: "warm upstreams turn cold while their health endpoints say warm", steps: (*Demo).cold},
 		{name: "key-rotation", about: "a token key is added, becomes the first, and the old one goes", steps: (*Demo).keyRotation},
+		{name: "agent-pause", about: "an agent sleeps for some seconds and wakes", steps: (*Demo).agentPause},
+		{name: "agent-sleep", about: "an agent sleeps through the leaving of its own failure domain and wakes", steps: (*Demo).agentSleep, breaks: true},
 		{name: "agent-stop", about: "an agent is stopped gracefully and started again", steps: (*Demo).agentStop, breaks: true},
 		{name: "agent-kill", about: "an agent is killed and started again", steps: (*Demo).agentKill, breaks: true},
 		{name: "silence", about: "the fabric loses track of callers", steps: (*Demo).silence, breaks: true},
@@ -109,6 +111,22 @@
 	}
 }
 
+func (d *Demo) agentPause() []step {
+	return []step{
+		{0.3, "pause agent " + d.agent(), d.pauseAgent},
+		{0.4, "resume the agent", d.resumeAgent},
+	}
+}
+
+func (d *Demo) agentSleep() []step {
+	return []step{
+		{0.2, "pause agent " + d.member(), d.pauseMember},
+		{0.3, "take failure domain " + d.drained.domain + " out", d.domainOutQuietly},
+		{0.5, "resume the agent", d.resumeMember},
+		{0.6, "watch failure domain " + d.drained.domain, d.watchDomain},
+	}
+}
+
 func (d *Demo) balancerCut() []step {
 	return []step{
 		{0.3, "cut a balancer off", d.cutBalancer},
--- a/internal/rig/gdrigup/control.go
+++ b/internal/rig/gdrigup/control.go
@@ -55,12 +55,11 @@
 	return balancerName(n), nil
 }
 
-// PauseBalancer stops the named balancer in its tracks; ResumeBalancer lets it
-// go on.
-func (r *Rig) PauseBalancer(name string) error { return r.signal(name, syscall.SIGSTOP) }
+// Pause stops the named process in its tracks; Resume lets it go on.
+func (r *Rig) Pause(name string) error { return r.signal(name, syscall.SIGSTOP) }
 
-// ResumeBalancer lets a paused balancer go on.
-func (r *Rig) ResumeBalancer(name string) error { return r.signal(name, syscall.SIGCONT) }
+// Resume lets a paused process go on.
+func (r *Rig) Resume(name string) error { return r.signal(name, syscall.SIGCONT) }
 
 func (r *Rig) signal(name string, s syscall.Signal) error {
 	p := r.Process(name)
