Let a demo's load begin once the agents vouch for keys

Cause: 120 to 139 of each demo's unknown outcomes were keys that came in the first 4.5 s after all agents had started at once, which hid the others. Ruled out: asking for more grants than a fresh agent can give; the promise rests on them.

--- a/cmd/gdrig/demo.go
+++ b/cmd/gdrig/demo.go
@@ -34,7 +34,10 @@
    gdrig demo --deployment examples/kiosks --seconds 30 --seed 7
    gdrig demo --deployment examples/rejilla-norte --plan platform-stale`
 
-const defaultDemoSeconds = 30
+const (
+	defaultDemoSeconds   = 30
+	defaultSettleSeconds = 5
+)
 
 func demoCommand() *cli.Command {
 	return &cli.Command{
@@ -45,7 +48,8 @@
 			&cli.StringFlag{Name: "plan", Usage: "what happens under load: " + planNames(), Value: "change"},
 			&cli.StringFlag{Name: "plot", Usage: "PNG file for latency, refusals and imbalance over time"},
 			&cli.IntFlag{Name: "factor", Usage: "multiplies the flows that send requests", Value: 1},
-			&cli.IntFlag{Name: "seconds", Usage: "length of the load", Value: defaultDemoSeconds}),
+			&cli.IntFlag{Name: "seconds", Usage: "length of the load", Value: defaultDemoSeconds},
+			&cli.IntFlag{Name: "settle", Usage: "seconds between the start and the load, in which the agents come to vouch for keys", Value: defaultSettleSeconds}),
 		Action: demo,
 	}
 }
@@ -71,6 +75,7 @@
 		Length:   time.Duration(cmd.Int("seconds")) * time.Second,
 		Factor:   cmd.Int("factor"),
 		Seed:     rig.Spec.Settings.Seed,
+		Settle:   time.Duration(cmd.Int("settle")) * time.Second,
 		Progress: progress,
 	}
 	if isTerminal(os.Stderr) {
--- a/internal/rig/gddemo/demo.go
+++ b/internal/rig/gddemo/demo.go
@@ -24,6 +24,10 @@
 	Factor int
 	// Seed seeds the load.
 	Seed uint64
+	// Settle is the time between the start of the fleet and the load. For some 4.5 s
+	// after all agents of a service have started at once, none of them can vouch
+	// for a caller's own key, and its outcome is unknown.
+	Settle time.Duration
 	// Progress, when set, is called with each step in words.
 	Progress func(string)
 	// Live, when set, is called every second with the counts so far.
@@ -59,6 +63,10 @@
 		return gdload.Result{}, err
 	}
 	d.choose()
+	if d.Settle > 0 {
+		d.say("waiting until the agents vouch for keys")
+		time.Sleep(d.Settle)
+	}
 	d.load = &gdload.Load{Targets: d.targets(), Roots: roots, Record: d.Rig.Record, Seed: d.Seed}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
