Give the rig's processes peers to start from

Cause: a process that starts while the platform is down knew nobody; whether the peers of the settings help had not been shown with separate processes. Change: the rig writes three agents into each process's settings.

--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -163,6 +163,9 @@
 	return r.startProcess(gdplatsim.RoleAgent, s)
 }
 
+// seedPeers is the number of peers in a process's settings.
+const seedPeers = 3
+
 // balancerName returns the name of the balancer with the number.
 func balancerName(n int) string { return "balancer-" + strconv.Itoa(n+1) }
 
@@ -194,7 +197,22 @@
 		Name: name, Domain: domain, LogLevel: level,
 		Platform:     r.Platform.URL(),
 		FleetKeyFile: r.FleetKeyFile(),
+		Peers:        r.seedPeers(name),
+	}
+}
+
+// seedPeers returns the first few agents other than the named process, from which
+// it gets the configuration when the platform is down.
+func (r *Rig) seedPeers(name string) []string {
+	var out []string
+	for _, s := range r.deployment.Services {
+		for _, u := range s.Upstreams {
+			if u.Name != name && len(out) < seedPeers {
+				out = append(out, u.Name+"@"+u.Agent)
+			}
+		}
 	}
+	return out
 }
 
 func (r *Rig) startProcess(role string, s nodeSettings) error {
--- a/internal/rig/gdrigup/process.go
+++ b/internal/rig/gdrigup/process.go
@@ -14,21 +14,22 @@
 
 // nodeSettings are the settings file of a balancer or an agent.
 type nodeSettings struct {
-	Name            string `toml:"name"`
-	Domain          string `toml:"domain"`
-	NodeAddress     string `toml:"node-address"`
-	OperatorAddress string `toml:"operator-address"`
-	Platform        string `toml:"platform"`
-	FleetKeyFile    string `toml:"fleet-key-file"`
-	LogLevel        string `toml:"log-level"`
-	ListenHost      string `toml:"listen-host,omitempty"`
-	UpstreamID      uint32 `toml:"upstream-id,omitempty"`
-	UpstreamURL     string `toml:"upstream-url,omitempty"`
-	HealthPath      string `toml:"health-path,omitempty"`
-	LoadPath        string `toml:"load-path,omitempty"`
-	CertFile        string `toml:"cert-file,omitempty"`
-	KeyFile         string `toml:"key-file,omitempty"`
-	MaxFlows        int    `toml:"max-flows,omitempty"`
+	Name            string   `toml:"name"`
+	Domain          string   `toml:"domain"`
+	NodeAddress     string   `toml:"node-address"`
+	OperatorAddress string   `toml:"operator-address"`
+	Platform        string   `toml:"platform"`
+	FleetKeyFile    string   `toml:"fleet-key-file"`
+	LogLevel        string   `toml:"log-level"`
+	Peers           []string `toml:"peers,omitempty"`
+	ListenHost      string   `toml:"listen-host,omitempty"`
+	UpstreamID      uint32   `toml:"upstream-id,omitempty"`
+	UpstreamURL     string   `toml:"upstream-url,omitempty"`
+	HealthPath      string   `toml:"health-path,omitempty"`
+	LoadPath        string   `toml:"load-path,omitempty"`
+	CertFile        string   `toml:"cert-file,omitempty"`
+	KeyFile         string   `toml:"key-file,omitempty"`
+	MaxFlows        int      `toml:"max-flows,omitempty"`
 }
 
 // Process is one balancer or agent that the rig has started.
