Free a peer's place when a relayed request returns

Ruled out: more reports, which cost every agent; a larger allowance, which would fill the peers' queues. Change: the charge ends when the request's answer begins or it fails. TestReturnedRequestFreesItsPlace passes 50 requests where 2 went before.

--- a/internal/core/gdadmit/core.go
+++ b/internal/core/gdadmit/core.go
@@ -201,6 +201,14 @@
 	}
 }
 
+// PeerReturned notes that a request that was relayed to the peer no longer holds
+// a slot there: its answer has begun, or it has failed.
+func (c *Guard[L]) PeerReturned(id gdconf.UpstreamID) {
+	if c.Spread != nil {
+		c.Spread.Returned(id)
+	}
+}
+
 // SetSlots changes the upstream's slots. Running requests are not touched.
 func (c *Guard[L]) SetSlots(now time.Time, slots int) []Action {
 	c.enter(now)
--- a/internal/core/gdspread/spread.go
+++ b/internal/core/gdspread/spread.go
@@ -103,7 +103,16 @@
 	return c.take(i), true
 }
 
-// take charges one request to the peer until it reports again.
+// Returned notes that a request that was passed to the peer no longer holds a
+// slot there, so that the next one need not wait for the peer's report.
+func (c *Core) Returned(id gdconf.UpstreamID) {
+	if i := c.index(id); i >= 0 && c.peers[i].load.inFlight > 0 {
+		c.peers[i].load.inFlight--
+	}
+}
+
+// take charges one request to the peer until it returns or the peer reports
+// again.
 func (c *Core) take(i int) gdconf.UpstreamID {
 	c.peers[i].load.inFlight++
 	return c.peers[i].id
--- a/internal/core/gdspread/spread_test.go
+++ b/internal/core/gdspread/spread_test.go
@@ -119,3 +119,21 @@
 		last = w
 	}
 }
+
+// TestReturnedRequestFreesItsPlace lets one request after the other pass to a
+// peer with little room between two of its reports.
+func TestReturnedRequestFreesItsPlace(t *testing.T) {
+	c := newCore(7)
+	c.PeerLoad(start, 7, gdspread.NewLoad(0, 0, 1, 0))
+	for range 50 {
+		id, ok := c.Move(start, 0)
+		require.True(t, ok)
+		c.Returned(id)
+	}
+	c.Returned(7)
+	c.Returned(9)
+	_, first := c.Move(start, 0)
+	_, second := c.Move(start, 0)
+	_, third := c.Move(start, 0)
+	require.Equal(t, []bool{true, true, false}, []bool{first, second, third}, "the load stays what was reported")
+}
--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -171,6 +171,10 @@
 // relay passes the request on to a peer.
 func (s *Server) relay(ctx context.Context, w http.ResponseWriter, q *request, a gdadmit.Action) {
 	rep := s.sendPeer(ctx, q, a.Peer(), q.Body)
+	s.duty.Offer(func(time.Time) []gdadmit.Action {
+		s.core.PeerReturned(a.Peer())
+		return nil
+	})
 	switch {
 	case rep.err == nil:
 		answer(w, rep.response)
