Give the body setting its meaning, and drop one that had none

Cause: the settings max-body-buffer-kib and load-path did nothing. Change: the first bounds the bodies of requests with a key; a larger one is answered 413 with the outcome unknown, since the key is not closed by it. The second is gone until something reads it.

--- a/cmd/godwitdrift/agent.go
+++ b/cmd/godwitdrift/agent.go
@@ -16,7 +16,7 @@
 		Description: help(`An agent ends the callers' flows, admits or refuses each request and guards its
 upstream. SIGTERM or SIGINT begins the drain: no request in progress is cut.
 Settings: those of a balancer but for listen-host and sockets, and upstream-id,
-upstream-url, health-path, load-path, cert-file, key-file, max-flows,
+upstream-url, health-path, cert-file, key-file, max-flows,
 max-body-buffer-kib.`, `
    godwitdrift agent --settings /etc/godwitdrift/agent.toml`),
 		Flags: []cli.Flag{settingsFlag()},
--- a/internal/operate/gdsettings/types.go
+++ b/internal/operate/gdsettings/types.go
@@ -17,7 +17,8 @@
 const (
 	// DefaultMaxFlows is the number of flows that an agent holds at most.
 	DefaultMaxFlows = 4000
-	// DefaultMaxBodyBufferKiB is the memory for bodies of one request, in KiB.
+	// DefaultMaxBodyBufferKiB is the largest body of a request with an
+	// Idempotency-Key, in KiB.
 	DefaultMaxBodyBufferKiB = 64
 	// DefaultSockets is the number of sockets for each service address.
 	DefaultSockets = 1
@@ -76,15 +77,14 @@
 	UpstreamURL string `toml:"upstream-url"`
 	// HealthPath is the path of the upstream's health endpoint.
 	HealthPath string `toml:"health-path"`
-	// LoadPath is the path of the upstream's load endpoint; empty if it has none.
-	LoadPath string `toml:"load-path"`
 	// CertFile names the PEM file with the certificate chain shown to callers.
 	CertFile string `toml:"cert-file"`
 	// KeyFile names the PEM file with the certificate's private key.
 	KeyFile string `toml:"key-file"`
 	// MaxFlows is the number of flows held at most.
 	MaxFlows int `toml:"max-flows"`
-	// MaxBodyBufferKiB bounds the body bytes buffered for one request, in KiB.
+	// MaxBodyBufferKiB bounds the body of a request with an Idempotency-Key, in
+	// KiB. It is held until the request has run; other bodies are streamed.
 	MaxBodyBufferKiB int `toml:"max-body-buffer-kib"`
 }
 
@@ -130,9 +130,6 @@
 	}
 	k.url("upstream-url", &a.UpstreamURL)
 	k.path("health-path", a.HealthPath)
-	if a.LoadPath != "" {
-		k.path("load-path", a.LoadPath)
-	}
 	k.keyPair("cert-file", &a.CertFile, "key-file", &a.KeyFile)
 	k.between("max-flows", a.MaxFlows, 1, maxFlows)
 	k.between("max-body-buffer-kib", a.MaxBodyBufferKiB, 1, maxBodyBufferKiB)
--- a/internal/process/gdrequest/keyed.go
+++ b/internal/process/gdrequest/keyed.go
@@ -19,8 +19,8 @@
 	// keyedLimit bounds the run of a request with a key. It goes on when its
 	// caller is gone, so that the outcome is known to a later attempt.
 	keyedLimit = time.Minute
-	// maxKeyedBody bounds the body of a request with a key, in bytes.
-	maxKeyedBody = 64 << 10
+	// DefaultMaxKeyedBody is the largest body of a request with a key, in bytes.
+	DefaultMaxKeyedBody = 64 << 10
 	// maxKeyedAnswer bounds the answer to a request with a key, in bytes.
 	maxKeyedAnswer = 4 << 20
 	// attemptActions is more than the ledger returns for one attempt.
@@ -48,9 +48,10 @@
 		s.offerKey(ctx, w, q)
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, maxKeyedBody))
+	body, err := io.ReadAll(http.MaxBytesReader(w, q.Body, s.MaxKeyedBody))
 	if err != nil {
-		refusal{status: http.StatusRequestEntityTooLarge, outcome: OutcomeNotRun, reason: reasonBody}.write(w)
+		// Another agent may take larger bodies, and the key is not closed here.
+		refusal{status: http.StatusRequestEntityTooLarge, outcome: OutcomeUnknown, reason: reasonBody}.write(w)
 		return
 	}
 	at := &attempt{request: q, body: body, actions: make(chan gdonce.Action, attemptActions)}
--- a/internal/process/gdrequest/server.go
+++ b/internal/process/gdrequest/server.go
@@ -55,6 +55,9 @@
 	Peers Peers
 	// Rand is the random source of the decisions.
 	Rand *rand.Rand
+	// MaxKeyedBody bounds the body of a request with a key, in bytes. Zero means
+	// DefaultMaxKeyedBody.
+	MaxKeyedBody int64
 	// HealthPath is the path of the upstream's health endpoint. An empty one is
 	// not asked.
 	HealthPath string
@@ -108,6 +111,9 @@
 func (s *Server) init() { s.start.Do(s.build) }
 
 func (s *Server) build() {
+	if s.MaxKeyedBody == 0 {
+		s.MaxKeyedBody = DefaultMaxKeyedBody
+	}
 	s.proxy = newProxy(s.Target)
 	s.core = &gdadmit.Core{
 		Slots:  1,
--- a/internal/process/gdserve/agent.go
+++ b/internal/process/gdserve/agent.go
@@ -91,14 +91,15 @@
 	}
 	fleet := do.MustInvoke[gdkey.Fleet](inj)
 	return &gdrequest.Server{
-		Self:        gdconf.UpstreamID(s.UpstreamID),
-		Incarnation: uint32(do.MustInvoke[incarnation](inj)),
-		Config:      conf,
-		Target:      target,
-		HealthPath:  s.HealthPath,
-		Decided:     recordRequest(inj),
-		Log:         do.MustInvoke[gdlog.Logger](inj),
-		Signer:      gdonce.NewSigner(fleet.Derive("issued-keys", signerKeySize)),
+		Self:         gdconf.UpstreamID(s.UpstreamID),
+		Incarnation:  uint32(do.MustInvoke[incarnation](inj)),
+		Config:       conf,
+		Target:       target,
+		MaxKeyedBody: int64(s.MaxBodyBufferKiB) << 10,
+		HealthPath:   s.HealthPath,
+		Decided:      recordRequest(inj),
+		Log:          do.MustInvoke[gdlog.Logger](inj),
+		Signer:       gdonce.NewSigner(fleet.Derive("issued-keys", signerKeySize)),
 		Peers: peers{
 			Dialer:  do.MustInvoke[*gdpeer.Dialer](inj),
 			Relayer: &gdpeer.Relayer{Identity: do.MustInvoke[*gdpeer.Identity](inj)},
--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -156,7 +156,6 @@
 	s.UpstreamID = u.ID
 	s.UpstreamURL = r.upstreams[u.Name].URL()
 	s.HealthPath = "/healthz"
-	s.LoadPath = "/load"
 	s.CertFile = r.authority.certFile(service)
 	s.KeyFile = r.authority.keyFile(service)
 	s.MaxFlows = r.Spec.Settings.MaxFlows
--- a/internal/rig/gdrigup/process.go
+++ b/internal/rig/gdrigup/process.go
@@ -26,7 +26,6 @@
 	UpstreamID      uint32   `toml:"upstream-id,omitempty"`
 	UpstreamURL     string   `toml:"upstream-url,omitempty"`
 	HealthPath      string   `toml:"health-path,omitempty"`
-	LoadPath        string   `toml:"load-path,omitempty"`
 	CertFile        string   `toml:"cert-file,omitempty"`
 	KeyFile         string   `toml:"key-file,omitempty"`
 	MaxFlows        int      `toml:"max-flows,omitempty"`
