Let four token keys be in force

Cause: dropping an old token key ends the flows that it sealed; with two keys, a second rotation forces the drop. Ruled out: new connection IDs under the new key for open flows: the QUIC library gives none of itself. Change: a configuration may name four keys, one for each phase. Conclusion: an old key can stay through three rotations.

--- a/config/check.go
+++ b/config/check.go
@@ -93,8 +93,8 @@
 }
 
 func (c *checker) tokenKeys(keys []TokenKey) {
-	if len(keys) < 1 || len(keys) > 2 {
-		c.add("token-keys", "%d keys are given, 1 or 2 are allowed", len(keys))
+	if len(keys) < 1 || len(keys) > MaxTokenKeys {
+		c.add("token-keys", "%d keys are given, 1 to %d are allowed", len(keys), MaxTokenKeys)
 	}
 	phases, names := newUnique(), newUnique()
 	for i, k := range keys {
--- a/config/config_test.go
+++ b/config/config_test.go
@@ -57,3 +57,14 @@
 	require.NoError(t, err)
 	require.Equal(t, sample(), d)
 }
+
+func TestFourTokenKeysMayBeInForce(t *testing.T) {
+	d := sample()
+	d.TokenKeys = nil
+	for phase := range uint8(config.MaxTokenKeys) {
+		d.TokenKeys = append(d.TokenKeys, config.TokenKey{Phase: phase, Name: "key-" + string('a'+rune(phase))})
+	}
+	require.NoError(t, d.Check())
+	d.TokenKeys = append(d.TokenKeys, config.TokenKey{Phase: 3, Name: "key-e"})
+	require.ErrorContains(t, d.Check(), "5 keys are given, 1 to 4 are allowed")
+}
--- a/config/types.go
+++ b/config/types.go
@@ -21,7 +21,7 @@
 	Name string `toml:"name" cbor:"1,keyasint"`
 	// Revision grows by at least one with every published change.
 	Revision uint64 `toml:"revision" cbor:"2,keyasint"`
-	// TokenKeys are the keys that seal route tokens, one or two of them. Tokens
+	// TokenKeys are the keys that seal route tokens, MaxTokenKeys at most. Tokens
 	// are issued under the first and accepted under each.
 	TokenKeys []TokenKey `toml:"token-keys" cbor:"3,keyasint"`
 	// Domains are the failure domains.
@@ -115,6 +115,9 @@
 	MaxValueBytes = 1 << 20
 	// MaxPhase is the largest key phase.
 	MaxPhase = 3
+	// MaxTokenKeys is the number of token keys in force at the same time: one for
+	// each phase, so that an old key can stay while flows that it sealed are open.
+	MaxTokenKeys = MaxPhase + 1
 	// MaxUpstreamID is the largest upstream identifier that a token can carry.
 	MaxUpstreamID = 1<<32 - 1
 )
