Answer unknown when a relay breaks off, also for a request that may run again

Cause: a GET whose relay broke after the peer may have got it was refused as not-run, which was a guess. Found in reading; TestBrokenRelayIsUnknown failed with not-run. Change: whatever may have started ends as unknown. Figures: the test fails before and passes after. Conclusion: not-run is said only when it is certain.

--- a/internal/process/gdrequest/serve.go
+++ b/internal/process/gdrequest/serve.go
@@ -178,7 +178,7 @@
 	switch {
 	case rep.err == nil:
 		answer(w, rep.response)
-	case rep.outcome.MayHaveStarted() && !q.safe():
+	case rep.outcome.MayHaveStarted():
 		unknown(reasonRelay).write(w)
 	default:
 		notRun(reasonRelay, notReadyRetry).write(w)
--- a/internal/process/gdrequest/server_test.go
+++ b/internal/process/gdrequest/server_test.go
@@ -34,10 +34,17 @@
 func (fixedConfig) PeerVersion(string, gdconf.Version) {}
 
 // fakePeers has room, and offers a key of its own.
-type fakePeers struct{ relayed atomic.Int64 }
+type fakePeers struct {
+	relayed atomic.Int64
+	// broken makes a relay fail after the peer may have got the request.
+	broken atomic.Bool
+}
 
 func (p *fakePeers) Relay(context.Context, string, *http.Request) (*http.Response, bool, error) {
 	p.relayed.Add(1)
+	if p.broken.Load() {
+		return nil, true, io.ErrUnexpectedEOF
+	}
 	h := http.Header{}
 	h.Set(gdrequest.HeaderKey, "key-of-a-peer")
 	h.Set(gdrequest.HeaderOutcome, gdrequest.OutcomeNotRun)
@@ -131,6 +138,19 @@
 	require.Equal(t, "key-of-a-peer", post(s, "a key that no agent runs").Header().Get(gdrequest.HeaderKey))
 }
 
+// TestBrokenRelayIsUnknown loses the peer after it may have got the request. "Not
+// run" would be a guess, also for a request that may run again.
+func TestBrokenRelayIsUnknown(t *testing.T) {
+	d := deployment()
+	d.Services[0].Upstreams[0].State = config.StateLeaving
+	s, peers := start(t, d, http.NotFoundHandler())
+	awaitOffer(t, s)
+	peers.broken.Store(true)
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/photographs", http.NoBody))
+	require.Equal(t, gdrequest.OutcomeUnknown, w.Header().Get(gdrequest.HeaderOutcome))
+}
+
 // TestRequestBeforeTheFirstViewIsNotDecided sends to a server that does not run
 // yet. A key is not closed by it, so that its outcome is unknown.
 func TestRequestBeforeTheFirstViewIsNotDecided(t *testing.T) {
