Find the route of a path with detours

Cause: a POST to /x/../unlock or //unlock matched no route, so that it ran without a key at an upstream that cleans paths. Found in reading; TestDetourOnTheWayToARouteNeedsAKeyToo failed. Ruled out: refusing such paths, which upstreams may use. Change: routes are compared with the path as sent and as cleaned.

--- a/internal/process/gdrequest/request.go
+++ b/internal/process/gdrequest/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"path"
 	"strconv"
 	"strings"
 	"time"
@@ -46,11 +47,15 @@
 	return q
 }
 
-// routeOf returns the route with the longest prefix of the path.
-func routeOf(svc *gdconf.Service, path string) (config.Route, bool) {
+// routeOf returns the route with the longest prefix of the path. A path with
+// detours counts as the one to which it leads as well, because the upstream may
+// take it for that.
+func routeOf(svc *gdconf.Service, p string) (config.Route, bool) {
+	clean := path.Clean("/" + p)
 	var best config.Route
 	for _, r := range svc.Routes() {
-		if strings.HasPrefix(path, r.PathPrefix) && len(r.PathPrefix) > len(best.PathPrefix) {
+		matches := strings.HasPrefix(p, r.PathPrefix) || strings.HasPrefix(clean, r.PathPrefix)
+		if matches && len(r.PathPrefix) > len(best.PathPrefix) {
 			best = r
 		}
 	}
--- a/internal/process/gdrequest/server_test.go
+++ b/internal/process/gdrequest/server_test.go
@@ -87,8 +87,10 @@
 	return d
 }
 
-func post(s http.Handler, key string) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(http.MethodPost, "/unlock", strings.NewReader("bay 7"))
+func post(s http.Handler, key string) *httptest.ResponseRecorder { return postTo(s, "/unlock", key) }
+
+func postTo(s http.Handler, path, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, path, strings.NewReader("bay 7"))
 	if key != "" {
 		r.Header.Set("Idempotency-Key", key)
 	}
@@ -138,6 +140,18 @@
 	require.Equal(t, "key-of-a-peer", post(s, "a key that no agent runs").Header().Get(gdrequest.HeaderKey))
 }
 
+// TestDetourOnTheWayToARouteNeedsAKeyToo sends paths that an upstream may take
+// for the route's own.
+func TestDetourOnTheWayToARouteNeedsAKeyToo(t *testing.T) {
+	s, _ := start(t, deployment(), http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		t.Error("the request ran without a key")
+	}))
+	awaitOffer(t, s)
+	for _, path := range []string{"/unlock/7", "/x/../unlock", "/./unlock", "//unlock", "/%75nlock"} {
+		require.Equal(t, http.StatusPreconditionRequired, postTo(s, path, "").Code, path)
+	}
+}
+
 // TestBrokenRelayIsUnknown loses the peer after it may have got the request. "Not
 // run" would be a guess, also for a request that may run again.
 func TestBrokenRelayIsUnknown(t *testing.T) {
