Log a service address that can't be opened at most every ten seconds

Cause: a balancer tries again ten times a second and logged each failure. Found in reading. Change: an event of its own, 105, within a rate.

--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -46,6 +46,10 @@
 		"Check that its peers and the platform are reachable from this host.")
 )
 
+// Event 105: a service of a balancer.
+var ServiceClosed = declare(105, Error, "service address can't be opened, trying again",
+	"Check that the host has the service's address and that nothing else listens there.")
+
 // Events 200 to 299: the configuration.
 var (
 	ConfigurationInForce = declare(200, Info, "configuration in force", nothing)
--- a/internal/process/gdbalancer/balancer.go
+++ b/internal/process/gdbalancer/balancer.go
@@ -49,7 +49,9 @@
 	Log gdlog.Logger
 
 	node *net.UDPConn
-	mu   sync.RWMutex
+	// failures belongs to the goroutine that watches the services.
+	failures gdlog.RateLimit[string]
+	mu       sync.RWMutex
 	// callers holds the sockets of each service. Guarded by mu.
 	callers map[gdconf.ServiceID]*callerSockets
 }
@@ -128,6 +130,7 @@
 	t := time.NewTicker(lookInterval)
 	defer t.Stop()
 	var seen *gdconf.View
+	b.failures.Interval = gdlog.DropInterval
 	for {
 		if v := b.Config.View(); v != seen && b.reconcile(v) {
 			seen = v
@@ -151,7 +154,7 @@
 			continue
 		}
 		if err := b.open(s); err != nil {
-			b.Log.Failure(gdlog.ProcessFailed, err)
+			b.logOpen(s.Name(), err)
 			ok = false
 		}
 	}
@@ -210,6 +213,14 @@
 	return nil
 }
 
+// logOpen logs that a service could not be opened. It is tried again soon, so that
+// the log would be flooded otherwise.
+func (b *Balancer) logOpen(service string, err error) {
+	if n, due := b.failures.Add(time.Now(), service); due {
+		b.Log.Failure(gdlog.ServiceClosed, err, "service", service, "count", n)
+	}
+}
+
 // socket returns the socket through which a service's callers are answered, or
 // nil.
 func (b *Balancer) socket(id gdconf.ServiceID) *net.UDPConn {
