--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -46,7 +46,7 @@
 		"Check that its peers and the platform are reachable from this host.")
 )
 
-// Event 105: a service of a balancer.
+// ServiceClosed tells of a service of a balancer, event 105.
 var ServiceClosed = declare(105, Error, "service address can't be opened, trying again",
 	"Check that the host has the service's address and that nothing else listens there.")
 
