Let short requests finish at the end of every drain

Cause: a drain that found no request in progress closed the flows at once, and cut one that came in between. Found in reading. Change: new requests are refused before the flows are closed, in each case.

--- a/internal/process/gdagent/drain.go
+++ b/internal/process/gdagent/drain.go
@@ -96,15 +96,15 @@
 	}
 	if n := a.Requests.InProgress(); n > 0 {
 		a.Log.Event(gdlog.DrainHeld, "requests", n, "callers", a.flows.callers(maxNamedFlows))
-		a.finishShort()
 	}
+	a.finishShort()
 	a.closeFlows(CodeStopping, "agent stopping", stopRepeats)
 	a.closing.Wait()
 	a.Log.Event(gdlog.DrainEnded)
 }
 
 // finishShort refuses what comes now and lets requests that are no open streams
-// finish, so that the end of the drain time cuts none of them.
+// finish, so that the close of their flows cuts none of them.
 func (a *Agent) finishShort() {
 	a.Requests.Refuse()
 	for limit := time.Now().Add(shortLimit); a.Requests.Busy() > 0 && time.Now().Before(limit); {
