Avoid unknown outcomes from connections that the upstream closed

Cause: found in reading. A keyed request on a kept connection that the upstream had just closed ended as unknown, though nothing had been written; connections were kept for 30 s, longer than common servers keep them. Ruled out: letting the transport repeat by the key, which runs a request twice. Change: connections are kept for 4 s; a keyed request may take another connection when nothing was written to the first (GetBody).

--- a/internal/process/gdrequest/proxy.go
+++ b/internal/process/gdrequest/proxy.go
@@ -1,6 +1,7 @@
 package gdrequest
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -17,9 +18,11 @@
 )
 
 const (
-	copyBuffer       = 16 << 10
-	upstreamConns    = 64
-	upstreamIdleTime = 30 * time.Second
+	copyBuffer    = 16 << 10
+	upstreamConns = 64
+	// upstreamIdleTime is shorter than the time after which common servers close an
+	// idle connection: a request that meets that moment may end as unknown.
+	upstreamIdleTime = 4 * time.Second
 	dialTimeout      = time.Second
 )
 
@@ -49,12 +52,28 @@
 
 // send sends the request to the upstream and waits for the response's header.
 func (p *proxy) send(ctx context.Context, q *request, body io.ReadCloser) reply {
+	return p.roundTrip(ctx, p.outgoing(ctx, q, body))
+}
+
+// sendWhole sends the request like send, with a body that is held in memory. When
+// a kept connection turns out to be closed before anything was written to it, the
+// transport takes another one.
+func (p *proxy) sendWhole(ctx context.Context, q *request, body []byte) reply {
+	again := func() (io.ReadCloser, error) { return io.NopCloser(bytes.NewReader(body)), nil }
+	first, _ := again()
+	out := p.outgoing(ctx, q, first)
+	out.GetBody = again
+	return p.roundTrip(ctx, out)
+}
+
+// roundTrip sends a request that is ready for the upstream.
+func (p *proxy) roundTrip(ctx context.Context, out *http.Request) reply {
 	began := time.Now()
 	var written atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { written.Store(true) },
 	})
-	res, err := p.transport.RoundTrip(p.outgoing(ctx, q, body))
+	res, err := p.transport.RoundTrip(out.WithContext(traced))
 	took := time.Since(began)
 	if err != nil {
 		return reply{outcome: failure(ctx, took, written.Load()), err: errors.Wrap(err, "send to the upstream")}
--- a/internal/process/gdrequest/run.go
+++ b/internal/process/gdrequest/run.go
@@ -1,7 +1,6 @@
 package gdrequest
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -28,7 +27,7 @@
 	}
 	run, cancel := context.WithTimeout(context.WithoutCancel(ctx), keyedLimit)
 	defer cancel()
-	rep := s.proxy.send(run, at.request, io.NopCloser(bytes.NewReader(at.body)))
+	rep := s.proxy.sendWhole(run, at.request, at.body)
 	out, outcome := s.keyedOutcome(at, rep)
 	s.finish(at.id, out)
 	s.ended(at.id, outcome)
