Ask for proof of a caller's address when many flows are opened

Cause: found in reading. Each first packet cost the agent a TLS handshake, some 2 to 3 ms, whatever its source address, so that made-up callers could take its core. Ruled out: always asking, which costs every caller a round trip; a limit on openings, which would refuse the callers that come back from a failure domain. Change: from 100 openings a second on, the QUIC transport asks for a proof (Retry). The caller's next packet carries a route token, so that it meets the same agent. A flood of made-up addresses itself was not measured.

--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -98,9 +98,10 @@
 	// Log takes the events.
 	Log gdlog.Logger
 
-	node    *net.UDPConn
-	flows   flows
-	callers *callerConn
+	node     *net.UDPConn
+	flows    flows
+	callers  *callerConn
+	openings openings
 	// closing waits for the repeats of closes.
 	closing  sync.WaitGroup
 	stopping atomic.Bool
@@ -167,7 +168,8 @@
 		ConnectionIDGenerator: newTokens(a),
 		// All agents share the key, so that an agent that took another's place
 		// can end the flows that its predecessor held.
-		StatelessResetKey: &reset,
+		StatelessResetKey:   &reset,
+		VerifySourceAddress: a.needsProof,
 	}, nil
 }
 
