Look the agent's own upstream up in one place

Cause: service, domainOut and drainTime each took the view, tested it for nil and looked the upstream up. Change: Agent.self does it once for all three.

--- a/internal/process/gdagent/agent.go
+++ b/internal/process/gdagent/agent.go
@@ -173,17 +173,24 @@
 	}, nil
 }
 
-// service returns the service to which the agent's upstream belongs.
-func (a *Agent) service() (gdconf.ServiceID, gdconf.Version, bool) {
+// self returns the agent's upstream in the configuration in force, and the version
+// of that configuration.
+func (a *Agent) self() (*gdconf.Upstream, gdconf.Version, bool) {
 	v := a.Config.View()
 	if v == nil {
-		return 0, gdconf.Version{}, false
+		return nil, gdconf.Version{}, false
 	}
 	u, ok := v.Upstream(a.Upstream)
+	return u, v.Version(), ok
+}
+
+// service returns the service to which the agent's upstream belongs.
+func (a *Agent) service() (gdconf.ServiceID, gdconf.Version, bool) {
+	u, v, ok := a.self()
 	if !ok {
 		return 0, gdconf.Version{}, false
 	}
-	return u.Service().ID(), v.Version(), true
+	return u.Service().ID(), v, true
 }
 
 func (a *Agent) tlsConfig() *tls.Config {
--- a/internal/process/gdagent/drain.go
+++ b/internal/process/gdagent/drain.go
@@ -76,11 +76,7 @@
 }
 
 func (a *Agent) domainOut() bool {
-	v := a.Config.View()
-	if v == nil {
-		return false
-	}
-	u, ok := v.Upstream(a.Upstream)
+	u, _, ok := a.self()
 	return ok && u.DomainOut()
 }
 
@@ -113,11 +109,7 @@
 }
 
 func (a *Agent) drainTime() time.Duration {
-	v := a.Config.View()
-	if v == nil {
-		return 0
-	}
-	u, ok := v.Upstream(a.Upstream)
+	u, _, ok := a.self()
 	if !ok {
 		return 0
 	}
