--- /dev/null
+++ b/cmd/gdhost/agent.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"context"
+	"net/netip"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/process/gdside"
+	"godwitdrift.example/godwitdrift/platform"
+)
+
+func agentCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "agent",
+		Usage: "run the agent beside an upstream",
+		Description: `An agent lets in the packets of its upstream's flows and sends the upstream's
+packets to the callers. After SIGTERM it lets in no new flow and ends when the
+upstream works on nothing.`,
+		Flags: []cli.Flag{settingsFlag(), levelFlag()},
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			h, err := newHost(cmd, "agent")
+			if err != nil {
+				return err
+			}
+			s := h.settings
+			if s.Service() == "" {
+				return errors.Errorf("settings of %s name no upstream", s.Name())
+			}
+			a := &gdside.Side{
+				Guard:    gdguard.Guard{Service: s.Service(), Fresh: s.FirstStart()},
+				Hop:      netip.AddrPortFrom(s.Callers().Addr(), s.HopPort()),
+				Upstream: s.Upstream(), FromUpstream: s.FromUpstream(), CallerPort: s.Callers().Port(),
+				Codec: platform.Codec{},
+				Log:   h.log, Scope: h.metrics.Scope(), Grace: s.Grace(),
+			}
+			return h.run(ctx, a.Ready, a.Run)
+		},
+	}
+}
--- /dev/null
+++ b/cmd/gdhost/host.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
+	"godwitdrift.example/godwitdrift/platform"
+)
+
+const (
+	// metricsPort and metricsPath are where a process serves its metrics, as
+	// deploy/system.toml tells the platform.
+	metricsPort = 9464
+	metricsPath = "/metrics"
+	// headerTime bounds the time that an HTTP client may take to send its request.
+	headerTime = 2 * time.Second
+)
+
+func settingsFlag() cli.Flag {
+	return &cli.StringFlag{
+		Name: "settings", Value: platform.SettingsPath(), Usage: "the settings file that the platform writes",
+	}
+}
+
+func levelFlag() cli.Flag {
+	return &cli.StringFlag{Name: "log-level", Value: gdlog.Info.String(), Usage: "debug, info or error"}
+}
+
+// host is what both kinds of processes need besides their work.
+type host struct {
+	settings *platform.Settings
+	log      gdlog.Logger
+	metrics  *gdmetric.Metrics
+	lines    *gdlog.Queue
+}
+
+func newHost(cmd *cli.Command, role string) (*host, error) {
+	s, err := platform.LoadSettings(cmd.String("settings"))
+	if err != nil {
+		return nil, err
+	}
+	lines := gdlog.NewQueue(os.Stdout, gdlog.DefaultQueue)
+	log := gdlog.New(lines, gdlog.ParseLevel(cmd.String("log-level"))).With("process", s.Name())
+	return &host{
+		settings: s, log: log, lines: lines,
+		metrics: gdmetric.New("godwitdrift_"+role, map[string]string{"process": s.Name()}),
+	}, nil
+}
+
+// run runs the work with the servers for readiness and metrics and the log.
+func (h *host) run(ctx context.Context, ready func() bool, work func(context.Context) error) error {
+	logging, stopLog := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan struct{})
+	go func() { defer close(logged); h.lines.Run(logging) }()
+	defer func() { stopLog(); <-logged }()
+
+	h.log.Event(gdlog.ProcessStarted, "domain", h.settings.Domain(), "first-start", h.settings.FirstStart())
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g, serving := errgroup.WithContext(serving)
+	g.Go(func() error { return serve(serving, h.settings.Ready(), platform.ReadyPath, readiness(ready)) })
+	metrics := netip.AddrPortFrom(h.settings.Ready().Addr(), metricsPort)
+	g.Go(func() error { return serve(serving, metrics, metricsPath, h.metrics) })
+	err := work(ctx)
+	stop()
+	if served := g.Wait(); err == nil {
+		err = served
+	}
+	if closed := h.metrics.Close(); err == nil {
+		err = closed
+	}
+	if err != nil {
+		h.log.Failure(gdlog.ProcessFailed, err)
+		return err
+	}
+	h.log.Event(gdlog.ProcessStopped)
+	return nil
+}
+
+func readiness(ready func() bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// serve answers at one path until the context ends.
+func serve(ctx context.Context, at netip.AddrPort, path string, h http.Handler) error {
+	l, err := net.Listen("tcp4", at.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen at %s", at)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(path, h)
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", path)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/gdhost/main.go
@@ -0,0 +1,38 @@
+// Command gdhost runs godwitdrift on the hosts of the users' platform: the entry
+// hosts and the agents beside the upstreams. Settings come from the platform.
+//
+// # Usage
+//
+//	gdhost entry
+//	gdhost agent
+//
+// `gdhost COMMAND --help` explains each command.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := app().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "gdhost:", err)
+		os.Exit(1)
+	}
+}
+
+func app() *cli.Command {
+	return &cli.Command{
+		Name:     "gdhost",
+		Usage:    "run godwitdrift on a host of the users' platform",
+		Commands: []*cli.Command{entryCommand(), agentCommand()},
+	}
+}
--- /dev/null
+++ b/internal/core/gdbelief/view.go
@@ -0,0 +1,236 @@
+package gdbelief
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+// View is an immutable picture of the deployment.
+type View struct {
+	config    *Config
+	routes    map[gdflow.Address]*Route
+	services  map[string]*Pool
+	out       map[string]struct{}
+	upstreams []*Member
+	revision  uint64
+}
+
+// Pool is a service with its upstreams.
+type Pool struct {
+	service Service
+	hash    uint32
+	members []*Member
+}
+
+// Service returns what is configured of the service.
+func (p *Pool) Service() Service { return p.service }
+
+// Hash returns a short hash of the service's name, which agents compare.
+func (p *Pool) Hash() uint32 { return p.hash }
+
+// Members returns the upstreams in no special order. The caller must not change
+// the slice.
+func (p *Pool) Members() []*Member { return p.members }
+
+// Member is an upstream within a view.
+type Member struct {
+	upstream    Upstream
+	revision    uint64
+	seed        uint64
+	since       time.Time
+	lapsedUntil time.Time
+	gone        bool
+	domainOut   bool
+}
+
+// Upstream returns the upstream's registration.
+func (m *Member) Upstream() Upstream { return m.upstream }
+
+// Address returns the upstream's address, which is on the host of its agent.
+func (m *Member) Address() gdflow.Address { return m.upstream.Address }
+
+// Revision returns the revision of the state.
+func (m *Member) Revision() uint64 { return m.revision }
+
+// Seed returns the number by which the upstream is ranked for a flow. It follows
+// from the address alone, so that an upstream that starts again keeps its rank.
+func (m *Member) Seed() uint64 { return m.seed }
+
+// TakesNew reports whether new flows may go to the upstream.
+func (m *Member) TakesNew(now time.Time) bool {
+	if m.domainOut || m.upstream.Draining {
+		return false
+	}
+	return !m.gone || now.Before(m.lapsedUntil)
+}
+
+// Gone reports whether the registration was removed, and since when.
+func (m *Member) Gone() (time.Time, bool) { return m.since, m.gone }
+
+// DomainOut reports whether the upstream's failure domain is out.
+func (m *Member) DomainOut() bool { return m.domainOut }
+
+// ColdLeft returns how long the upstream stays cold.
+func (m *Member) ColdLeft(now time.Time) time.Duration {
+	return max(0, m.since.Add(m.upstream.ColdFor).Sub(now))
+}
+
+// Revision returns the revision of the view.
+func (v *View) Revision() uint64 { return v.revision }
+
+// Version returns the version of the configuration.
+func (v *View) Version() uint64 { return v.config.Version }
+
+// IdleTimeout returns how long a flow may be silent.
+func (v *View) IdleTimeout() time.Duration { return v.config.IdleTimeout }
+
+// Route returns the route at the address.
+func (v *View) Route(a gdflow.Address) (*Route, bool) {
+	r, ok := v.routes[a]
+	return r, ok
+}
+
+// Routes returns the number of routes.
+func (v *View) Routes() int { return len(v.routes) }
+
+// Pool returns the service with the name.
+func (v *View) Pool(service string) (*Pool, bool) {
+	p, ok := v.services[service]
+	return p, ok
+}
+
+// Upstreams returns all upstreams, with those that were removed not long ago.
+func (v *View) Upstreams() []*Member { return v.upstreams }
+
+// DomainsOut returns the number of failure domains that are out.
+func (v *View) DomainsOut() int { return len(v.out) }
+
+// HashOf returns the short hash of a service's name.
+func HashOf(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
+
+// Choose returns the service that gets a flow with the hash.
+func (r *Route) Choose(hash uint64) string {
+	if len(r.Shares) == 1 {
+		return r.Shares[0].Service
+	}
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	const top = float64(1 << 32)
+	at := float64(uint32(mix(hash))) / top * total
+	for _, s := range r.Shares {
+		if at -= s.Weight; at < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+func (b *Book) build() *View {
+	v := &View{config: b.config(), revision: b.revision, out: make(map[string]struct{})}
+	for s, r := range b.records {
+		if s.Kind == Evacuation && !r.change.Gone {
+			v.out[s.Name] = struct{}{}
+		}
+	}
+	v.routes, v.services = b.routing(v.config)
+	for _, m := range b.newest() {
+		_, m.domainOut = v.out[m.upstream.Domain]
+		v.upstreams = append(v.upstreams, m)
+		p, ok := v.services[m.upstream.Service]
+		if !ok {
+			p = newPool(Service{Name: m.upstream.Service})
+			v.services[m.upstream.Service] = p
+		}
+		p.members = append(p.members, m)
+	}
+	return v
+}
+
+func newPool(s Service) *Pool { return &Pool{service: s, hash: HashOf(s.Name)} }
+
+// routing returns the tables of a configuration. The routes are shared by all
+// views of one configuration, since there may be hundreds.
+func (b *Book) routing(cfg *Config) (map[gdflow.Address]*Route, map[string]*Pool) {
+	services := make(map[string]*Pool, len(cfg.Services))
+	for _, s := range cfg.Services {
+		services[s.Name] = newPool(s)
+	}
+	if b.view != nil && b.view.config == cfg {
+		return b.view.routes, services
+	}
+	routes := make(map[gdflow.Address]*Route, len(cfg.Routes))
+	for i := range cfg.Routes {
+		routes[cfg.Routes[i].Address] = &cfg.Routes[i]
+	}
+	return routes, services
+}
+
+// noConfig stands for the configuration before the first is known.
+var noConfig = &Config{}
+
+func (b *Book) config() *Config {
+	if r, ok := b.records[Subject{Kind: Configuration}]; ok {
+		return r.change.Config
+	}
+	return noConfig
+}
+
+// newest returns one upstream for each address, the latest that was there.
+func (b *Book) newest() []*Member {
+	byAddress := make(map[gdflow.Address]*Member)
+	for s, r := range b.records {
+		u := r.change.Upstream
+		if s.Kind != Registration || u == nil {
+			continue
+		}
+		m := &Member{
+			upstream: *u, revision: r.change.Revision, seed: seedOf(u.Address),
+			since: r.since, lapsedUntil: r.lapsedUntil, gone: r.change.Gone,
+		}
+		if old, ok := byAddress[u.Address]; !ok || m.after(old) {
+			byAddress[u.Address] = m
+		}
+	}
+	members := make([]*Member, 0, len(byAddress))
+	for _, m := range byAddress {
+		members = append(members, m)
+	}
+	slices.SortFunc(members, func(a, b *Member) int { return cmp.Compare(a.seed, b.seed) })
+	return members
+}
+
+// after reports whether the upstream came to the address after the other.
+func (m *Member) after(o *Member) bool {
+	if m.gone != o.gone {
+		return o.gone
+	}
+	if m.upstream.Born != 0 && o.upstream.Born != 0 && m.upstream.Born != o.upstream.Born {
+		return m.upstream.Born > o.upstream.Born
+	}
+	return m.revision > o.revision
+}
+
+func seedOf(a gdflow.Address) uint64 {
+	ip := a.IP()
+	return xxhash.Sum64(append(ip[:], byte(a.Port()>>8), byte(a.Port())))
+}
+
+// Score returns the upstream's rank for a flow with the hash: the highest goes
+// first (rendezvous hashing).
+func (m *Member) Score(hash uint64) uint64 { return mix(hash ^ m.seed) }
+
+// mix spreads the bits of a number (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
--- /dev/null
+++ b/internal/core/gdguard/guard.go
@@ -0,0 +1,325 @@
+// Package gdguard decides at the agent which packets reach its upstream.
+//
+// The agent sees every packet from and to its upstream, so it knows exactly which
+// flows the upstream holds, how much it works on, and whether it answers. Entry
+// hosts may act on old views or on none; the guard is the last check.
+//
+// # Usage
+//
+//	g := &gdguard.Guard{Service: "booking", Fresh: true}
+//	for _, a := range g.FromEntry(now, entry, carry, packet) {
+//		...
+//	}
+//	for _, a := range g.FromUpstream(now, packet) {
+//		...
+//	}
+//
+// Actions are valid until the next call. A Guard belongs to one goroutine.
+package gdguard
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdrecent"
+)
+
+const (
+	// keepFlow is how long a silent flow is remembered at least: the longest idle
+	// timeout in the users' settings, doubled by the map's second generation.
+	keepFlow = 15 * time.Second
+	// mostFlows bounds one generation of flows: the connections of one upstream in
+	// the users' settings, with room for flows that have ended.
+	mostFlows = 8192
+	// sureAfter is the age from which the agent has seen every flow that its
+	// upstream can still hold: the longest life of a flow in the users' settings.
+	sureAfter = 60 * time.Second
+	// answerTime is how long an upstream may take to answer a request for a flow.
+	// Upstreams answer within a millisecond; this leaves room for a slowed host.
+	answerTime = 60 * time.Millisecond
+	// silentAfter is how many requests for flows in a row go unanswered before the
+	// upstream counts as silent. Two could be lost on their own.
+	silentAfter = 3
+	// probeInterval is how often a silent upstream gets a request for a flow.
+	probeInterval = 200 * time.Millisecond
+)
+
+// Carry is what an entry host says of a packet that it sends.
+type Carry struct {
+	// Service is the short hash of the service that the flow is for.
+	Service uint32
+	// Standing is set for packets that open a flow.
+	Standing Standing
+	// Forced says that no upstream with free slots was found.
+	Forced bool
+	// Confirm asks to be told when the upstream holds the flow.
+	Confirm bool
+}
+
+// state is what the agent knows of a flow.
+type state uint8
+
+const (
+	// unknown flows were delivered to see whether the upstream returns them.
+	unknown state = iota
+	// absent flows were returned by the upstream.
+	absent
+	// asked flows wait for the upstream's acceptance.
+	asked
+	// half flows were accepted by the upstream and not yet confirmed by the caller.
+	half
+	// open flows are held.
+	open
+)
+
+type flow struct {
+	entry    gdflow.Address
+	state    state
+	confirm  bool
+	working  bool
+	accepted uint32 // the upstream's number in its acceptance
+	expected uint32 // the next byte that the caller expects
+}
+
+// Guard is the decision core of the agent. Its exported fields are set before the
+// first call.
+type Guard struct {
+	// Service is the name of the upstream's service.
+	Service string
+	// Fresh says that the upstream has started no earlier than the agent.
+	Fresh bool
+
+	started  time.Time
+	standing Standing
+	coldTill time.Time
+	flows    gdrecent.Map[gdflow.Key, *flow]
+	work     workload
+	cold     budget
+	answers  answers
+	leaving  bool
+	ended    bool
+	actions  []Action
+	// ignored counts packets for an unknown standing, for the metrics.
+	ignored uint64
+}
+
+func (g *Guard) init(now time.Time) {
+	if g.started.IsZero() {
+		g.started = now
+		g.flows = gdrecent.Map[gdflow.Key, *flow]{Keep: keepFlow, Most: mostFlows, Dropped: g.dropped}
+	}
+	g.actions = g.actions[:0]
+}
+
+func (g *Guard) dropped(_ gdflow.Key, f *flow) { g.work.end(f) }
+
+// Load returns how many requests the upstream works on or has waiting.
+func (g *Guard) Load() int { return g.work.n }
+
+// Flows returns the number of flows that are remembered.
+func (g *Guard) Flows() int { return g.flows.Len() }
+
+// Revision returns the highest revision that an entry host has shown.
+func (g *Guard) Revision() uint64 { return g.standing.Revision }
+
+// Standing returns the newest standing of the upstream.
+func (g *Guard) Standing() Standing { return g.standing }
+
+// Leave makes the guard refuse new flows because the agent shuts down.
+func (g *Guard) Leave() { g.leaving = true }
+
+// sure reports whether a flow that the guard does not know can't be held.
+func (g *Guard) sure(now time.Time) bool { return g.Fresh || now.Sub(g.started) > sureAfter }
+
+// Learn takes in a standing unless a newer one is known. It reports whether the
+// belief has changed.
+func (g *Guard) Learn(now time.Time, s Standing) bool {
+	if s.Revision < g.standing.Revision {
+		return false
+	}
+	changed := s.TakesNew != g.standing.TakesNew || g.standing.Revision == 0
+	if s.Revision > g.standing.Revision || now.Add(s.ColdLeft).After(g.coldTill) {
+		g.coldTill = now.Add(s.ColdLeft)
+	}
+	g.standing = s
+	return changed
+}
+
+// FromEntry decides on a packet that an entry host has sent.
+func (g *Guard) FromEntry(now time.Time, entry gdflow.Address, c Carry, p gdflow.Packet) []Action {
+	g.init(now)
+	g.work.expire(now)
+	switch {
+	case c.Service != gdbelief.HashOf(g.Service):
+		g.giveBack(p.Key(), entry, WrongService)
+	case p.Opens():
+		g.openFlow(now, entry, c, p)
+	default:
+		g.carry(now, entry, c, p)
+	}
+	return g.actions
+}
+
+func (g *Guard) giveBack(k gdflow.Key, entry gdflow.Address, r Reason) {
+	g.add(Action{Verb: Return, Key: k, Entry: entry, Reason: r})
+}
+
+func (g *Guard) add(a Action) { g.actions = append(g.actions, a) }
+
+// openFlow decides on a packet that opens a flow.
+func (g *Guard) openFlow(now time.Time, entry gdflow.Address, c Carry, p gdflow.Packet) {
+	g.Learn(now, c.Standing)
+	f, known := g.flows.Get(now, p.Key())
+	if known && f.state >= asked {
+		f.entry = entry
+		g.add(Action{Verb: Deliver, Key: p.Key()})
+		return
+	}
+	if r := g.refusal(now, c); r != 0 {
+		g.giveBack(p.Key(), entry, r)
+		return
+	}
+	g.cold.spend(now)
+	g.answers.sent(now)
+	f = &flow{entry: entry, state: asked, expected: p.Ack}
+	g.work.begin(now, f)
+	g.flows.Put(now, p.Key(), f)
+	g.add(Action{Verb: Deliver, Key: p.Key()})
+}
+
+// refusal returns why the upstream can't take a new flow, or 0.
+func (g *Guard) refusal(now time.Time, c Carry) Reason {
+	switch {
+	case g.ended:
+		return Ended
+	case g.leaving:
+		return Leaving
+	case !g.standing.TakesNew:
+		return Draining
+	case g.isCold(now) && !g.cold.allows(now, int(g.standing.ColdPerSecond)):
+		return Cold
+	case g.answers.silent(now) && !g.answers.probe(now):
+		return Silent
+	case !c.Forced && g.work.n >= int(g.standing.Slots):
+		return Busy
+	}
+	return 0
+}
+
+// isCold reports whether the cold bound holds. After a start of its own the agent
+// takes the upstream for cold until it is told otherwise.
+func (g *Guard) isCold(now time.Time) bool {
+	return g.standing.ColdPerSecond > 0 && now.Before(g.coldTill)
+}
+
+// carry decides on a packet in the middle of a flow.
+func (g *Guard) carry(now time.Time, entry gdflow.Address, c Carry, p gdflow.Packet) {
+	f, known := g.flows.Get(now, p.Key())
+	if !known {
+		if g.sure(now) || g.ended {
+			g.giveBack(p.Key(), entry, NotHeld)
+			return
+		}
+		f = &flow{state: unknown}
+		g.flows.Put(now, p.Key(), f)
+	}
+	if f.state == absent || f.state == asked || f.state == half && !f.confirms(p) {
+		g.giveBack(p.Key(), entry, NotHeld)
+		return
+	}
+	if f.state == half {
+		f.state = open
+	}
+	f.entry, f.expected = entry, p.Ack
+	if c.Confirm && f.state != unknown {
+		g.add(Action{Verb: Held, Key: p.Key(), Entry: entry})
+	}
+	f.confirm = c.Confirm && f.state == unknown
+	if p.Size > 0 {
+		g.work.begin(now, f)
+	}
+	g.add(Action{Verb: Deliver, Key: p.Key()})
+}
+
+// confirms reports whether the caller's packet answers this upstream's
+// acceptance, and not that of another one which took a copy.
+func (f *flow) confirms(p gdflow.Packet) bool {
+	const longestAnswer = 1 << 20 // bytes of an answer before the first acknowledgement seen
+	return p.Ack-f.accepted <= longestAnswer
+}
+
+// FromUpstream decides on a packet that the upstream has sent.
+func (g *Guard) FromUpstream(now time.Time, p gdflow.Packet) []Action {
+	g.init(now)
+	g.work.expire(now)
+	g.ended = false
+	g.answers.received()
+	f, known := g.flows.Get(now, p.Key())
+	if p.Returned {
+		g.returned(now, f, p)
+		return g.actions
+	}
+	if !known {
+		f = &flow{state: open}
+		g.flows.Put(now, p.Key(), f)
+	}
+	g.answered(now, f, p)
+	g.add(Action{Verb: ToCaller, Key: p.Key()})
+	return g.actions
+}
+
+// answered follows the state of a flow by what the upstream sends on it.
+func (g *Guard) answered(_ time.Time, f *flow, p gdflow.Packet) {
+	switch {
+	case p.Kind == gdflow.Accept && f.state <= half:
+		f.state, f.accepted = half, p.Seq
+		g.add(Action{Verb: Accepted, Key: p.Key(), Entry: f.entry})
+	case f.state == unknown || f.state == absent:
+		f.state = open
+		if f.confirm {
+			f.confirm = false
+			g.add(Action{Verb: Held, Key: p.Key(), Entry: f.entry})
+		}
+	}
+	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
+		g.work.end(f)
+	}
+}
+
+// returned handles a packet that the upstream did not accept.
+func (g *Guard) returned(now time.Time, f *flow, p gdflow.Packet) {
+	if f == nil {
+		g.add(Action{Verb: Drop, Key: p.Key()})
+		return
+	}
+	entry := f.entry
+	g.work.end(f)
+	if p.Opens() {
+		g.flows.Delete(p.Key())
+		g.giveBack(p.Key(), entry, Full)
+		return
+	}
+	f.state = absent
+	g.flows.Put(now, p.Key(), f)
+	g.giveBack(p.Key(), entry, NotHeld)
+}
+
+// UpstreamEnded is called when the upstream's process is known to be gone. All
+// its flows are ended, so that the callers come back at once.
+func (g *Guard) UpstreamEnded(now time.Time) []Action {
+	g.init(now)
+	if g.ended {
+		return nil
+	}
+	g.ended, g.Fresh = true, true
+	g.flows.Each(func(k gdflow.Key, f *flow) bool {
+		if f.state == open || f.state == half {
+			g.add(Action{Verb: End, Key: k, Seq: f.expected})
+		}
+		return true
+	})
+	g.flows.Clear()
+	g.work = workload{}
+	return g.actions
+}
--- /dev/null
+++ b/internal/core/gdguard/types.go
@@ -0,0 +1,96 @@
+package gdguard
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+// Reason says why an agent gives a packet back to its entry host.
+type Reason uint8
+
+// The reasons. Their names are those of the counters and of the log.
+const (
+	// NotHeld: the upstream does not hold the flow.
+	NotHeld Reason = iota + 1
+	// Busy: the upstream works on as many requests as it has slots.
+	Busy
+	// Draining: the upstream takes no new flows.
+	Draining
+	// Leaving: the agent shuts down.
+	Leaving
+	// Cold: the upstream has had what it bears while it is cold.
+	Cold
+	// WrongService: the flow is for another service than the upstream's.
+	WrongService
+	// Full: the upstream itself refused the flow.
+	Full
+	// Silent: the upstream has stopped answering.
+	Silent
+	// Ended: the upstream's process is gone.
+	Ended
+
+	reasons
+)
+
+var reasonNames = [reasons]string{
+	NotHeld: "not-held", Busy: "busy", Draining: "draining", Leaving: "leaving", Cold: "cold",
+	WrongService: "wrong-service", Full: "full", Silent: "silent", Ended: "ended",
+}
+
+// Reasons returns the number of reasons, for arrays of counters.
+func Reasons() int { return int(reasons) }
+
+func (r Reason) String() string {
+	if r == 0 || r >= reasons {
+		return "unknown"
+	}
+	return reasonNames[r]
+}
+
+// Standing is what an entry host tells an agent of its upstream.
+type Standing struct {
+	// Revision is the revision of the entry host's view.
+	Revision uint64
+	// TakesNew says whether new flows may go to the upstream.
+	TakesNew bool
+	// Slots is how many requests the upstream works on at a time.
+	Slots uint8
+	// ColdPerSecond is how many new flows a cold upstream bears in a second; 0 for
+	// no bound.
+	ColdPerSecond uint16
+	// ColdLeft is how long the upstream stays cold.
+	ColdLeft time.Duration
+}
+
+// Verb is what an agent does.
+type Verb uint8
+
+const (
+	// Deliver gives the packet to the upstream.
+	Deliver Verb = iota + 1
+	// ToCaller sends the upstream's packet to the caller.
+	ToCaller
+	// Return gives the packet back to the entry host.
+	Return
+	// Accepted tells the entry host that the upstream accepted the flow.
+	Accepted
+	// Held tells the entry host that the upstream holds the flow.
+	Held
+	// Drop does nothing with the packet.
+	Drop
+	// End sends the caller a reset: its upstream's process is gone.
+	End
+)
+
+// Action is one thing to do.
+type Action struct {
+	// Key is the flow.
+	Key gdflow.Key
+	// Entry is the entry host's address, for Return, Accepted and Held.
+	Entry gdflow.Address
+	// Seq is the number of a reset, for End.
+	Seq    uint32
+	Verb   Verb
+	Reason Reason
+}
--- /dev/null
+++ b/internal/core/gdsteer/answer.go
@@ -0,0 +1,190 @@
+package gdsteer
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+)
+
+// Returned decides on a packet that an agent gives back.
+func (s *Steer) Returned(now time.Time, ans Answer, p gdflow.Packet, raw []byte) []Action {
+	s.init()
+	s.hosts.heard(ans.From)
+	s.newest = max(s.newest, ans.Revision)
+	if s.view == nil {
+		return nil
+	}
+	r, ok := s.view.Route(p.Key().Service())
+	if !ok {
+		return nil
+	}
+	f, known := s.flows.Get(now, p.Key())
+	if !known {
+		f = &flow{}
+		s.flows.Put(now, p.Key(), f)
+	}
+	if p.Opens() {
+		s.openRefused(now, r, ans, p.Key(), f)
+	} else {
+		s.notHeld(now, r, ans, p, f, raw)
+	}
+	return s.actions
+}
+
+// openRefused goes on with the next upstream if the last one that was asked
+// refused the flow.
+func (s *Steer) openRefused(now time.Time, r *gdbelief.Route, ans Answer, k gdflow.Key, f *flow) {
+	if ans.Reason == gdguard.Silent || ans.Reason == gdguard.Ended {
+		s.hosts.avoid(now, ans.From)
+	}
+	if f.state != opening {
+		return
+	}
+	t := f.search.of(ans.From)
+	if t == nil {
+		return
+	}
+	t.answered, t.load, t.busy = true, ans.Load, ans.Reason == gdguard.Busy
+	if t == f.search.last() {
+		s.nextOpen(now, r, k, f)
+	}
+}
+
+// notHeld goes on with the search for a flow's upstream.
+func (s *Steer) notHeld(now time.Time, r *gdbelief.Route, ans Answer, p gdflow.Packet, f *flow, raw []byte) {
+	switch f.state {
+	case settled:
+		if f.at.IP() != ans.From.IP() {
+			s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Reason: Known})
+			return
+		}
+		s.searchFrom(now, r, ans, p, f, raw)
+	case looking:
+		t := f.search.of(ans.From)
+		if t != nil && t == f.search.last() {
+			t.answered = true
+			f.search.keep(p, raw)
+			s.nextLook(now, r, p.Key(), f)
+			return
+		}
+		if t != nil {
+			t.answered = true
+		}
+		s.forward(now, r, f.search.last().at,
+			Action{Key: p.Key(), Packet: raw, Reason: Waiting, Carry: gdguard.Carry{Confirm: true}})
+	case gone:
+		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
+	case lost:
+		s.add(Action{Verb: Drop, Key: p.Key(), Reason: NotFound})
+	default:
+		s.searchFrom(now, r, ans, p, f, raw)
+	}
+}
+
+// searchFrom starts a search after one upstream has said that it does not hold the
+// flow.
+func (s *Steer) searchFrom(now time.Time, r *gdbelief.Route, ans Answer, p gdflow.Packet, f *flow, raw []byte) {
+	s.begin(f, looking, p, raw)
+	f.search.tries = append(f.search.tries, try{at: ans.From, answered: true})
+	s.nextLook(now, r, p.Key(), f)
+}
+
+// keep replaces the packet of the search by a later one.
+func (s *search) keep(p gdflow.Packet, raw []byte) {
+	if s.packet != nil {
+		s.packet = append(s.packet[:0], raw...)
+	}
+	s.ack, s.size = p.Ack, p.Size
+}
+
+// Accepted notes that the upstream beside the agent accepted the flow.
+func (s *Steer) Accepted(now time.Time, from gdflow.Address, k gdflow.Key) {
+	s.found(now, from, k, opening)
+}
+
+// Held notes that the upstream beside the agent holds the flow.
+func (s *Steer) Held(now time.Time, from gdflow.Address, k gdflow.Key) {
+	s.found(now, from, k, settled)
+}
+
+// found settles the flow, unless it is settled already and the agent only accepted
+// a copy.
+func (s *Steer) found(now time.Time, from gdflow.Address, k gdflow.Key, least state) {
+	s.hosts.heard(from)
+	f, ok := s.flows.Get(now, k)
+	if !ok || f.state == settled && least == opening {
+		return
+	}
+	at := from
+	if f.search != nil {
+		if t := f.search.of(from); t != nil {
+			at = t.at
+		}
+	} else if f.state == settled && f.at.IP() == from.IP() {
+		return
+	}
+	s.settle(f, s.addressAt(k, at))
+}
+
+// addressAt returns the address of the upstream on the host.
+func (s *Steer) addressAt(k gdflow.Key, host gdflow.Address) gdflow.Address {
+	if s.view == nil {
+		return host
+	}
+	r, ok := s.view.Route(k.Service())
+	if !ok {
+		return host
+	}
+	for i := range r.Shares {
+		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
+			for _, m := range p.Members() {
+				if m.Address().IP() == host.IP() {
+					return m.Address()
+				}
+			}
+		}
+	}
+	return host
+}
+
+// NextTick returns when Tick is due, or the zero time.
+func (s *Steer) NextTick() time.Time {
+	if len(s.timers) == 0 {
+		return time.Time{}
+	}
+	return s.timers[0].at
+}
+
+// Tick goes on with the searches whose last upstream has not answered in time.
+func (s *Steer) Tick(now time.Time) []Action {
+	s.init()
+	i := 0
+	for ; i < len(s.timers) && !s.timers[i].at.After(now); i++ {
+		s.expire(now, s.timers[i])
+	}
+	if i > 0 {
+		s.timers = s.timers[:copy(s.timers, s.timers[i:])]
+	}
+	return s.actions
+}
+
+func (s *Steer) expire(now time.Time, t timer) {
+	f, ok := s.flows.Get(now, t.key)
+	if !ok || f.search == nil || !f.search.deadline.Equal(t.at) {
+		return
+	}
+	s.hosts.unanswered(now, f.search.last().at)
+	r, ok := s.view.Route(t.key.Service())
+	if !ok {
+		s.finish(f)
+		f.state = 0
+		return
+	}
+	if f.state == opening {
+		s.nextOpen(now, r, t.key, f)
+	} else {
+		s.nextLook(now, r, t.key, f)
+	}
+}
--- /dev/null
+++ b/internal/core/gdsteer/steer.go
@@ -0,0 +1,244 @@
+// Package gdsteer decides at an entry host to which upstream a packet goes.
+//
+// A flow's upstreams are ranked by rendezvous hashing, the same way on all entry
+// hosts. A packet that opens a flow goes to the first in the ranking that takes
+// new flows; an agent whose upstream is busy gives it back, and the next is asked.
+// A packet of a flow that this host does not know goes along the same ranking
+// until the agent that holds the flow has it. What was found is remembered.
+//
+// # Usage
+//
+//	s := &gdsteer.Steer{}
+//	s.SetView(now, view)
+//	for _, a := range s.FromCaller(now, packet, datagram) {
+//		...
+//	}
+//
+// Answers of agents go to Returned, Accepted and Held. Tick is called at NextTick
+// or later. Actions are valid until the next call. A Steer belongs to one
+// goroutine.
+package gdsteer
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/core/gdrecent"
+)
+
+const (
+	// keepFlow is how long an unused flow is remembered at least: the longest idle
+	// timeout in the users' settings, doubled by the map's second generation.
+	keepFlow = 15 * time.Second
+	// mostFlows bounds one generation of flows: 64 bytes each, 4 MB.
+	mostFlows = 1 << 15
+	// mostPackets bounds the packets kept for another try: 1.3 kB each, 1.3 MB.
+	mostPackets = 1024
+	// answerTime is how long an agent may take to answer: several round trips
+	// between failure domains and the work of a slowed host.
+	answerTime = 30 * time.Millisecond
+	// busyTries is how many busy upstreams are asked before the least loaded one
+	// gets the flow all the same.
+	busyTries = 3
+	// lostTime is how long a flow that was not found is not searched for again,
+	// less than the callers' shortest time before they send a packet again.
+	lostTime = 100 * time.Millisecond
+	// freshAge is the age of the view up to which it proves that a flow is gone.
+	freshAge = 2500 * time.Millisecond
+	// leftAfter is how long after its removal from the view an upstream that does
+	// not answer is taken for gone: the time that a live one needs to register
+	// again after an outage, as the users' letter says.
+	leftAfter = 2 * time.Second
+)
+
+// Steer is the decision core of an entry host. Its exported fields are set before
+// the first call.
+type Steer struct {
+	// Domain is the failure domain of the entry host.
+	Domain string
+
+	view      *gdbelief.View
+	confirmed time.Time
+	newest    uint64 // the highest revision that an agent has shown
+	flows     gdrecent.Map[gdflow.Key, *flow]
+	hosts     hosts
+	timers    []timer
+	packets   int
+	actions   []Action
+	// one and buf back the actions of the usual case, which allocates nothing.
+	scratch []byte
+}
+
+// timer is the time at which a search goes on without an answer.
+type timer struct {
+	key gdflow.Key
+	at  time.Time
+}
+
+// SetView puts a view in force.
+func (s *Steer) SetView(v *gdbelief.View) { s.view = v }
+
+// Confirm notes that the view held at the time.
+func (s *Steer) Confirm(at time.Time) { s.confirmed = at }
+
+// Behind reports whether an agent has shown a higher revision than the view's.
+func (s *Steer) Behind() bool { return s.view != nil && s.newest > s.view.Revision() }
+
+// Flows returns the number of flows that are remembered.
+func (s *Steer) Flows() int { return s.flows.Len() }
+
+// Searches returns the number of searches that wait for an answer.
+func (s *Steer) Searches() int { return s.packets }
+
+// Suspects returns the number of hosts that have stopped answering.
+func (s *Steer) Suspects(now time.Time) int { return s.hosts.suspects(now) }
+
+func (s *Steer) init() {
+	if s.flows.Keep == 0 {
+		s.flows = gdrecent.Map[gdflow.Key, *flow]{Keep: keepFlow, Most: mostFlows, Dropped: s.dropped}
+	}
+	s.actions = s.actions[:0]
+}
+
+func (s *Steer) dropped(_ gdflow.Key, f *flow) { s.finish(f) }
+
+func (s *Steer) add(a Action) { s.actions = append(s.actions, a) }
+
+// FromCaller decides on a caller's packet. Raw is the packet itself.
+func (s *Steer) FromCaller(now time.Time, p gdflow.Packet, raw []byte) []Action {
+	s.init()
+	if s.view == nil {
+		s.add(Action{Verb: Drop, Key: p.Key(), Reason: NotReady})
+		return s.actions
+	}
+	r, ok := s.view.Route(p.Key().Service())
+	if !ok {
+		s.flows.Delete(p.Key())
+		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: NoRoute})
+		return s.actions
+	}
+	f, known := s.flows.Get(now, p.Key())
+	if !known {
+		f = &flow{}
+		s.flows.Put(now, p.Key(), f)
+	}
+	if p.Opens() {
+		s.callerOpens(now, r, f, p, raw)
+	} else {
+		s.callerSends(now, r, f, p, raw)
+	}
+	return s.actions
+}
+
+// callerOpens handles a packet that opens a flow, or a copy of one.
+func (s *Steer) callerOpens(now time.Time, r *gdbelief.Route, f *flow, p gdflow.Packet, raw []byte) {
+	const secondCopy = 2
+	switch f.state {
+	case settled:
+		if p.Copy() < secondCopy {
+			s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Opens: true, Reason: Known})
+			return
+		}
+	case opening:
+		s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
+		return
+	}
+	s.begin(f, opening, p, raw)
+	s.nextOpen(now, r, p.Key(), f)
+}
+
+// callerSends handles a packet in the middle of a flow.
+func (s *Steer) callerSends(now time.Time, r *gdbelief.Route, f *flow, p gdflow.Packet, raw []byte) {
+	switch f.state {
+	case settled:
+		s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Reason: Known})
+	case opening, looking:
+		at := f.search.last().at
+		s.forward(now, r, at, Action{Key: p.Key(), Packet: raw, Reason: Waiting, Carry: gdguard.Carry{Confirm: true}})
+	case gone:
+		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
+	case lost:
+		if now.Before(f.until) {
+			s.add(Action{Verb: Drop, Key: p.Key(), Reason: NotFound})
+			return
+		}
+		fallthrough
+	default:
+		s.begin(f, looking, p, raw)
+		s.nextLook(now, r, p.Key(), f)
+	}
+}
+
+// begin starts a search for the flow's upstream.
+func (s *Steer) begin(f *flow, st state, p gdflow.Packet, raw []byte) {
+	s.finish(f)
+	f.state = st
+	f.search = &search{ack: p.Ack, size: p.Size}
+	s.packets++
+	if s.packets <= mostPackets {
+		f.search.packet = append([]byte(nil), raw...)
+	}
+}
+
+// finish ends a search.
+func (s *Steer) finish(f *flow) {
+	if f.search != nil {
+		f.search = nil
+		s.packets--
+	}
+}
+
+func (s *Steer) settle(f *flow, at gdflow.Address) {
+	s.finish(f)
+	f.state, f.at = settled, at
+}
+
+// forward adds the action of sending a packet to an upstream's agent.
+func (s *Steer) forward(now time.Time, r *gdbelief.Route, to gdflow.Address, a Action) {
+	a.Verb, a.To = Forward, to
+	m := s.member(r, to)
+	if m == nil {
+		a.Verb, a.Reason = Drop, NotFound
+		s.add(a)
+		return
+	}
+	p, ok := s.view.Pool(m.Upstream().Service)
+	if !ok {
+		a.Verb, a.Reason = Drop, NotFound
+		s.add(a)
+		return
+	}
+	a.Carry.Service = p.Hash()
+	if a.Opens {
+		a.Carry.Standing = s.standing(now, p, m)
+	}
+	s.add(a)
+}
+
+// member returns the upstream at the address, if the route leads to it.
+func (s *Steer) member(r *gdbelief.Route, at gdflow.Address) *gdbelief.Member {
+	for i := range r.Shares {
+		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
+			for _, m := range p.Members() {
+				if m.Address() == at {
+					return m
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// standing returns what an agent is told of its upstream.
+func (s *Steer) standing(now time.Time, p *gdbelief.Pool, m *gdbelief.Member) gdguard.Standing {
+	const most = 1<<8 - 1
+	return gdguard.Standing{
+		Revision:      s.view.Revision(),
+		TakesNew:      m.TakesNew(now),
+		Slots:         uint8(min(max(m.Upstream().Slots, 1), most)),
+		ColdPerSecond: uint16(min(max(p.Service().ColdPerSecond, 0), 1<<16-1)),
+		ColdLeft:      m.ColdLeft(now),
+	}
+}
--- /dev/null
+++ b/internal/operate/gdlog/bound.go
@@ -0,0 +1,43 @@
+package gdlog
+
+import (
+	"fmt"
+	"time"
+)
+
+// LinesPerSecond is how many lines on single decisions a process writes in a
+// second at most: enough for each flow of an ordinary day, and no more than a
+// hundredth of the smallest host's core.
+const LinesPerSecond = 200
+
+// Bound bounds the lines on single decisions. What is left out is counted, and
+// the count is written with the first line of a later second. It is not safe for
+// concurrent use.
+type Bound struct {
+	second time.Time
+	lines  int
+	left   uint64
+}
+
+// Event writes the event unless the second has had its lines. Values that have a
+// String method are written by it.
+func (b *Bound) Event(now time.Time, l Logger, e Event, namesAndValues ...any) {
+	if now.Sub(b.second) >= time.Second {
+		b.second, b.lines = now, 0
+		if b.left > 0 {
+			l.Event(LinesLeftOut, "count", b.left)
+			b.left = 0
+		}
+	}
+	if b.lines >= LinesPerSecond {
+		b.left++
+		return
+	}
+	b.lines++
+	for i := 1; i < len(namesAndValues); i += 2 {
+		if s, ok := namesAndValues[i].(fmt.Stringer); ok {
+			namesAndValues[i] = s.String()
+		}
+	}
+	l.Event(e, namesAndValues...)
+}
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -50,6 +50,9 @@
 var ServiceClosed = declare(105, Error, "service address can't be opened, trying again",
 	"Check that the host has the service's address and that nothing else listens there.")
 
+// LinesLeftOut tells how many lines a busy process has not written, event 106.
+var LinesLeftOut = declare(106, Info, "lines on single decisions left out", nothing)
+
 // Events 200 to 299: the configuration.
 var (
 	ConfigurationInForce = declare(200, Info, "configuration in force", nothing)
@@ -62,6 +65,13 @@
 		"Check the platform's URL and that the index is published.")
 )
 
+// ViewChanged tells of a change of what the process believes, event 205.
+var ViewChanged = declare(205, Info, "view of the deployment changed", nothing)
+
+// ValueUnusable tells of a value of the platform that was passed over, event 206.
+var ValueUnusable = declare(206, Error, "value of the platform can't be used",
+	"Look who wrote it. A registration that can't be used names no upstream; a configuration is passed over.")
+
 // Events 300 to 399: the platform and the peers.
 var (
 	PlatformUnreachable = declare(300, Error, "platform unreachable",
@@ -100,6 +110,19 @@
 		"Ask the service's own records whether it ran, with the key in the event.")
 )
 
+// Events 510 to 519: flows that pass through without being ended.
+var (
+	FlowOffered    = declare(510, Info, "flow offered to an upstream", nothing)
+	FlowSought     = declare(511, Info, "flow sought at an upstream", nothing)
+	FlowFound      = declare(512, Info, "flow found at an upstream", nothing)
+	FlowReset      = declare(513, Info, "flow reset", "The reason says why; see \"From a request to its cause\".")
+	PacketReturned = declare(514, Info, "packet returned by an agent",
+		"Nothing if it is rare. Often busy: the service needs more upstreams.")
+	PacketDropped = declare(515, Info, "packet dropped",
+		"The reason says why. Often not-found: look for hosts that do not answer.")
+	FlowRefusedHere = declare(516, Info, "flow not let in", "Nothing: the entry host asks the next upstream.")
+)
+
 // Events 600 to 699: the upstream.
 var (
 	UpstreamCold = declare(600, Info, "upstream turned cold",
@@ -114,6 +137,13 @@
 		"Nothing: outcomes count. Mend the endpoint.")
 )
 
+// StandingChanged tells an agent's new belief about its upstream, event 606.
+var StandingChanged = declare(606, Info, "standing of the upstream changed", nothing)
+
+// UpstreamEnded tells that the upstream's process is gone, event 607.
+var UpstreamEnded = declare(607, Error, "upstream's process is gone, its flows were reset",
+	"Look at the upstream; callers come back at once and get another.")
+
 // Events 700 to 799: draining and failure domains.
 var (
 	DrainStarted = declare(700, Info, "drain started", nothing)
--- /dev/null
+++ b/internal/process/gdentry/counters.go
@@ -0,0 +1,65 @@
+package gdentry
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+)
+
+// counters are the metrics of an entry host and the bound of its log.
+type counters struct {
+	malformed, accepted       tally.Counter
+	failedReads, failedWrites tally.Counter
+	forwards, resets, drops   []tally.Counter
+	returns                   []tally.Counter
+	revision, version         tally.Gauge
+	upstreams                 tally.Gauge
+	lines                     gdlog.Bound
+}
+
+func (c *counters) init(scope tally.Scope) {
+	c.malformed = scope.Counter("malformed_datagrams")
+	c.accepted = scope.Counter("flows_accepted")
+	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
+	c.revision, c.version = scope.Gauge("revision"), scope.Gauge("version")
+	c.upstreams = scope.Gauge("upstreams")
+	for r := range gdsteer.Reasons() {
+		tagged := scope.Tagged(map[string]string{"reason": gdsteer.Reason(r).String()})
+		c.forwards = append(c.forwards, tagged.Counter("packets_forwarded"))
+		c.resets = append(c.resets, tagged.Counter("flows_reset"))
+		c.drops = append(c.drops, tagged.Counter("packets_dropped"))
+	}
+	for r := range gdguard.Reasons() {
+		tagged := scope.Tagged(map[string]string{"reason": gdguard.Reason(r).String()})
+		c.returns = append(c.returns, tagged.Counter("packets_returned"))
+	}
+}
+
+func (c *counters) decided(v gdsteer.Verb, r gdsteer.Reason) {
+	switch v {
+	case gdsteer.Forward:
+		c.forwards[r].Inc(1)
+	case gdsteer.Reset:
+		c.resets[r].Inc(1)
+	default:
+		c.drops[r].Inc(1)
+	}
+}
+
+func (c *counters) returned(r gdguard.Reason) { c.returns[r].Inc(1) }
+
+func (c *counters) view(v *gdbelief.View) {
+	c.revision.Update(float64(v.Revision()))
+	c.version.Update(float64(v.Version()))
+	c.upstreams.Update(float64(len(v.Upstreams())))
+}
+
+// event writes a line unless the log has had its share for now.
+func (c *counters) event(now time.Time, log gdlog.Logger, ev gdlog.Event, namesAndValues ...any) {
+	c.lines.Event(now, log, ev, namesAndValues...)
+}
--- /dev/null
+++ b/internal/process/gdentry/entry.go
@@ -0,0 +1,160 @@
+// Package gdentry runs an entry host: it takes the callers' packets and sends each
+// to the agent beside the upstream of its flow.
+//
+// # Usage
+//
+//	e := &gdentry.Entry{
+//		Callers: callers, Hop: hop, Codec: codec, Source: store,
+//		Log: log, Scope: scope, Grace: 6 * time.Second,
+//	}
+//	err := e.Run(ctx)
+//
+// Run returns some time after the context has ended: the routers notice only then
+// that the host leaves, and what they still send is forwarded.
+//
+// One goroutine reads each socket, one follows the source, one looks after the
+// searches' time limits. They share the core under a lock.
+package gdentry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+)
+
+const (
+	// noticeTime is how long routers may take to notice that a host leaves: two
+	// probes of twice a second, and one more for good measure.
+	noticeTime = 1500 * time.Millisecond
+	// quietTime is how long no packet comes before a leaving host ends.
+	quietTime = 500 * time.Millisecond
+	// graceMargin is what is left of the grace period when the host ends anyway.
+	graceMargin = 500 * time.Millisecond
+	// tickTime is the shortest time between two looks at the searches.
+	tickTime = 5 * time.Millisecond
+)
+
+// Codec reads and writes the callers' packets.
+type Codec interface {
+	// FromCaller decodes a packet that a caller sent.
+	FromCaller(b []byte) (gdflow.Packet, error)
+	// Clean clears what a caller has no say in.
+	Clean(b []byte)
+	// AppendReset appends a packet that ends the flow at the caller.
+	AppendReset(b []byte, k gdflow.Key, seq uint32) []byte
+}
+
+// Entry is an entry host's process. Its exported fields are set before Run.
+type Entry struct {
+	// Name and Domain are the host's name and failure domain.
+	Name, Domain string
+	// Callers is where the callers' packets arrive; the callers take theirs at the
+	// same port.
+	Callers netip.AddrPort
+	// Hop is where agents' messages arrive; agents take theirs at the same port.
+	Hop netip.AddrPort
+	// Codec reads and writes packets.
+	Codec Codec
+	// Source has the state of the deployment.
+	Source Source
+	Log    gdlog.Logger
+	Scope  tally.Scope
+	// Grace is how long the process may go on after the context has ended.
+	Grace time.Duration
+
+	mu       sync.Mutex
+	core     gdsteer.Steer
+	book     gdbelief.Book
+	wake     chan struct{}
+	callers  *net.UDPConn
+	hop      *net.UDPConn
+	lastSeen atomic.Int64 // Unix nanoseconds of the last caller's packet
+	leaving  atomic.Bool
+	ready    atomic.Bool
+	seen     counters
+}
+
+// Ready reports whether the routers may send packets.
+func (e *Entry) Ready() bool { return e.ready.Load() && !e.leaving.Load() }
+
+// Run forwards packets until some time after the context has ended.
+func (e *Entry) Run(ctx context.Context) error {
+	if err := e.listen(); err != nil {
+		return err
+	}
+	e.core.Domain = e.Domain
+	e.wake = make(chan struct{}, 1)
+	e.seen.init(e.Scope)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return e.readCallers(work) })
+	g.Go(func() error { return e.readAgents(work) })
+	g.Go(func() error { e.follow(work); return nil })
+	g.Go(func() error { e.tick(work); return nil })
+	g.Go(func() error {
+		defer stop()
+		e.leave(ctx, work)
+		return errors.Wrap(e.close(), "close sockets")
+	})
+	return g.Wait()
+}
+
+func (e *Entry) listen() error {
+	var err error
+	if e.callers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Callers)); err != nil {
+		return errors.Wrapf(err, "listen for callers at %s", e.Callers)
+	}
+	if e.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Hop)); err != nil {
+		return errors.Wrapf(err, "listen for agents at %s", e.Hop)
+	}
+	return nil
+}
+
+func (e *Entry) close() error {
+	err := e.callers.Close()
+	if err2 := e.hop.Close(); err == nil {
+		err = err2
+	}
+	return err
+}
+
+// leave waits for the end of the context, and then until no more packets come or
+// the grace period is nearly over.
+func (e *Entry) leave(ctx, work context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return
+	}
+	e.leaving.Store(true)
+	began := time.Now()
+	e.Log.Event(gdlog.DrainStarted, "flows", e.flows())
+	t := time.NewTicker(quietTime / 5)
+	defer t.Stop()
+	for now := range t.C {
+		passed := now.Sub(began)
+		quiet := now.Sub(time.Unix(0, e.lastSeen.Load()))
+		if passed > e.Grace-graceMargin || passed > noticeTime && quiet > quietTime {
+			e.Log.Event(gdlog.DrainEnded, "after", passed.String(), "quiet", quiet.String())
+			return
+		}
+	}
+}
+
+func (e *Entry) flows() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.core.Flows()
+}
--- /dev/null
+++ b/internal/process/gdentry/packets.go
@@ -0,0 +1,196 @@
+package gdentry
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
+	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
+)
+
+// maxDatagram is longer than any packet with what is put before it, in bytes.
+const maxDatagram = 1500
+
+// readCallers forwards the callers' packets.
+func (e *Entry) readCallers(ctx context.Context) error {
+	in := gdbatch.NewReader(e.callers, maxDatagram)
+	out := e.newSender()
+	return e.read(ctx, in, func(now time.Time, b []byte, _ netip.AddrPort) {
+		p, err := e.Codec.FromCaller(b)
+		if err != nil {
+			e.seen.malformed.Inc(1)
+			return
+		}
+		e.Codec.Clean(b)
+		e.lastSeen.Store(now.UnixNano())
+		out.do(now, e.core.FromCaller(now, p, b))
+	}, out)
+}
+
+// readAgents takes in the agents' messages.
+func (e *Entry) readAgents(ctx context.Context) error {
+	in := gdbatch.NewReader(e.hop, maxDatagram)
+	out := e.newSender()
+	return e.read(ctx, in, func(now time.Time, b []byte, from netip.AddrPort) {
+		host, ok := gdflow.AddressOf(from)
+		if !ok || from.Port() != e.Hop.Port() {
+			e.seen.malformed.Inc(1)
+			return
+		}
+		m, err := gdhop.Parse(b)
+		if err != nil {
+			e.seen.malformed.Inc(1)
+			return
+		}
+		e.answered(now, host, m, out)
+	}, out)
+}
+
+// answered takes in one message of an agent.
+func (e *Entry) answered(now time.Time, host gdflow.Address, m gdhop.Message, out *sender) {
+	switch m.Type {
+	case gdhop.Accepted:
+		e.core.Accepted(now, host, m.Key)
+		e.seen.accepted.Inc(1)
+		e.seen.event(now, e.Log, gdlog.FlowOpened, "flow", m.Key, "upstream", host, "load", m.Load)
+	case gdhop.Held:
+		e.core.Held(now, host, m.Key)
+		e.seen.event(now, e.Log, gdlog.FlowFound, "flow", m.Key, "upstream", host)
+	case gdhop.Return:
+		p, err := e.Codec.FromCaller(m.Packet)
+		if err != nil {
+			e.seen.malformed.Inc(1)
+			return
+		}
+		e.Codec.Clean(m.Packet)
+		e.seen.returned(m.Reason)
+		e.seen.event(now, e.Log, gdlog.PacketReturned, "flow", p.Key(), "upstream", host, "reason", m.Reason.String(),
+			"load", m.Load, "revision", m.Revision)
+		ans := gdsteer.Answer{From: host, Load: int(m.Load), Revision: m.Revision, Reason: m.Reason}
+		out.do(now, e.core.Returned(now, ans, p, m.Packet))
+	}
+}
+
+// read hands each datagram to handle, with the core locked, until the socket is
+// closed.
+func (e *Entry) read(ctx context.Context, in *gdbatch.Reader,
+	handle func(time.Time, []byte, netip.AddrPort), out *sender,
+) error {
+	for {
+		n, err := in.Read()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			e.seen.failedReads.Inc(1)
+			continue
+		}
+		now := time.Now()
+		e.mu.Lock()
+		for i := range n {
+			b, from := in.At(i)
+			handle(now, b, from)
+		}
+		waits := !e.core.NextTick().IsZero()
+		e.mu.Unlock()
+		out.flush()
+		if waits {
+			select {
+			case e.wake <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// tick looks after the searches' time limits while there are any.
+func (e *Entry) tick(ctx context.Context) {
+	out := e.newSender()
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.wake:
+		}
+		for ctx.Err() == nil {
+			e.mu.Lock()
+			next := e.core.NextTick()
+			e.mu.Unlock()
+			if next.IsZero() {
+				break
+			}
+			t.Reset(max(time.Until(next), tickTime))
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			now := time.Now()
+			e.mu.Lock()
+			out.do(now, e.core.Tick(now))
+			e.mu.Unlock()
+			out.flush()
+		}
+	}
+}
+
+// sender carries out the core's actions. It belongs to one goroutine.
+type sender struct {
+	e   *Entry
+	out *gdbatch.Writer
+}
+
+func (e *Entry) newSender() *sender {
+	return &sender{e: e, out: gdbatch.NewWriter(e.hop, maxDatagram+gdhop.MaxOverhead)}
+}
+
+func (s *sender) do(now time.Time, actions []gdsteer.Action) {
+	for i := range actions {
+		a := &actions[i]
+		s.e.seen.decided(a.Verb, a.Reason)
+		switch a.Verb {
+		case gdsteer.Forward:
+			b := gdhop.AppendCarry(s.out.Buffer(), a.Carry, a.Opens)
+			s.out.Queue(append(b, a.Packet...), a.To.At(s.e.Hop.Port()).AddrPort())
+			if a.Reason == gdsteer.Known || a.Reason == gdsteer.Waiting {
+				continue
+			}
+		case gdsteer.Reset:
+			b := s.e.Codec.AppendReset(s.out.Buffer(), a.Key, a.Seq)
+			s.out.Queue(b, a.Key.Caller().At(s.e.Callers.Port()).AddrPort())
+		}
+		s.e.logAction(now, a)
+	}
+}
+
+func (s *sender) flush() {
+	if lost := s.out.Flush(); lost > 0 {
+		s.e.seen.failedWrites.Inc(int64(lost))
+	}
+}
+
+// logAction writes a line on a decision that is not about every packet of a flow.
+func (e *Entry) logAction(now time.Time, a *gdsteer.Action) {
+	var ev gdlog.Event
+	switch {
+	case a.Verb == gdsteer.Reset:
+		ev = gdlog.FlowReset
+	case a.Verb == gdsteer.Drop:
+		ev = gdlog.PacketDropped
+	case a.Opens:
+		ev = gdlog.FlowOffered
+	default:
+		ev = gdlog.FlowSought
+	}
+	e.seen.event(now, e.Log, ev, "flow", a.Key, "upstream", a.To, "reason", a.Reason.String(), "tries", a.Tries,
+		"revision", e.book.Revision(), "age", e.book.Age(now).Milliseconds())
+}
--- /dev/null
+++ b/internal/process/gdside/counters.go
@@ -0,0 +1,51 @@
+package gdside
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+)
+
+// counters are the metrics of an agent and the bound of its log.
+type counters struct {
+	malformed                 tally.Counter
+	failedReads, failedWrites tally.Counter
+	delivered, answered       tally.Counter
+	resets, opened            tally.Counter
+	returns                   []tally.Counter
+	lines                     gdlog.Bound
+}
+
+func (c *counters) init(scope tally.Scope) {
+	c.malformed = scope.Counter("malformed_datagrams")
+	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
+	c.delivered, c.answered = scope.Counter("packets_delivered"), scope.Counter("packets_answered")
+	c.resets, c.opened = scope.Counter("flows_reset"), scope.Counter("flows_opened")
+	for r := range gdguard.Reasons() {
+		tagged := scope.Tagged(map[string]string{"reason": gdguard.Reason(r).String()})
+		c.returns = append(c.returns, tagged.Counter("packets_returned"))
+	}
+}
+
+func (c *counters) decided(a *gdguard.Action) {
+	switch a.Verb {
+	case gdguard.Deliver:
+		c.delivered.Inc(1)
+	case gdguard.ToCaller:
+		c.answered.Inc(1)
+	case gdguard.Return:
+		c.returns[a.Reason].Inc(1)
+	case gdguard.End:
+		c.resets.Inc(1)
+	case gdguard.Accepted:
+		c.opened.Inc(1)
+	}
+}
+
+// event writes a line unless the log has had its share for now.
+func (c *counters) event(now time.Time, log gdlog.Logger, ev gdlog.Event, namesAndValues ...any) {
+	c.lines.Event(now, log, ev, namesAndValues...)
+}
--- /dev/null
+++ b/internal/process/gdside/packets.go
@@ -0,0 +1,173 @@
+package gdside
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
+	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
+)
+
+// maxDatagram is longer than any packet with what is put before it, in bytes.
+const maxDatagram = 1500
+
+// readEntries lets in what entry hosts send.
+func (s *Side) readEntries(ctx context.Context) error {
+	in := gdbatch.NewReader(s.hop, maxDatagram)
+	out := s.newSender()
+	return s.read(ctx, in, out, func(now time.Time, b []byte, from netip.AddrPort) {
+		entry, ok := gdflow.AddressOf(from)
+		m, err := gdhop.Parse(b)
+		if err != nil || !ok || from.Port() != s.Hop.Port() {
+			s.seen.malformed.Inc(1)
+			return
+		}
+		switch m.Type {
+		case gdhop.Standing:
+			s.learn(now, entry, m.Carry.Standing)
+		case gdhop.Carry:
+			p, err := s.Codec.FromCaller(m.Packet)
+			if err != nil {
+				s.seen.malformed.Inc(1)
+				return
+			}
+			if p.Opens() {
+				s.learn(now, entry, m.Carry.Standing)
+			}
+			out.do(now, p, m.Packet, s.Guard.FromEntry(now, entry, m.Carry, p))
+		}
+	})
+}
+
+// learn takes in what an entry host says of the upstream.
+func (s *Side) learn(now time.Time, entry gdflow.Address, st gdguard.Standing) {
+	if s.Guard.Learn(now, st) {
+		s.Log.Event(gdlog.StandingChanged, "revision", st.Revision, "takes-new", st.TakesNew, "slots", st.Slots,
+			"cold-left", st.ColdLeft.String(), "source", entry.String())
+	}
+}
+
+// readUpstream sends on what the upstream sends.
+func (s *Side) readUpstream(ctx context.Context) error {
+	in := gdbatch.NewReader(s.from, maxDatagram)
+	out := s.newSender()
+	return s.read(ctx, in, out, func(now time.Time, b []byte, from netip.AddrPort) {
+		if from.Addr() != s.Upstream.Addr() && !from.Addr().IsLoopback() {
+			s.seen.malformed.Inc(1)
+			return
+		}
+		p, err := s.Codec.FromUpstream(b)
+		if err != nil {
+			s.seen.malformed.Inc(1)
+			return
+		}
+		out.do(now, p, b, s.Guard.FromUpstream(now, p))
+	})
+}
+
+// watchUpstream waits for the error that says that nothing listens at the
+// upstream's port.
+func (s *Side) watchUpstream(ctx context.Context) {
+	out := s.newSender()
+	buf := make([]byte, 1)
+	for ctx.Err() == nil {
+		_, err := s.to.Read(buf)
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return
+		}
+		now := time.Now()
+		s.mu.Lock()
+		flows := s.Guard.Flows()
+		actions := s.Guard.UpstreamEnded(now)
+		if len(actions) > 0 {
+			s.Log.Event(gdlog.UpstreamEnded, "flows", flows, "resets", len(actions))
+		}
+		out.do(now, gdflow.Packet{}, nil, actions)
+		s.mu.Unlock()
+		out.flush()
+	}
+}
+
+// read hands each datagram to handle, with the guard locked, until the socket is
+// closed.
+func (s *Side) read(ctx context.Context, in *gdbatch.Reader, out *sender,
+	handle func(time.Time, []byte, netip.AddrPort),
+) error {
+	for {
+		n, err := in.Read()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.seen.failedReads.Inc(1)
+			continue
+		}
+		now := time.Now()
+		s.mu.Lock()
+		for i := range n {
+			b, from := in.At(i)
+			handle(now, b, from)
+		}
+		s.mu.Unlock()
+		out.flush()
+	}
+}
+
+// sender carries out the guard's actions. It belongs to one goroutine.
+type sender struct {
+	s   *Side
+	out *gdbatch.Writer
+}
+
+func (s *Side) newSender() *sender {
+	return &sender{s: s, out: gdbatch.NewWriter(s.hop, maxDatagram+gdhop.MaxOverhead)}
+}
+
+// do carries out what was decided on the packet.
+func (d *sender) do(now time.Time, p gdflow.Packet, raw []byte, actions []gdguard.Action) {
+	s := d.s
+	for i := range actions {
+		a := &actions[i]
+		s.seen.decided(a)
+		switch a.Verb {
+		case gdguard.Deliver:
+			if _, err := s.to.Write(raw); err != nil {
+				s.seen.failedWrites.Inc(1)
+			}
+		case gdguard.ToCaller:
+			d.out.Queue(append(d.out.Buffer(), raw...), a.Key.Caller().At(s.CallerPort).AddrPort())
+		case gdguard.End:
+			b := s.Codec.AppendReset(d.out.Buffer(), a.Key, a.Seq)
+			d.out.Queue(b, a.Key.Caller().At(s.CallerPort).AddrPort())
+		case gdguard.Return:
+			b := gdhop.AppendReturn(d.out.Buffer(), a.Reason, s.Guard.Load(), s.Guard.Revision())
+			d.out.Queue(append(b, raw...), a.Entry.At(s.Hop.Port()).AddrPort())
+			s.seen.event(now, s.Log, gdlog.FlowRefusedHere, "flow", a.Key, "entry", a.Entry, "reason", a.Reason.String(),
+				"opens", p.Opens(), "load", s.Guard.Load(), "revision", s.Guard.Revision())
+		case gdguard.Accepted, gdguard.Held:
+			t, ev := gdhop.Accepted, gdlog.FlowOpened
+			if a.Verb == gdguard.Held {
+				t, ev = gdhop.Held, gdlog.FlowFound
+			}
+			d.out.Queue(gdhop.AppendNote(d.out.Buffer(), t, a.Key, s.Guard.Load()), a.Entry.At(s.Hop.Port()).AddrPort())
+			s.seen.event(now, s.Log, ev, "flow", a.Key, "entry", a.Entry, "load", s.Guard.Load())
+		}
+	}
+}
+
+func (d *sender) flush() {
+	if lost := d.out.Flush(); lost > 0 {
+		d.s.seen.failedWrites.Inc(int64(lost))
+	}
+}
--- /dev/null
+++ b/internal/process/gdside/side.go
@@ -0,0 +1,158 @@
+// Package gdside runs the agent beside an upstream that speaks packets: it lets in
+// what belongs to the upstream and sends the upstream's packets to the callers.
+//
+// # Usage
+//
+//	s := &gdside.Side{
+//		Hop: hop, Upstream: app, FromUpstream: outbound, CallerPort: 8172,
+//		Codec: codec, Log: log, Scope: scope, Grace: 6 * time.Second,
+//	}
+//	s.Guard.Service = "booking"
+//	err := s.Run(ctx)
+//
+// Run returns some time after the context has ended, at a moment when the upstream
+// works on nothing if there is one.
+package gdside
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+)
+
+const (
+	// idleCheck is how often a leaving agent looks whether the upstream works on
+	// nothing.
+	idleCheck = 20 * time.Millisecond
+	// graceMargin is what is left of the grace period when the agent ends anyway.
+	graceMargin = 500 * time.Millisecond
+)
+
+// Codec reads and writes the callers' packets.
+type Codec interface {
+	// FromCaller decodes a packet that a caller sent.
+	FromCaller(b []byte) (gdflow.Packet, error)
+	// FromUpstream decodes a packet that the upstream sent or returned.
+	FromUpstream(b []byte) (gdflow.Packet, error)
+	// AppendReset appends a packet that ends the flow at the caller.
+	AppendReset(b []byte, k gdflow.Key, seq uint32) []byte
+}
+
+// Side is an agent's process. Its exported fields are set before Run.
+type Side struct {
+	// Guard decides. Its Service and Fresh are set before Run.
+	Guard gdguard.Guard
+	// Hop is where entry hosts' messages arrive; they take theirs at the same port.
+	Hop netip.AddrPort
+	// Upstream is where the upstream takes packets, FromUpstream where it sends
+	// its own.
+	Upstream, FromUpstream netip.AddrPort
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	Codec      Codec
+	Log        gdlog.Logger
+	Scope      tally.Scope
+	// Grace is how long the process may go on after the context has ended.
+	Grace time.Duration
+
+	mu      sync.Mutex
+	hop     *net.UDPConn
+	from    *net.UDPConn
+	to      *net.UDPConn
+	leaving atomic.Bool
+	seen    counters
+}
+
+// Ready reports whether the agent lets in new flows.
+func (s *Side) Ready() bool { return !s.leaving.Load() }
+
+// Run lets packets through until some time after the context has ended.
+func (s *Side) Run(ctx context.Context) error {
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.seen.init(s.Scope)
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return s.readEntries(work) })
+	g.Go(func() error { return s.readUpstream(work) })
+	g.Go(func() error { s.watchUpstream(work); return nil })
+	g.Go(func() error {
+		defer stop()
+		s.leave(ctx, work)
+		return errors.Wrap(s.close(), "close sockets")
+	})
+	return g.Wait()
+}
+
+func (s *Side) listen() error {
+	var err error
+	if s.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Hop)); err != nil {
+		return errors.Wrapf(err, "listen for entry hosts at %s", s.Hop)
+	}
+	if s.from, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.FromUpstream)); err != nil {
+		return errors.Wrapf(err, "listen for the upstream at %s", s.FromUpstream)
+	}
+	// A connected socket learns when nothing listens at the upstream's port.
+	if s.to, err = net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(s.Upstream)); err != nil {
+		return errors.Wrapf(err, "open a socket to the upstream at %s", s.Upstream)
+	}
+	return nil
+}
+
+func (s *Side) close() error {
+	var first error
+	for _, c := range []*net.UDPConn{s.hop, s.from, s.to} {
+		if err := c.Close(); first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// leave waits for the end of the context, and then until the upstream works on
+// nothing or the grace period is nearly over.
+func (s *Side) leave(ctx, work context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-work.Done():
+		return
+	}
+	s.leaving.Store(true)
+	began := time.Now()
+	s.mu.Lock()
+	s.Guard.Leave()
+	s.mu.Unlock()
+	s.Log.Event(gdlog.DrainStarted, "flows", s.flows())
+	t := time.NewTicker(idleCheck)
+	defer t.Stop()
+	for now := range t.C {
+		if passed := now.Sub(began); passed > s.Grace-graceMargin || s.load() == 0 {
+			s.Log.Event(gdlog.DrainEnded, "after", passed.String(), "working", s.load())
+			return
+		}
+	}
+}
+
+func (s *Side) flows() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Guard.Flows()
+}
+
+func (s *Side) load() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Guard.Load()
+}
--- /dev/null
+++ b/internal/wire/gdhop/hop.go
@@ -0,0 +1,215 @@
+// Package gdhop encodes what entry hosts and agents send each other, one message
+// a datagram.
+//
+// # Usage
+//
+//	b := gdhop.AppendCarry(buf[:0], carry, opens)
+//	b = append(b, packet...)
+//
+//	m, err := gdhop.Parse(datagram)
+//	switch m.Type {
+//	case gdhop.Carry:
+//		... m.Carry, m.Packet
+//	}
+//
+// A message starts with the version of the format and its type. Numbers are
+// big-endian. Parse accepts nothing that it can't read to the last byte, and what
+// it returns refers to the datagram.
+package gdhop
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+)
+
+// Version is the version of the format.
+const Version = 1
+
+// MaxOverhead is the length of the longest message without its packet, in bytes.
+const MaxOverhead = carrySize + standingSize
+
+const (
+	carrySize    = 8
+	standingSize = 16
+	answerSize   = 13
+	noteSize     = 4 + gdflow.KeySize
+)
+
+// Type is what a message is.
+type Type uint8
+
+// The types of messages.
+const (
+	// Carry brings a packet from an entry host to an agent.
+	Carry Type = iota + 1
+	// Standing tells an agent of its upstream, without a packet.
+	Standing
+	// Return brings a packet back.
+	Return
+	// Accepted tells an entry host that the upstream accepted a flow.
+	Accepted
+	// Held tells an entry host that the upstream holds a flow.
+	Held
+)
+
+// The flags of Carry.
+const (
+	flagOpens = 1 << iota
+	flagForced
+	flagConfirm
+	flagTakesNew
+)
+
+// Message is a decoded message.
+type Message struct {
+	// Packet is the packet of Carry and Return.
+	Packet []byte
+	// Carry is set for Carry, and its Standing also for Standing.
+	Carry gdguard.Carry
+	// Key is the flow of Accepted and Held.
+	Key gdflow.Key
+	// Revision is the highest one that the agent has seen, for Return.
+	Revision uint64
+	// Load is how many requests the upstream works on, for answers.
+	Load   uint16
+	Type   Type
+	Reason gdguard.Reason
+}
+
+// AppendCarry appends the part of Carry before the packet.
+func AppendCarry(b []byte, c gdguard.Carry, opens bool) []byte {
+	var flags byte
+	if opens {
+		flags |= flagOpens
+	}
+	if c.Forced {
+		flags |= flagForced
+	}
+	if c.Confirm {
+		flags |= flagConfirm
+	}
+	b = append(b, Version, byte(Carry), flags, 0)
+	b = binary.BigEndian.AppendUint32(b, c.Service)
+	if opens {
+		b = appendStanding(b, c.Standing)
+	}
+	return b
+}
+
+// AppendStanding appends a Standing.
+func AppendStanding(b []byte, service uint32, s gdguard.Standing) []byte {
+	b = append(b, Version, byte(Standing), flagOpens, 0)
+	b = binary.BigEndian.AppendUint32(b, service)
+	return appendStanding(b, s)
+}
+
+func appendStanding(b []byte, s gdguard.Standing) []byte {
+	var flags byte
+	if s.TakesNew {
+		flags |= flagTakesNew
+	}
+	b = binary.BigEndian.AppendUint64(b, s.Revision)
+	b = append(b, flags, s.Slots)
+	b = binary.BigEndian.AppendUint16(b, s.ColdPerSecond)
+	return binary.BigEndian.AppendUint32(b, uint32(max(s.ColdLeft, 0)/time.Millisecond))
+}
+
+// AppendReturn appends the part of Return before the packet.
+func AppendReturn(b []byte, r gdguard.Reason, load int, revision uint64) []byte {
+	b = append(b, Version, byte(Return), byte(r))
+	b = binary.BigEndian.AppendUint16(b, clamp(load))
+	return binary.BigEndian.AppendUint64(b, revision)
+}
+
+// AppendNote appends an Accepted or Held.
+func AppendNote(b []byte, t Type, k gdflow.Key, load int) []byte {
+	b = append(b, Version, byte(t))
+	b = binary.BigEndian.AppendUint16(b, clamp(load))
+	return k.AppendTo(b)
+}
+
+func clamp(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
+
+// Parse decodes a message.
+func Parse(b []byte) (Message, error) {
+	if len(b) < 2 {
+		return Message{}, errors.Errorf("message of %d bytes has no type", len(b))
+	}
+	if b[0] != Version {
+		return Message{}, errors.Errorf("message of version %d, want %d", b[0], Version)
+	}
+	m := Message{Type: Type(b[1])}
+	switch m.Type {
+	case Carry, Standing:
+		return m.parseCarry(b)
+	case Return:
+		return m.parseReturn(b)
+	case Accepted, Held:
+		return m.parseNote(b)
+	}
+	return Message{}, errors.Errorf("message of unknown type %d", b[1])
+}
+
+func (m Message) parseCarry(b []byte) (Message, error) {
+	if len(b) < carrySize {
+		return Message{}, short(b, carrySize)
+	}
+	flags := b[2]
+	m.Carry.Forced, m.Carry.Confirm = flags&flagForced != 0, flags&flagConfirm != 0
+	m.Carry.Service = binary.BigEndian.Uint32(b[4:])
+	b = b[carrySize:]
+	if flags&flagOpens != 0 {
+		if len(b) < standingSize {
+			return Message{}, short(b, standingSize)
+		}
+		m.Carry.Standing = parseStanding(b)
+		b = b[standingSize:]
+	}
+	if m.Type == Standing && (flags&flagOpens == 0 || len(b) > 0) {
+		return Message{}, errors.New("standing message carries a packet or no standing")
+	}
+	m.Packet = b
+	return m, nil
+}
+
+func parseStanding(b []byte) gdguard.Standing {
+	return gdguard.Standing{
+		Revision:      binary.BigEndian.Uint64(b),
+		TakesNew:      b[8]&flagTakesNew != 0,
+		Slots:         b[9],
+		ColdPerSecond: binary.BigEndian.Uint16(b[10:]),
+		ColdLeft:      time.Duration(binary.BigEndian.Uint32(b[12:])) * time.Millisecond,
+	}
+}
+
+func (m Message) parseReturn(b []byte) (Message, error) {
+	if len(b) < answerSize {
+		return Message{}, short(b, answerSize)
+	}
+	m.Reason = gdguard.Reason(b[2])
+	if m.Reason == 0 || int(m.Reason) >= gdguard.Reasons() {
+		return Message{}, errors.Errorf("returned packet with unknown reason %d", b[2])
+	}
+	m.Load = binary.BigEndian.Uint16(b[3:])
+	m.Revision = binary.BigEndian.Uint64(b[5:])
+	m.Packet = b[answerSize:]
+	return m, nil
+}
+
+func (m Message) parseNote(b []byte) (Message, error) {
+	if len(b) != noteSize {
+		return Message{}, errors.Errorf("note of %d bytes, want %d", len(b), noteSize)
+	}
+	m.Load = binary.BigEndian.Uint16(b[2:])
+	m.Key, _ = gdflow.ParseKey(b[4:])
+	return m, nil
+}
+
+func short(b []byte, want int) error {
+	return errors.Errorf("message part of %d bytes is shorter than %d", len(b), want)
+}
