Let two entry hosts read the store and the others hear from them

Ruled out: longer watches (a watch may hear nothing for a second without being cut); a fixed reader (it may be cut off or refused, and nobody may be set aside). Change: gdpeers decides who reads, gdfeed carries beacons with the newest changes and updates that a host fetches when it is behind. Conclusion: calls no longer grow with the number of hosts but for one load at each start.

--- a/internal/core/gdbelief/view.go
+++ b/internal/core/gdbelief/view.go
@@ -115,7 +115,10 @@
 
 // Choose returns the service that gets a flow with the hash.
 func (r *Route) Choose(hash uint64) string {
-	if len(r.Shares) == 1 {
+	switch len(r.Shares) {
+	case 0:
+		return ""
+	case 1:
 		return r.Shares[0].Service
 	}
 	total := 0.0
--- /dev/null
+++ b/internal/core/gdpeers/peers.go
@@ -0,0 +1,268 @@
+// Package gdpeers decides which entry hosts read the store and which hear from
+// them.
+//
+// Two readers are enough for any number of hosts, so that the calls to the store
+// don't grow with the deployment. A reader sends beacons with its revision and the
+// age of its knowledge; the others send it greetings, by which it knows them. A
+// host that hears no reader with recent knowledge reads itself, those of the best
+// rank first.
+//
+// # Usage
+//
+//	p := &gdpeers.Peers{Self: self, Rank: rank, Seeds: seeds}
+//	for _, to := range p.Tick(now, age) { // send a beacon to each
+//		...
+//	}
+//	p.Heard(now, from, beacon)
+//	if p.Reading() {
+//		...
+//	}
+//
+// What Tick returns is valid until the next call. A Peers belongs to one goroutine.
+package gdpeers
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+const (
+	// Readers is how many hosts read the store, so that the loss of one is covered
+	// at once.
+	Readers = 2
+	// BeaconTime is the time between the beacons of a reader: a third of a second,
+	// so that two may be lost before the reader is missed.
+	BeaconTime = 300 * time.Millisecond
+	// greetingTime is the time between the greetings of the others.
+	greetingTime = time.Second
+	// readerTime is how long a reader counts after its last beacon.
+	readerTime = 3*BeaconTime + 100*time.Millisecond
+	// freshAge is the age of a reader's knowledge up to which it counts: the
+	// longest watch and the time for its answer.
+	freshAge = 2 * time.Second
+	// memberTime is how long a host counts after it was last heard of.
+	memberTime = 4 * greetingTime
+	// turnTime is the time between two ranks that begin to read because no reader
+	// is left; secondTime comes before it if one is.
+	turnTime = 150 * time.Millisecond
+	// loneTime is how long a host waits for a reader's beacon before it reads.
+	loneTime   = BeaconTime
+	secondTime = time.Second
+	// MostMembers bounds the members that a beacon names: 320 bytes.
+	MostMembers = 32
+	// mostKnown bounds the hosts that are remembered.
+	mostKnown = 4096
+)
+
+// Member is a host that a beacon names.
+type Member struct {
+	Address gdflow.Address
+	// Rank orders the hosts that may read, the lowest first.
+	Rank uint32
+}
+
+// Beacon is what a host says of itself.
+type Beacon struct {
+	// Members are some of the hosts that the sender knows.
+	Members []Member
+	// Revision is that of the sender's view, and Age how long ago it was confirmed.
+	Revision uint64
+	Age      time.Duration
+	Rank     uint32
+	// Reading says that the sender reads the store.
+	Reading bool
+	// Leaving says that the sender shuts down.
+	Leaving bool
+}
+
+type peer struct {
+	heard    time.Time // directly, zero if only named by others
+	named    time.Time
+	age      time.Duration
+	revision uint64
+	rank     uint32
+	reading  bool
+}
+
+// Peers is the decision core. Its exported fields are set before the first call.
+type Peers struct {
+	Self  gdflow.Address
+	Rank  uint32
+	Seeds []gdflow.Address
+
+	known   map[gdflow.Address]*peer
+	reading bool
+	leaving bool
+	// enough is when there were last enough readers, some when there was one.
+	enough, some time.Time
+	sent         time.Time
+	urgent       bool
+	out          []gdflow.Address
+}
+
+// Reading reports whether this host reads the store.
+func (p *Peers) Reading() bool { return p.reading }
+
+// Leave makes the host stop reading: it shuts down.
+func (p *Peers) Leave() { p.leaving, p.urgent = true, true }
+
+// Known returns the number of hosts that are known.
+func (p *Peers) Known() int { return len(p.known) }
+
+// Urge makes the next Tick send beacons at once, since the view has changed.
+func (p *Peers) Urge() { p.urgent = p.urgent || p.reading }
+
+// Heard takes in a beacon.
+func (p *Peers) Heard(now time.Time, from gdflow.Address, b Beacon) {
+	if from == p.Self {
+		return
+	}
+	if b.Leaving {
+		delete(p.known, from)
+		return
+	}
+	o := p.at(from)
+	if o == nil {
+		return
+	}
+	o.heard, o.rank, o.reading, o.age, o.revision = now, b.Rank, b.Reading, b.Age, b.Revision
+	for _, m := range b.Members {
+		if m.Address == p.Self {
+			continue
+		}
+		if o := p.at(m.Address); o != nil {
+			o.named, o.rank = now, m.Rank
+		}
+	}
+}
+
+func (p *Peers) at(a gdflow.Address) *peer {
+	o, ok := p.known[a]
+	if !ok {
+		if len(p.known) >= mostKnown {
+			return nil
+		}
+		if p.known == nil {
+			p.known = make(map[gdflow.Address]*peer)
+		}
+		o = &peer{}
+		p.known[a] = o
+	}
+	return o
+}
+
+func (o *peer) last() time.Time {
+	if o.named.After(o.heard) {
+		return o.named
+	}
+	return o.heard
+}
+
+func (o *peer) isFresh(now time.Time) bool {
+	return o.reading && now.Sub(o.heard) < readerTime && o.age+now.Sub(o.heard) < freshAge
+}
+
+// Tick decides who reads and returns to whom a beacon is to be sent. Age is the age
+// of the host's own knowledge.
+func (p *Peers) Tick(now time.Time, age time.Duration) []gdflow.Address {
+	if p.enough.IsZero() {
+		p.enough, p.some = now, now
+	}
+	for a, o := range p.known {
+		if now.Sub(o.last()) > memberTime {
+			delete(p.known, a)
+		}
+	}
+	p.decide(now, age)
+	return p.recipients(now)
+}
+
+// decide begins or ends reading.
+func (p *Peers) decide(now time.Time, age time.Duration) {
+	fresh, better, position := 0, 0, 0
+	for _, o := range p.known {
+		if o.isFresh(now) {
+			fresh++
+			if o.rank < p.Rank {
+				better++
+			}
+		} else if o.rank < p.Rank && !o.reading {
+			position++
+		}
+	}
+	if fresh >= Readers {
+		p.enough = now
+	}
+	if fresh > 0 {
+		p.some = now
+	}
+	turn := time.Duration(position) * turnTime
+	was := p.reading
+	switch {
+	case p.leaving && fresh > 0:
+		p.reading = false
+	case p.reading:
+		stale := age > freshAge && fresh > 0
+		p.reading = better < Readers && !stale
+	case fresh == 0:
+		p.reading = !p.leaving && now.Sub(p.some) >= loneTime+turn
+	case fresh < Readers:
+		p.reading = !p.leaving && now.Sub(p.enough) >= secondTime+turn
+	}
+	if was != p.reading {
+		p.urgent = true
+		p.enough, p.some = now, now
+	}
+}
+
+// recipients returns to whom a beacon goes now: those of a reader to all, and the
+// greetings of others to the readers, or to whoever may know one.
+func (p *Peers) recipients(now time.Time) []gdflow.Address {
+	p.out = p.out[:0]
+	interval := greetingTime
+	if p.reading {
+		interval = BeaconTime
+	}
+	if !p.urgent && now.Sub(p.sent) < interval {
+		return nil
+	}
+	p.urgent, p.sent = false, now
+	heardReader := false
+	for a, o := range p.known {
+		fresh := o.isFresh(now)
+		heardReader = heardReader || fresh
+		if p.reading || p.leaving || fresh {
+			p.out = append(p.out, a)
+		}
+	}
+	if p.reading || !heardReader {
+		for _, a := range p.Seeds {
+			if _, ok := p.known[a]; !ok && a != p.Self {
+				p.out = append(p.out, a)
+			}
+		}
+	}
+	if !p.reading && !heardReader {
+		for a := range p.known {
+			p.out = append(p.out, a)
+		}
+	}
+	return p.out
+}
+
+// Beacon returns what this host says of itself.
+func (p *Peers) Beacon(now time.Time, revision uint64, age time.Duration) Beacon {
+	b := Beacon{Revision: revision, Age: age, Rank: p.Rank, Reading: p.reading, Leaving: p.leaving}
+	for a, o := range p.known {
+		// Only hosts that were heard themselves are named, so that one that is gone
+		// is forgotten.
+		if now.Sub(o.heard) < memberTime && len(b.Members) < MostMembers {
+			b.Members = append(b.Members, Member{Address: a, Rank: o.rank})
+		}
+	}
+	slices.SortFunc(b.Members, func(x, y Member) int { return cmp.Compare(x.Rank, y.Rank) })
+	return b
+}
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -82,6 +82,8 @@
 	PeerUnreachable = declare(303, Info, "peer unreachable",
 		"Nothing if the peer was replaced. Else check the network between the two.")
 	PeerReachable = declare(304, Info, "peer reachable again", nothing)
+	ReadingBegun  = declare(305, Info, "host reads the platform's store", nothing)
+	ReadingEnded  = declare(306, Info, "host hears of changes from others", nothing)
 )
 
 // Events 400 to 499: datagrams.
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -18,6 +18,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -30,6 +31,7 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdpeers"
 	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 )
@@ -65,6 +67,13 @@
 	Callers netip.AddrPort
 	// Hop is where agents' messages arrive; agents take theirs at the same port.
 	Hop netip.AddrPort
+	// Feed is where other entry hosts' beacons arrive, and where they fetch updates;
+	// they have the same port.
+	Feed netip.AddrPort
+	// Seeds are entry hosts that may know others.
+	Seeds []netip.Addr
+	// Rank orders the hosts that may read the source, the lowest first.
+	Rank uint32
 	// Codec reads and writes packets.
 	Codec Codec
 	// Source has the state of the deployment.
@@ -77,7 +86,13 @@
 	mu       sync.Mutex
 	core     gdsteer.Steer
 	book     gdbelief.Book
+	peers    gdpeers.Peers
+	history  []revisionAt
 	wake     chan struct{}
+	turn     chan struct{}
+	behind   chan gdflow.Address
+	feed     *net.UDPConn
+	updates  net.Listener
 	callers  *net.UDPConn
 	hop      *net.UDPConn
 	lastSeen atomic.Int64 // Unix nanoseconds of the last caller's packet
@@ -95,13 +110,19 @@
 		return err
 	}
 	e.core.Domain = e.Domain
-	e.wake = make(chan struct{}, 1)
+	e.wake, e.turn = make(chan struct{}, 1), make(chan struct{}, 1)
+	e.behind = make(chan gdflow.Address, 1)
+	e.joinPeers()
 	e.seen.init(e.Scope)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return e.readCallers(work) })
 	g.Go(func() error { return e.readAgents(work) })
 	g.Go(func() error { e.follow(work); return nil })
+	g.Go(func() error { return e.hearPeers(work) })
+	g.Go(func() error { return e.serveUpdates(work) })
+	g.Go(func() error { e.fetchUpdates(work); return nil })
+	g.Go(func() error { e.beat(work); return nil })
 	g.Go(func() error { e.tick(work); return nil })
 	g.Go(func() error {
 		defer stop()
@@ -119,15 +140,23 @@
 	if e.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Hop)); err != nil {
 		return errors.Wrapf(err, "listen for agents at %s", e.Hop)
 	}
+	if e.feed, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Feed)); err != nil {
+		return errors.Wrapf(err, "listen for entry hosts at %s", e.Feed)
+	}
+	if e.updates, err = net.Listen("tcp4", e.Feed.String()); err != nil {
+		return errors.Wrapf(err, "listen for entry hosts at %s", e.Feed)
+	}
 	return nil
 }
 
 func (e *Entry) close() error {
-	err := e.callers.Close()
-	if err2 := e.hop.Close(); err == nil {
-		err = err2
+	var first error
+	for _, c := range []io.Closer{e.callers, e.hop, e.feed, e.updates} {
+		if err := c.Close(); first == nil && !errors.Is(err, net.ErrClosed) {
+			first = err
+		}
 	}
-	return err
+	return first
 }
 
 // leave waits for the end of the context, and then until no more packets come or
@@ -139,6 +168,9 @@
 		return
 	}
 	e.leaving.Store(true)
+	e.mu.Lock()
+	e.peers.Leave()
+	e.mu.Unlock()
 	began := time.Now()
 	e.Log.Event(gdlog.DrainStarted, "flows", e.flows())
 	t := time.NewTicker(quietTime / 5)
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -19,7 +19,9 @@
 	// loadTime is how long reading the whole state may take.
 	loadTime = 3 * time.Second
 	// retryTime is the time before a failed call is made again.
-	retryTime = 250 * time.Millisecond
+	retryTime = 100 * time.Millisecond
+	// mostRetryTime is the longest such time; it doubles with each failure.
+	mostRetryTime = 800 * time.Millisecond
 )
 
 // Source has the state of the deployment.
@@ -30,30 +32,55 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (gdbelief.Update, error)
 }
 
-// follow keeps the book up to date until the context ends.
+// follow loads the state and then watches the source while it is this host's turn.
 func (e *Entry) follow(ctx context.Context) {
-	lost, whole := false, true
+	whole, failures := true, 0
 	for ctx.Err() == nil {
+		if !whole && !e.isReading() {
+			select {
+			case <-ctx.Done():
+			case <-e.turn:
+			}
+			continue
+		}
 		err := e.refresh(ctx, whole)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			if !lost {
-				e.Log.Failure(gdlog.PlatformUnreachable, err, "revision", e.book.Revision())
+		if err == nil {
+			if failures > 0 {
+				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", failures)
 			}
-			lost = true
-			whole = whole || errors.Is(err, gdbelief.ErrHistoryLost)
-			sleep(ctx, retryTime)
+			whole, failures = false, 0
 			continue
 		}
-		if lost {
-			e.Log.Event(gdlog.PlatformReachable, "revision", e.book.Revision())
+		if failures == 0 {
+			e.Log.Failure(gdlog.PlatformUnreachable, err, "revision", e.revision())
 		}
-		lost, whole = false, false
+		failures++
+		whole = whole && !e.isLoaded() || errors.Is(err, gdbelief.ErrHistoryLost)
+		sleep(ctx, min(retryTime<<min(failures-1, 8), mostRetryTime))
 	}
 }
 
+func (e *Entry) isReading() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.peers.Reading()
+}
+
+func (e *Entry) isLoaded() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.book.Loaded()
+}
+
+func (e *Entry) revision() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.book.Revision()
+}
+
 // refresh makes one call and takes in its answer.
 func (e *Entry) refresh(ctx context.Context, whole bool) error {
 	limit := watchTime + answerMargin
@@ -71,33 +98,42 @@
 		e.take(asked, u, (*gdbelief.Book).Load)
 		return nil
 	}
-	u, err := e.Source.Watch(ctx, e.book.Revision(), watchTime)
+	u, err := e.Source.Watch(ctx, e.revision(), watchTime)
 	if err != nil {
 		return err
 	}
-	if len(u.Changes) > 0 {
-		asked = time.Now()
-	}
-	e.take(asked, u, (*gdbelief.Book).Apply)
+	// A watch answers at once when something changes, so its answer holds for now.
+	e.take(time.Now(), u, (*gdbelief.Book).Apply)
 	return nil
 }
 
-// take puts an update in force.
-func (e *Entry) take(asked time.Time, u gdbelief.Update, into func(*gdbelief.Book, time.Time, gdbelief.Update) bool) {
+// into is how a book takes in an update: Load or Apply.
+type into func(*gdbelief.Book, time.Time, gdbelief.Update) bool
+
+// take puts an update in force that the source gave after it was asked.
+func (e *Entry) take(asked time.Time, u gdbelief.Update, f into) {
 	now := time.Now()
-	u.Age = now.Sub(asked)
+	u.Age += now.Sub(asked)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	changed := into(&e.book, now, u)
+	e.takeLocked(now, u, f, "store")
+}
+
+// takeLocked puts an update in force. The lock is held.
+func (e *Entry) takeLocked(now time.Time, u gdbelief.Update, f into, source string) {
+	changed := f(&e.book, now, u)
 	e.core.Confirm(now.Add(-e.book.Age(now)))
 	if !changed {
 		return
 	}
+	e.remember(now)
 	v := e.book.View()
 	e.core.SetView(v)
+	e.peers.Urge()
 	e.seen.view(v)
 	e.Log.Event(gdlog.ViewChanged, "revision", v.Revision(), "version", v.Version(), "age", u.Age.String(),
-		"routes", v.Routes(), "upstreams", len(v.Upstreams()), "domains-out", v.DomainsOut(), "changes", len(u.Changes))
+		"routes", v.Routes(), "upstreams", len(v.Upstreams()), "domains-out", v.DomainsOut(), "changes", len(u.Changes),
+		"source", source)
 	if v.Version() > 0 {
 		e.ready.Store(true)
 	}
--- /dev/null
+++ b/internal/wire/gdfeed/feed.go
@@ -0,0 +1,235 @@
+// Package gdfeed encodes what entry hosts tell each other of the deployment:
+// beacons, one a datagram, and updates, which a host fetches from another.
+//
+// # Usage
+//
+//	b, err := gdfeed.EncodeBeacon(gdfeed.Beacon{Beacon: beacon, After: rev, Update: update})
+//	beacon, err := gdfeed.DecodeBeacon(datagram)
+//
+//	err := gdfeed.WriteUpdate(w, update)
+//	update, err := gdfeed.ReadUpdate(r)
+//
+// Both are CBOR after one byte for the version of the format; updates are
+// compressed, since the routes of a configuration are much alike.
+package gdfeed
+
+import (
+	"compress/flate"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdpeers"
+)
+
+const (
+	// Version is the version of the format.
+	Version = 1
+	// MaxBeacon is the length of the longest beacon, in bytes: one datagram that
+	// needs no fragments on any usual link.
+	MaxBeacon = 1400
+	// maxUpdate bounds an update once it is expanded, in bytes: the largest value of
+	// the users' store, for the configuration and all registrations.
+	maxUpdate = 4 << 20
+)
+
+// Beacon is a beacon with the newest changes, if they fit in.
+type Beacon struct {
+	gdpeers.Beacon
+	// After is the revision after which the changes come.
+	After  uint64
+	Update gdbelief.Update
+}
+
+type wireBeacon struct {
+	Revision uint64       `cbor:"1,keyasint"`
+	AgeMS    uint32       `cbor:"2,keyasint"`
+	Rank     uint32       `cbor:"3,keyasint"`
+	Reading  bool         `cbor:"4,keyasint,omitempty"`
+	Leaving  bool         `cbor:"5,keyasint,omitempty"`
+	Members  []wireMember `cbor:"6,keyasint,omitempty"`
+	After    uint64       `cbor:"7,keyasint,omitempty"`
+	Changes  []wireChange `cbor:"8,keyasint,omitempty"`
+}
+
+type wireMember struct {
+	_       struct{} `cbor:",toarray"`
+	Address wireAddress
+	Rank    uint32
+}
+
+type wireAddress struct {
+	_    struct{} `cbor:",toarray"`
+	IP   [4]byte
+	Port uint16
+}
+
+type wireUpdate struct {
+	Revision uint64       `cbor:"1,keyasint"`
+	AgeMS    uint32       `cbor:"2,keyasint"`
+	Changes  []wireChange `cbor:"3,keyasint"`
+}
+
+type wireChange struct {
+	Kind     uint8         `cbor:"1,keyasint"`
+	Name     string        `cbor:"2,keyasint,omitempty"`
+	Revision uint64        `cbor:"3,keyasint"`
+	Gone     bool          `cbor:"4,keyasint,omitempty"`
+	Config   *wireConfig   `cbor:"5,keyasint,omitempty"`
+	Upstream *wireUpstream `cbor:"6,keyasint,omitempty"`
+}
+
+type wireConfig struct {
+	Version  uint64        `cbor:"1,keyasint"`
+	Routes   []wireRoute   `cbor:"2,keyasint"`
+	Services []wireService `cbor:"3,keyasint"`
+	IdleMS   uint32        `cbor:"4,keyasint"`
+}
+
+type wireRoute struct {
+	_          struct{} `cbor:",toarray"`
+	Name       string
+	Address    wireAddress
+	Shares     []wireShare
+	Priority   int
+	GoalMS     uint32
+	TimeoutMS  uint32
+	Idempotent bool
+}
+
+type wireShare struct {
+	_       struct{} `cbor:",toarray"`
+	Service string
+	Weight  float64
+}
+
+type wireService struct {
+	_             struct{} `cbor:",toarray"`
+	Name          string
+	MaxFlows      int
+	ColdMS        uint32
+	ColdPerSecond float64
+}
+
+type wireUpstream struct {
+	_        struct{} `cbor:",toarray"`
+	ID       string
+	Service  string
+	Domain   string
+	Address  wireAddress
+	Slots    int
+	Draining bool
+	ColdMS   uint32
+	Born     int64
+}
+
+// decoding refuses what could make a process allocate without bound.
+var decoding = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// EncodeBeacon encodes the beacon, without its changes if they don't fit in.
+func EncodeBeacon(b Beacon) ([]byte, error) {
+	w := wireBeacon{
+		Revision: b.Revision, AgeMS: toMS(b.Age), Rank: b.Rank, Reading: b.Reading, Leaving: b.Leaving,
+		After: b.After, Changes: toChanges(b.Update.Changes),
+	}
+	for _, m := range b.Members {
+		w.Members = append(w.Members, wireMember{Address: toAddress(m.Address), Rank: m.Rank})
+	}
+	out, err := encodeBeacon(w)
+	if err == nil && len(out) > MaxBeacon && len(w.Changes) > 0 {
+		w.Changes, w.After = nil, 0
+		out, err = encodeBeacon(w)
+	}
+	return out, err
+}
+
+func encodeBeacon(w wireBeacon) ([]byte, error) {
+	data, err := cbor.Marshal(w)
+	return append([]byte{Version}, data...), errors.Wrap(err, "encode beacon")
+}
+
+// DecodeBeacon decodes a beacon.
+func DecodeBeacon(b []byte) (Beacon, error) {
+	var w wireBeacon
+	if err := checkVersion(b); err != nil {
+		return Beacon{}, err
+	}
+	if err := decoding.Unmarshal(b[1:], &w); err != nil {
+		return Beacon{}, errors.Wrap(err, "decode beacon")
+	}
+	changes, err := fromChanges(w.Changes)
+	if err != nil {
+		return Beacon{}, err
+	}
+	out := Beacon{
+		Beacon: gdpeers.Beacon{
+			Revision: w.Revision, Age: fromMS(w.AgeMS), Rank: w.Rank, Reading: w.Reading, Leaving: w.Leaving,
+		},
+		After:  w.After,
+		Update: gdbelief.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS)},
+	}
+	for _, m := range w.Members {
+		out.Members = append(out.Members, gdpeers.Member{Address: m.Address.address(), Rank: m.Rank})
+	}
+	return out, nil
+}
+
+// WriteUpdate writes an update.
+func WriteUpdate(w io.Writer, u gdbelief.Update) error {
+	if _, err := w.Write([]byte{Version}); err != nil {
+		return errors.Wrap(err, "write update")
+	}
+	z, err := flate.NewWriter(w, flate.BestSpeed)
+	if err != nil {
+		return errors.Wrap(err, "write update")
+	}
+	if err := cbor.NewEncoder(z).Encode(wireUpdate{
+		Revision: u.Revision, AgeMS: toMS(u.Age), Changes: toChanges(u.Changes),
+	}); err != nil {
+		return errors.Wrap(err, "write update")
+	}
+	return errors.Wrap(z.Close(), "write update")
+}
+
+// ReadUpdate reads an update.
+func ReadUpdate(r io.Reader) (gdbelief.Update, error) {
+	var version [1]byte
+	if _, err := io.ReadFull(r, version[:]); err != nil {
+		return gdbelief.Update{}, errors.Wrap(err, "read update")
+	}
+	if err := checkVersion(version[:]); err != nil {
+		return gdbelief.Update{}, err
+	}
+	var w wireUpdate
+	if err := decoding.NewDecoder(io.LimitReader(flate.NewReader(r), maxUpdate)).Decode(&w); err != nil {
+		return gdbelief.Update{}, errors.Wrap(err, "read update")
+	}
+	changes, err := fromChanges(w.Changes)
+	return gdbelief.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS)}, err
+}
+
+func checkVersion(b []byte) error {
+	if len(b) == 0 {
+		return errors.New("feed message is empty")
+	}
+	if b[0] != Version {
+		return errors.Errorf("feed message of version %d, want %d", b[0], Version)
+	}
+	return nil
+}
+
+func toMS(d time.Duration) uint32    { return uint32(min(max(d/time.Millisecond, 0), 1<<32-1)) }
+func fromMS(ms uint32) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func toAddress(a gdflow.Address) wireAddress  { return wireAddress{IP: a.IP(), Port: a.Port()} }
+func (a wireAddress) address() gdflow.Address { return gdflow.AddressFrom(a.IP, a.Port) }
