Ask all upstreams for a flow only where the answers can show that it is gone

Change: four upstreams are asked one after the other, all others at once only if none of them is known to be silent and within a budget; the time between two searches of a flow doubles. Changes of the store gather for 0.1 s. Hosts that start together spread their turns to read over 1.2 s.

--- a/internal/core/gdpeers/peers.go
+++ b/internal/core/gdpeers/peers.go
@@ -45,11 +45,15 @@
 	freshAge = 2 * time.Second
 	// memberTime is how long a host counts after it was last heard of.
 	memberTime = 4 * greetingTime
+	// startSlots is over how many turns the hosts spread that start at the same time
+	// and don't know each other yet.
+	startSlots = 8
 	// turnTime is the time between two ranks that begin to read because no reader
 	// is left; secondTime comes before it if one is.
 	turnTime = 150 * time.Millisecond
-	// loneTime is how long a host waits for a reader's beacon before it reads.
-	loneTime   = BeaconTime
+	// loneTime is how long a host waits for a reader's beacon before it reads: two
+	// beacons, and at a start the time to hear of the others.
+	loneTime   = 2 * BeaconTime
 	secondTime = time.Second
 	// MostMembers bounds the members that a beacon names: 320 bytes.
 	MostMembers = 32
@@ -85,6 +89,8 @@
 	revision uint64
 	rank     uint32
 	reading  bool
+	// owed is true until a host that was heard of for the first time got a beacon.
+	owed bool
 }
 
 // Peers is the decision core. Its exported fields are set before the first call.
@@ -100,6 +106,7 @@
 	enough, some time.Time
 	sent         time.Time
 	urgent       bool
+	alone        bool // no reader was heard since the start
 	out          []gdflow.Address
 }
 
@@ -148,7 +155,7 @@
 		if p.known == nil {
 			p.known = make(map[gdflow.Address]*peer)
 		}
-		o = &peer{}
+		o = &peer{owed: true}
 		p.known[a] = o
 	}
 	return o
@@ -169,7 +176,7 @@
 // of the host's own knowledge.
 func (p *Peers) Tick(now time.Time, age time.Duration) []gdflow.Address {
 	if p.enough.IsZero() {
-		p.enough, p.some = now, now
+		p.enough, p.some, p.alone = now, now, true
 	}
 	for a, o := range p.known {
 		if now.Sub(o.last()) > memberTime {
@@ -198,6 +205,10 @@
 	}
 	if fresh > 0 {
 		p.some = now
+		p.alone = false
+	}
+	if p.alone {
+		position = max(position, int(p.Rank%startSlots))
 	}
 	turn := time.Duration(position) * turnTime
 	was := p.reading
@@ -223,11 +234,11 @@
 func (p *Peers) recipients(now time.Time) []gdflow.Address {
 	p.out = p.out[:0]
 	interval := greetingTime
-	if p.reading {
+	if p.reading || p.alone {
 		interval = BeaconTime
 	}
 	if !p.urgent && now.Sub(p.sent) < interval {
-		return nil
+		return p.greet()
 	}
 	p.urgent, p.sent = false, now
 	heardReader := false
@@ -253,6 +264,18 @@
 	return p.out
 }
 
+// greet returns the hosts that were heard of since, so that both ends of a greeting
+// know each other at once.
+func (p *Peers) greet() []gdflow.Address {
+	for a, o := range p.known {
+		if o.owed {
+			o.owed = false
+			p.out = append(p.out, a)
+		}
+	}
+	return p.out
+}
+
 // Beacon returns what this host says of itself.
 func (p *Peers) Beacon(now time.Time, revision uint64, age time.Duration) Beacon {
 	b := Beacon{Revision: revision, Age: age, Rank: p.Rank, Reading: p.reading, Leaving: p.leaving}
--- a/internal/core/gdsteer/answer.go
+++ b/internal/core/gdsteer/answer.go
@@ -63,17 +63,13 @@
 		s.searchFrom(now, r, ans, p, f, raw)
 	case looking:
 		t := f.search.of(ans.From)
-		if t != nil && t == f.search.last() {
-			t.answered = true
-			f.search.keep(p, raw)
-			s.nextLook(now, r, p.Key(), f)
+		if t == nil || t.answered {
 			return
 		}
-		if t != nil {
-			t.answered = true
+		t.answered = true
+		if t == f.search.last() || f.search.allAnswered() {
+			s.nextLook(now, r, p.Key(), f)
 		}
-		s.forward(now, r, f.search.last().at,
-			Action{Key: p.Key(), Packet: raw, Reason: Waiting, Carry: gdguard.Carry{Confirm: true}})
 	case gone:
 		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
 	case lost:
@@ -91,48 +87,31 @@
 	s.nextLook(now, r, p.Key(), f)
 }
 
-// keep replaces the packet of the search by a later one.
-func (s *search) keep(p gdflow.Packet, raw []byte) {
-	if s.packet != nil {
-		s.packet = append(s.packet[:0], raw...)
-	}
-	s.ack, s.size = p.Ack, p.Size
-}
-
 // Accepted notes that the upstream beside the agent accepted the flow.
-func (s *Steer) Accepted(now time.Time, from gdflow.Address, k gdflow.Key) {
-	s.found(now, from, k, opening)
+func (s *Steer) Accepted(now time.Time, from gdflow.Address, k gdflow.Key) []Action {
+	return s.found(now, from, k, opening)
 }
 
 // Held notes that the upstream beside the agent holds the flow.
-func (s *Steer) Held(now time.Time, from gdflow.Address, k gdflow.Key) {
-	s.found(now, from, k, settled)
+func (s *Steer) Held(now time.Time, from gdflow.Address, k gdflow.Key) []Action {
+	return s.found(now, from, k, settled)
 }
 
 // found settles the flow, unless it is settled already and the agent only accepted
 // a copy.
-func (s *Steer) found(now time.Time, from gdflow.Address, k gdflow.Key, least state) {
+func (s *Steer) found(now time.Time, from gdflow.Address, k gdflow.Key, least state) []Action {
+	s.init()
 	s.hosts.heard(from)
 	f, ok := s.flows.Get(now, k)
-	if !ok || f.state == settled && least == opening {
-		return
-	}
-	at := from
-	if f.search != nil {
-		if t := f.search.of(from); t != nil {
-			at = t.at
-		}
-	} else if f.state == settled && f.at.IP() == from.IP() {
-		return
+	if !ok || s.view == nil || f.state == settled && (least == opening || f.at.IP() == from.IP()) {
+		return nil
 	}
-	s.settle(f, s.addressAt(k, at))
+	s.settle(now, k, f, s.addressAt(k, from))
+	return s.actions
 }
 
 // addressAt returns the address of the upstream on the host.
 func (s *Steer) addressAt(k gdflow.Key, host gdflow.Address) gdflow.Address {
-	if s.view == nil {
-		return host
-	}
 	r, ok := s.view.Route(k.Service())
 	if !ok {
 		return host
@@ -175,7 +154,11 @@
 	if !ok || f.search == nil || !f.search.deadline.Equal(t.at) {
 		return
 	}
-	s.hosts.unanswered(now, f.search.last().at)
+	for i := range f.search.tries {
+		if t := &f.search.tries[i]; !t.answered {
+			s.hosts.unanswered(now, t.at)
+		}
+	}
 	r, ok := s.view.Route(t.key.Service())
 	if !ok {
 		s.finish(f)
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -54,10 +54,11 @@
 	s.lose(now, k, f)
 }
 
-// nextLook asks the next upstream whether it holds the flow.
+// nextLook asks the next upstream whether it holds the flow. Once the likely ones
+// have said no, it asks all others, if their answers can show that the flow is gone.
 func (s *Steer) nextLook(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
 	hash := k.Hash()
-	for {
+	for len(f.search.tries) < serialTries {
 		m := s.nextHolder(hash, r, f.search)
 		if m == nil {
 			break
@@ -67,14 +68,52 @@
 			return
 		}
 	}
-	if s.provesGone(now, r, f.search) {
-		tries, seq := len(f.search.tries), f.search.ack
-		s.finish(f)
-		f.state = gone
-		s.add(Action{Verb: Reset, Key: k, Seq: seq, Reason: FlowGone, Tries: tries})
+	if s.mayWiden(now, r, f.search) {
+		for m := s.nextHolder(hash, r, f.search); m != nil; m = s.nextHolder(hash, r, f.search) {
+			s.ask(now, r, k, f, m.Address(), Action{Reason: Everyone, Carry: gdguard.Carry{Confirm: true}})
+		}
+	}
+	if now.Before(f.search.deadline) && !f.search.allAnswered() {
 		return
 	}
-	s.lose(now, k, f)
+	s.conclude(now, r, k, f)
+}
+
+// mayWiden reports whether all upstreams of the route may be asked: none is known
+// not to answer, and not too many searches have done so lately.
+func (s *Steer) mayWiden(now time.Time, r *gdbelief.Route, sr *search) bool {
+	if !sr.allAnswered() || now.Sub(s.confirmed) > freshAge || s.Behind() {
+		return false
+	}
+	for i := range r.Shares {
+		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
+			for _, m := range p.Members() {
+				if s.hosts.suspect(now, m.Address()) && !left(now, m) {
+					return false
+				}
+			}
+		}
+	}
+	return s.wide.take(now, widePerSecond, wideBurst)
+}
+
+// left reports whether the upstream's registration was removed so long ago that a
+// live one would be back.
+func left(now time.Time, m *gdbelief.Member) bool {
+	since, gone := m.Gone()
+	return gone && now.Sub(since) >= leftAfter
+}
+
+// conclude ends a search in which no upstream has said that it holds the flow.
+func (s *Steer) conclude(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
+	if !s.provesGone(now, r, f.search) {
+		s.lose(now, k, f)
+		return
+	}
+	tries, seq := len(f.search.tries), f.search.ack
+	s.finish(f)
+	f.state = gone
+	s.add(Action{Verb: Reset, Key: k, Seq: seq, Reason: FlowGone, Tries: tries})
 }
 
 // nextHolder returns the next upstream that may hold the flow. The service that
@@ -100,18 +139,11 @@
 // provesGone reports whether the search has shown that no upstream holds the flow:
 // each one that could has said so, and the view is recent enough to name them all.
 func (s *Steer) provesGone(now time.Time, r *gdbelief.Route, sr *search) bool {
-	if len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.Behind() {
+	if len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.Behind() || s.nextHolder(0, r, sr) != nil {
 		return false
 	}
 	for _, t := range sr.tries {
-		if t.answered {
-			continue
-		}
-		m := s.member(r, t.at)
-		if m == nil {
-			continue
-		}
-		if since, left := m.Gone(); !left || now.Sub(since) < leftAfter {
+		if m := s.member(r, t.at); !t.answered && m != nil && !left(now, m) {
 			return false
 		}
 	}
@@ -122,8 +154,10 @@
 func (s *Steer) ask(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow, at gdflow.Address, a Action) {
 	sr := f.search
 	sr.tries = append(sr.tries, try{at: at})
-	sr.deadline = now.Add(answerTime)
-	s.timers = append(s.timers, timer{key: k, at: sr.deadline})
+	if at := now.Add(answerTime); !sr.deadline.Equal(at) {
+		sr.deadline = at
+		s.timers = append(s.timers, timer{key: k, at: at})
+	}
 	if sr.packet == nil {
 		return
 	}
@@ -131,14 +165,25 @@
 	s.forward(now, r, at, a)
 }
 
+// maxLosses is where the time between two searches no longer doubles.
+const maxLosses = 4
+
 // lose gives up a search for now.
 func (s *Steer) lose(now time.Time, k gdflow.Key, f *flow) {
 	tries := len(f.search.tries)
 	s.finish(f)
-	f.state, f.until = lost, now.Add(lostTime)
+	f.state, f.until = lost, now.Add(min(lostTime<<f.losses, mostLostTime))
+	f.losses = min(f.losses+1, maxLosses)
 	s.add(Action{Verb: Drop, Key: k, Reason: NotFound, Tries: tries})
 }
 
+// wait keeps a packet until the search ends.
+func (s *search) wait(raw []byte) {
+	if s.packet != nil && len(s.later) < mostLater {
+		s.later = append(s.later, append([]byte(nil), raw...))
+	}
+}
+
 func (s *search) busy() int {
 	n := 0
 	for _, t := range s.tries {
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -39,12 +39,25 @@
 	// answerTime is how long an agent may take to answer: several round trips
 	// between failure domains and the work of a slowed host.
 	answerTime = 30 * time.Millisecond
+	// serialTries is how many upstreams are asked one after the other for a flow,
+	// before all others are asked at once: one more than a new flow is offered to.
+	serialTries = busyTries + 1
+	// widePerSecond and wideBurst bound the searches that ask all upstreams, which
+	// show that a flow is gone: after a loss of power all flows are looked for at
+	// once, on hosts with a fifth of a core.
+	widePerSecond = 100
+	wideBurst     = 50
+	// mostLater is how many packets of a flow wait for the end of its search: what
+	// an end has in flight on the users' platform.
+	mostLater = 16
 	// busyTries is how many busy upstreams are asked before the least loaded one
 	// gets the flow all the same.
 	busyTries = 3
-	// lostTime is how long a flow that was not found is not searched for again,
-	// less than the callers' shortest time before they send a packet again.
-	lostTime = 100 * time.Millisecond
+	// lostTime is how long a flow that was not found is not searched for again, less
+	// than the callers' shortest time before they send a packet again. It doubles
+	// with each search up to mostLostTime.
+	lostTime     = 150 * time.Millisecond
+	mostLostTime = 1200 * time.Millisecond
 	// freshAge is the age of the view up to which it proves that a flow is gone.
 	freshAge = 2500 * time.Millisecond
 	// leftAfter is how long after its removal from the view an upstream that does
@@ -65,10 +78,9 @@
 	flows     gdrecent.Map[gdflow.Key, *flow]
 	hosts     hosts
 	timers    []timer
+	wide      bucket
 	packets   int
 	actions   []Action
-	// one and buf back the actions of the usual case, which allocates nothing.
-	scratch []byte
 }
 
 // timer is the time at which a search goes on without an answer.
@@ -154,9 +166,12 @@
 	switch f.state {
 	case settled:
 		s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Reason: Known})
-	case opening, looking:
+	case opening:
 		at := f.search.last().at
 		s.forward(now, r, at, Action{Key: p.Key(), Packet: raw, Reason: Waiting, Carry: gdguard.Carry{Confirm: true}})
+	case looking:
+		f.search.wait(raw)
+		s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 	case gone:
 		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
 	case lost:
@@ -175,7 +190,7 @@
 func (s *Steer) begin(f *flow, st state, p gdflow.Packet, raw []byte) {
 	s.finish(f)
 	f.state = st
-	f.search = &search{ack: p.Ack, size: p.Size}
+	f.search = &search{ack: p.Ack}
 	s.packets++
 	if s.packets <= mostPackets {
 		f.search.packet = append([]byte(nil), raw...)
@@ -190,9 +205,20 @@
 	}
 }
 
-func (s *Steer) settle(f *flow, at gdflow.Address) {
+// settle ends the search and sends on what has waited for its end.
+func (s *Steer) settle(now time.Time, k gdflow.Key, f *flow, at gdflow.Address) {
+	var later [][]byte
+	if f.search != nil {
+		later = f.search.later
+	}
 	s.finish(f)
-	f.state, f.at = settled, at
+	f.state, f.at, f.losses = settled, at, 0
+	r, ok := s.view.Route(k.Service())
+	for _, raw := range later {
+		if ok {
+			s.forward(now, r, at, Action{Key: k, Packet: raw, Reason: Known})
+		}
+	}
 }
 
 // forward adds the action of sending a packet to an upstream's agent.
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -42,6 +42,8 @@
 	NotReady
 	// Waiting: an upstream is being asked already.
 	Waiting
+	// Everyone: all upstreams that were not asked yet are asked at once.
+	Everyone
 
 	reasons
 )
@@ -49,7 +51,7 @@
 var reasonNames = [reasons]string{
 	ByRank: "by-rank", Known: "known", LeastLoaded: "least-loaded", NoRoute: "no-route",
 	NoUpstream: "no-upstream", FlowGone: "flow-gone", NotFound: "not-found", NotReady: "not-ready",
-	Waiting: "waiting",
+	Waiting: "waiting", Everyone: "everyone",
 }
 
 // Reasons returns the number of reasons, for arrays of counters.
@@ -114,15 +116,17 @@
 	search *search
 	until  time.Time // for lost: no search before
 	at     gdflow.Address
+	losses uint8 // searches in a row that did not find it
 	state  state
 }
 
 // search is a flow's way through its upstreams.
 type search struct {
+	// packet started the search; later ones of the flow wait for its end.
 	packet   []byte
+	later    [][]byte
 	tries    []try
 	deadline time.Time
-	size     int // bytes of the flow that the packet carries
 	ack      uint32
 }
 
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -122,7 +122,8 @@
 		"Nothing if it is rare. Often busy: the service needs more upstreams.")
 	PacketDropped = declare(515, Info, "packet dropped",
 		"The reason says why. Often not-found: look for hosts that do not answer.")
-	FlowRefusedHere = declare(516, Info, "flow not let in", "Nothing: the entry host asks the next upstream.")
+	FlowRefusedHere = declare(516, Info, "packet not let in", "Nothing: the entry host asks the next upstream.")
+	FlowAccepted    = declare(517, Info, "flow accepted by an upstream", nothing)
 )
 
 // Events 600 to 699: the upstream.
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -18,6 +18,9 @@
 	answerMargin = time.Second
 	// loadTime is how long reading the whole state may take.
 	loadTime = 3 * time.Second
+	// gatherTime is the time between two watches, in which changes gather: a tenth
+	// of a second is a thirtieth of the shortest bound on a configuration.
+	gatherTime = 100 * time.Millisecond
 	// retryTime is the time before a failed call is made again.
 	retryTime = 100 * time.Millisecond
 	// mostRetryTime is the longest such time; it doubles with each failure.
@@ -52,6 +55,7 @@
 				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", failures)
 			}
 			whole, failures = false, 0
+			sleep(ctx, gatherTime)
 			continue
 		}
 		if failures == 0 {
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -57,11 +57,11 @@
 func (e *Entry) answered(now time.Time, host gdflow.Address, m gdhop.Message, out *sender) {
 	switch m.Type {
 	case gdhop.Accepted:
-		e.core.Accepted(now, host, m.Key)
+		out.do(now, e.core.Accepted(now, host, m.Key))
 		e.seen.accepted.Inc(1)
-		e.seen.event(now, e.Log, gdlog.FlowOpened, "flow", m.Key, "upstream", host, "load", m.Load)
+		e.seen.event(now, e.Log, gdlog.FlowAccepted, "flow", m.Key, "upstream", host, "load", m.Load)
 	case gdhop.Held:
-		e.core.Held(now, host, m.Key)
+		out.do(now, e.core.Held(now, host, m.Key))
 		e.seen.event(now, e.Log, gdlog.FlowFound, "flow", m.Key, "upstream", host)
 	case gdhop.Return:
 		p, err := e.Codec.FromCaller(m.Packet)
@@ -71,8 +71,10 @@
 		}
 		e.Codec.Clean(m.Packet)
 		e.seen.returned(m.Reason)
-		e.seen.event(now, e.Log, gdlog.PacketReturned, "flow", p.Key(), "upstream", host, "reason", m.Reason.String(),
-			"load", m.Load, "revision", m.Revision)
+		if p.Opens() {
+			e.seen.event(now, e.Log, gdlog.PacketReturned, "flow", p.Key(), "upstream", host, "reason", m.Reason.String(),
+				"load", m.Load, "revision", m.Revision)
+		}
 		ans := gdsteer.Answer{From: host, Load: int(m.Load), Revision: m.Revision, Reason: m.Reason}
 		out.do(now, e.core.Returned(now, ans, p, m.Packet))
 	}
@@ -161,14 +163,16 @@
 		case gdsteer.Forward:
 			b := gdhop.AppendCarry(s.out.Buffer(), a.Carry, a.Opens)
 			s.out.Queue(append(b, a.Packet...), a.To.At(s.e.Hop.Port()).AddrPort())
-			if a.Reason == gdsteer.Known || a.Reason == gdsteer.Waiting {
+			if !a.Opens && a.Reason != gdsteer.ByRank {
 				continue
 			}
 		case gdsteer.Reset:
 			b := s.e.Codec.AppendReset(s.out.Buffer(), a.Key, a.Seq)
 			s.out.Queue(b, a.Key.Caller().At(s.e.Callers.Port()).AddrPort())
 		}
-		s.e.logAction(now, a)
+		if a.Reason != gdsteer.Waiting {
+			s.e.logAction(now, a)
+		}
 	}
 }
 
--- a/internal/process/gdside/packets.go
+++ b/internal/process/gdside/packets.go
@@ -156,7 +156,7 @@
 			s.seen.event(now, s.Log, gdlog.FlowRefusedHere, "flow", a.Key, "entry", a.Entry, "reason", a.Reason.String(),
 				"opens", p.Opens(), "load", s.Guard.Load(), "revision", s.Guard.Revision())
 		case gdguard.Accepted, gdguard.Held:
-			t, ev := gdhop.Accepted, gdlog.FlowOpened
+			t, ev := gdhop.Accepted, gdlog.FlowAccepted
 			if a.Verb == gdguard.Held {
 				t, ev = gdhop.Held, gdlog.FlowFound
 			}
