Ask again only the upstreams that have not answered

Cause: with one upstream that answers late a search of all 46 began anew at each packet of the caller. Change: a search keeps its answers and asks the rest three more times, each after twice the time; none is begun while an upstream is known to be silent. Changes that don't fit into one beacon go into several: 22 hosts that fetched them at once had flooded the reader.

--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -1,6 +1,7 @@
 package gdsteer
 
 import (
+	"slices"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
@@ -68,21 +69,21 @@
 			return
 		}
 	}
-	if s.mayWiden(now, r, f.search) {
+	if s.nextHolder(hash, r, f.search) != nil && s.mayWiden(now, r) {
 		for m := s.nextHolder(hash, r, f.search); m != nil; m = s.nextHolder(hash, r, f.search) {
 			s.ask(now, r, k, f, m.Address(), Action{Reason: Everyone, Carry: gdguard.Carry{Confirm: true}})
 		}
 	}
-	if now.Before(f.search.deadline) && !f.search.allAnswered() {
-		return
+	if !now.Before(f.search.deadline) || f.search.allAnswered() {
+		s.askAgain(now, r, k, f)
 	}
-	s.conclude(now, r, k, f)
 }
 
-// mayWiden reports whether all upstreams of the route may be asked: none is known
-// not to answer, and not too many searches have done so lately.
-func (s *Steer) mayWiden(now time.Time, r *gdbelief.Route, sr *search) bool {
-	if !sr.allAnswered() || now.Sub(s.confirmed) > freshAge || s.Behind() {
+// mayWiden reports whether all upstreams of the route may be asked: their answers can
+// show that the flow is gone, since none is known not to answer, and not too many
+// searches have asked all lately.
+func (s *Steer) mayWiden(now time.Time, r *gdbelief.Route) bool {
+	if now.Sub(s.confirmed) > freshAge || s.Behind() {
 		return false
 	}
 	for i := range r.Shares {
@@ -97,6 +98,35 @@
 	return s.wide.take(now, widePerSecond, wideBurst)
 }
 
+// askAgain asks the upstreams once more that have not answered, or ends the search
+// if there are none or they were asked often enough.
+func (s *Steer) askAgain(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
+	sr := f.search
+	if sr.rounds >= mostRounds || s.provesGone(now, r, sr) || sr.allAnswered() {
+		s.conclude(now, r, k, f)
+		return
+	}
+	sr.rounds++
+	s.await(k, sr, now.Add(answerTime<<sr.rounds))
+	for i := range sr.tries {
+		if t := &sr.tries[i]; !t.answered && sr.packet != nil {
+			s.forward(now, r, t.at, Action{
+				Key: k, Packet: sr.packet, Tries: len(sr.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true},
+			})
+		}
+	}
+}
+
+// await sets the time at which the search goes on without an answer.
+func (s *Steer) await(k gdflow.Key, sr *search, at time.Time) {
+	if sr.deadline.Equal(at) {
+		return
+	}
+	sr.deadline = at
+	i, _ := slices.BinarySearchFunc(s.timers, at, func(t timer, at time.Time) int { return t.at.Compare(at) })
+	s.timers = slices.Insert(s.timers, i, timer{key: k, at: at})
+}
+
 // left reports whether the upstream's registration was removed so long ago that a
 // live one would be back.
 func left(now time.Time, m *gdbelief.Member) bool {
@@ -154,10 +184,7 @@
 func (s *Steer) ask(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow, at gdflow.Address, a Action) {
 	sr := f.search
 	sr.tries = append(sr.tries, try{at: at})
-	if at := now.Add(answerTime); !sr.deadline.Equal(at) {
-		sr.deadline = at
-		s.timers = append(s.timers, timer{key: k, at: at})
-	}
+	s.await(k, sr, now.Add(answerTime))
 	if sr.packet == nil {
 		return
 	}
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -39,6 +39,10 @@
 	// answerTime is how long an agent may take to answer: several round trips
 	// between failure domains and the work of a slowed host.
 	answerTime = 30 * time.Millisecond
+	// mostRounds is how often an upstream that does not answer whether it holds a
+	// flow is asked again, each time after twice the time: half a second in all, in
+	// which a host that was paused or flooded answers.
+	mostRounds = 3
 	// serialTries is how many upstreams are asked one after the other for a flow,
 	// before all others are asked at once: one more than a new flow is offered to.
 	serialTries = busyTries + 1
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -128,6 +128,7 @@
 	tries    []try
 	deadline time.Time
 	ack      uint32
+	rounds   int // how often those that do not answer were asked again
 }
 
 // try is one upstream that was asked.
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -23,8 +23,8 @@
 	// between two of a reader.
 	beatTime = gdpeers.BeaconTime / 2
 	// historyTime is how far back the changes in a beacon go, so that a host that
-	// missed several needs to fetch none.
-	historyTime = 3 * time.Second
+	// missed two needs to fetch none.
+	historyTime = 2*gdpeers.BeaconTime + 100*time.Millisecond
 	// fetchTime bounds the fetching of an update from another entry host.
 	fetchTime = time.Second
 	// fetchPause is the time between two fetches, so that a run of configurations is
@@ -94,14 +94,16 @@
 	if len(to) == 0 {
 		return
 	}
-	data, err := gdfeed.EncodeBeacon(b)
+	beacons, err := gdfeed.EncodeBeacons(b)
 	if err != nil {
 		e.Log.Failure(gdlog.ProcessFailed, err)
 		return
 	}
 	for _, a := range to {
-		if _, err := e.feed.WriteToUDPAddrPort(data, a.AddrPort()); err != nil {
-			e.seen.failedWrites.Inc(1)
+		for _, data := range beacons {
+			if _, err := e.feed.WriteToUDPAddrPort(data, a.AddrPort()); err != nil {
+				e.seen.failedWrites.Inc(1)
+			}
 		}
 	}
 }
--- a/internal/wire/gdfeed/feed.go
+++ b/internal/wire/gdfeed/feed.go
@@ -3,7 +3,7 @@
 //
 // # Usage
 //
-//	b, err := gdfeed.EncodeBeacon(gdfeed.Beacon{Beacon: beacon, After: rev, Update: update})
+//	datagrams, err := gdfeed.EncodeBeacons(gdfeed.Beacon{Beacon: beacon, After: rev, Update: update})
 //	beacon, err := gdfeed.DecodeBeacon(datagram)
 //
 //	err := gdfeed.WriteUpdate(w, update)
@@ -136,21 +136,54 @@
 	return m
 }()
 
-// EncodeBeacon encodes the beacon, without its changes if they don't fit in.
-func EncodeBeacon(b Beacon) ([]byte, error) {
+// EncodeBeacons encodes the beacon as one datagram or, if its changes don't fit into
+// one, as several that are to be sent in order, each with a run of the changes. A
+// configuration that is too large ends the run before it: who needs it fetches it.
+func EncodeBeacons(b Beacon) ([][]byte, error) {
 	w := wireBeacon{
 		Revision: b.Revision, AgeMS: toMS(b.Age), Rank: b.Rank, Reading: b.Reading, Leaving: b.Leaving,
-		After: b.After, Changes: toChanges(b.Update.Changes),
 	}
 	for _, m := range b.Members {
 		w.Members = append(w.Members, wireMember{Address: toAddress(m.Address), Rank: m.Rank})
 	}
-	out, err := encodeBeacon(w)
-	if err == nil && len(out) > MaxBeacon && len(w.Changes) > 0 {
-		w.Changes, w.After = nil, 0
-		out, err = encodeBeacon(w)
+	if b.After == 0 {
+		one, err := encodeBeacon(w)
+		return [][]byte{one}, err
 	}
-	return out, err
+	var out [][]byte
+	after, changes := b.After, toChanges(b.Update.Changes)
+	for {
+		n, data, err := fill(w, after, b.Revision, changes)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, data)
+		if n == len(changes) || n == 0 {
+			return out, nil
+		}
+		after, changes = changes[n-1].Revision, changes[n:]
+	}
+}
+
+// fill encodes as many of the changes as fit into one datagram and returns how many
+// those are. Without any it encodes the beacon alone.
+func fill(w wireBeacon, after, revision uint64, changes []wireChange) (int, []byte, error) {
+	for n := len(changes); n > 0; n /= 2 {
+		w.After, w.Changes, w.Revision = after, changes[:n], changes[n-1].Revision
+		if n == len(changes) {
+			w.Revision = revision
+		}
+		data, err := encodeBeacon(w)
+		if err != nil || len(data) <= MaxBeacon {
+			return n, data, err
+		}
+	}
+	w.After, w.Changes, w.Revision = 0, nil, revision
+	if len(changes) == 0 {
+		w.After = after
+	}
+	data, err := encodeBeacon(w)
+	return 0, data, err
 }
 
 func encodeBeacon(w wireBeacon) ([]byte, error) {
