Test the entry hosts' decisions with agents in virtual time

Change: a fleet of entry hosts, agents and upstreams in virtual time; the patterns of joining entry hosts, restarted agents, a loss of power, a silent host and a burst; refusals, proofs and stale views.

--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -100,8 +100,6 @@
 	leaving  bool
 	ended    bool
 	actions  []Action
-	// ignored counts packets for an unknown standing, for the metrics.
-	ignored uint64
 }
 
 func (g *Guard) init(now time.Time) {
@@ -216,15 +214,11 @@
 // carry decides on a packet in the middle of a flow.
 func (g *Guard) carry(now time.Time, entry gdflow.Address, c Carry, p gdflow.Packet) {
 	f, known := g.flows.Get(now, p.Key())
-	if !known {
-		if g.sure(now) || g.ended {
-			g.giveBack(p.Key(), entry, NotHeld)
-			return
-		}
+	if !known && !g.ended && !g.sure(now) {
 		f = &flow{state: unknown}
 		g.flows.Put(now, p.Key(), f)
 	}
-	if f.state == absent || f.state == asked || f.state == half && !f.confirms(p) {
+	if f == nil || !f.takes(p) {
 		g.giveBack(p.Key(), entry, NotHeld)
 		return
 	}
@@ -232,16 +226,27 @@
 		f.state = open
 	}
 	f.entry, f.expected = entry, p.Ack
-	if c.Confirm && f.state != unknown {
+	f.confirm = c.Confirm && f.state == unknown
+	if c.Confirm && f.state == open {
 		g.add(Action{Verb: Held, Key: p.Key(), Entry: entry})
 	}
-	f.confirm = c.Confirm && f.state == unknown
 	if p.Size > 0 {
 		g.work.begin(now, f)
 	}
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
 
+// takes reports whether the upstream holds the flow of the packet, or may hold it.
+func (f *flow) takes(p gdflow.Packet) bool {
+	switch f.state {
+	case absent, asked:
+		return false
+	case half:
+		return f.confirms(p)
+	}
+	return true
+}
+
 // confirms reports whether the caller's packet answers this upstream's
 // acceptance, and not that of another one which took a copy.
 func (f *flow) confirms(p gdflow.Packet) bool {
--- a/internal/core/gdpeers/peers.go
+++ b/internal/core/gdpeers/peers.go
@@ -187,83 +187,101 @@
 	return p.recipients(now)
 }
 
-// decide begins or ends reading.
-func (p *Peers) decide(now time.Time, age time.Duration) {
-	fresh, better, position := 0, 0, 0
+// count is what a host knows of the readers.
+type count struct {
+	fresh    int // readers with recent knowledge
+	better   int // those of them with a better rank
+	position int // hosts of a better rank that do not read
+}
+
+func (p *Peers) count(now time.Time) count {
+	var c count
 	for _, o := range p.known {
-		if o.isFresh(now) {
-			fresh++
-			if o.rank < p.Rank {
-				better++
+		better := o.rank < p.Rank
+		switch {
+		case o.isFresh(now):
+			c.fresh++
+			if better {
+				c.better++
 			}
-		} else if o.rank < p.Rank && !o.reading {
-			position++
+		case better && !o.reading:
+			c.position++
 		}
 	}
-	if fresh >= Readers {
+	return c
+}
+
+// decide begins or ends reading.
+func (p *Peers) decide(now time.Time, age time.Duration) {
+	c := p.count(now)
+	if c.fresh >= Readers {
 		p.enough = now
 	}
-	if fresh > 0 {
-		p.some = now
-		p.alone = false
+	if c.fresh > 0 {
+		p.some, p.alone = now, false
 	}
 	if p.alone {
-		position = max(position, int(p.Rank%startSlots))
+		c.position = max(c.position, int(p.Rank%startSlots))
+	}
+	if reads := p.reads(now, age, c); reads != p.reading {
+		p.reading, p.urgent = reads, true
+		p.enough, p.some = now, now
 	}
-	turn := time.Duration(position) * turnTime
-	was := p.reading
+}
+
+// reads reports whether the host is to read from now on.
+func (p *Peers) reads(now time.Time, age time.Duration, c count) bool {
+	turn := time.Duration(c.position) * turnTime
 	switch {
-	case p.leaving && fresh > 0:
-		p.reading = false
+	case p.leaving && (c.fresh > 0 || !p.reading):
+		return false
 	case p.reading:
-		stale := age > freshAge && fresh > 0
-		p.reading = better < Readers && !stale
-	case fresh == 0:
-		p.reading = !p.leaving && now.Sub(p.some) >= loneTime+turn
-	case fresh < Readers:
-		p.reading = !p.leaving && now.Sub(p.enough) >= secondTime+turn
-	}
-	if was != p.reading {
-		p.urgent = true
-		p.enough, p.some = now, now
+		return c.better < Readers && (age <= freshAge || c.fresh == 0)
+	case c.fresh == 0:
+		return now.Sub(p.some) >= loneTime+turn
+	case c.fresh < Readers:
+		return now.Sub(p.enough) >= secondTime+turn
 	}
+	return false
 }
 
 // recipients returns to whom a beacon goes now: those of a reader to all, and the
 // greetings of others to the readers, or to whoever may know one.
 func (p *Peers) recipients(now time.Time) []gdflow.Address {
 	p.out = p.out[:0]
-	interval := greetingTime
-	if p.reading || p.alone {
-		interval = BeaconTime
-	}
-	if !p.urgent && now.Sub(p.sent) < interval {
+	if !p.due(now) {
 		return p.greet()
 	}
 	p.urgent, p.sent = false, now
-	heardReader := false
 	for a, o := range p.known {
-		fresh := o.isFresh(now)
-		heardReader = heardReader || fresh
-		if p.reading || p.leaving || fresh {
+		if !p.reading && !p.leaving && o.isFresh(now) {
 			p.out = append(p.out, a)
 		}
 	}
-	if p.reading || !heardReader {
-		for _, a := range p.Seeds {
-			if _, ok := p.known[a]; !ok && a != p.Self {
-				p.out = append(p.out, a)
-			}
-		}
+	if len(p.out) > 0 {
+		return p.out
+	}
+	for a, o := range p.known {
+		o.owed = false
+		p.out = append(p.out, a)
 	}
-	if !p.reading && !heardReader {
-		for a := range p.known {
+	for _, a := range p.Seeds {
+		if _, ok := p.known[a]; !ok && a != p.Self {
 			p.out = append(p.out, a)
 		}
 	}
 	return p.out
 }
 
+// due reports whether it is time for the next beacon.
+func (p *Peers) due(now time.Time) bool {
+	interval := greetingTime
+	if p.reading || p.alone {
+		interval = BeaconTime
+	}
+	return p.urgent || now.Sub(p.sent) >= interval
+}
+
 // greet returns the hosts that were heard of since, so that both ends of a greeting
 // know each other at once.
 func (p *Peers) greet() []gdflow.Address {
--- /dev/null
+++ b/internal/core/gdsteer/fleet_test.go
@@ -0,0 +1,328 @@
+package gdsteer_test
+
+import (
+	"container/heap"
+	"encoding/binary"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
+)
+
+// hop is the time that a message takes from one host to another.
+const hop = 500 * time.Microsecond
+
+// event is something that happens at a time.
+type event struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+// fleet is entry hosts, agents and upstreams in virtual time, without sockets.
+type fleet struct {
+	t       *testing.T
+	now     time.Time
+	queue   events
+	n       int
+	entries map[gdflow.Address]*entry
+	sides   map[gdflow.Address]*side
+	packets []gdflow.Packet
+	view    *gdbelief.View
+	// resets are the flows that an entry host or agent has reset.
+	resets map[gdflow.Key]gdsteer.Reason
+	// messages are those between entry hosts and agents.
+	messages int
+	work     time.Duration
+}
+
+type entry struct {
+	core gdsteer.Steer
+	down bool
+	tick time.Time // when the next Tick is due, if later than now
+}
+
+// side is an agent with its upstream.
+type side struct {
+	at      gdflow.Address
+	guard   gdguard.Guard
+	down    bool // the host, with the upstream
+	holds   map[gdflow.Key]uint32
+	got     map[gdflow.Key]int // packets of flows that it does not hold
+	took    int                // packets of flows that it holds
+	running int
+	most    int
+	opened  int
+	mute    bool // the upstream answers nothing
+}
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func upstreamAt(i int) gdflow.Address {
+	return gdflow.AddressFrom([4]byte{10, byte(i % 4), byte(i / 200), byte(1 + i%200)}, 8080)
+}
+
+func entryAt(i int) gdflow.Address { return gdflow.AddressFrom([4]byte{10, 9, 0, byte(i)}, 7720) }
+
+var serviceAt = gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
+
+func callerKey(i int) gdflow.Key {
+	return gdflow.KeyOf(gdflow.AddressFrom([4]byte{100, 64, byte(i >> 8), byte(i)}, uint16(40000+i%1000)), serviceAt)
+}
+
+// update returns the state of a deployment of one service.
+func update(upstreams, slots int, change func(i int, u *gdbelief.Upstream)) gdbelief.Update {
+	u := gdbelief.Update{Revision: 100}
+	u.Changes = append(u.Changes, gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Configuration}, Revision: 1,
+		Config: &gdbelief.Config{
+			Version:  1,
+			Routes:   []gdbelief.Route{{Name: "r", Address: serviceAt, Shares: []gdbelief.Share{{Service: "booking", Weight: 1}}}},
+			Services: []gdbelief.Service{{Name: "booking"}},
+		},
+	})
+	for i := range upstreams {
+		up := gdbelief.Upstream{ID: upstreamAt(i).String(), Service: "booking", Domain: "a", Address: upstreamAt(i), Slots: slots}
+		if change != nil {
+			change(i, &up)
+		}
+		u.Changes = append(u.Changes, gdbelief.Change{
+			Subject: gdbelief.Subject{Kind: gdbelief.Registration, Name: up.ID}, Revision: uint64(2 + i), Upstream: &up,
+		})
+	}
+	return u
+}
+
+func newFleet(t *testing.T, entries, upstreams, slots int) *fleet {
+	f := &fleet{
+		t: t, now: start, entries: make(map[gdflow.Address]*entry), sides: make(map[gdflow.Address]*side),
+		resets: make(map[gdflow.Key]gdsteer.Reason), work: 20 * time.Millisecond,
+	}
+	var b gdbelief.Book
+	require.True(t, b.Load(f.now, update(upstreams, slots, nil)))
+	f.view = b.View()
+	for i := range upstreams {
+		f.addSide(i, true)
+	}
+	for i := range entries {
+		f.addEntry(i)
+	}
+	return f
+}
+
+func (f *fleet) addEntry(i int) *entry {
+	e := &entry{}
+	e.core.SetView(f.view)
+	e.core.Confirm(f.now)
+	f.entries[entryAt(i)] = e
+	return e
+}
+
+// addSide starts an agent and, if it is fresh, its upstream.
+func (f *fleet) addSide(i int, fresh bool) *side {
+	s := &side{at: upstreamAt(i), guard: gdguard.Guard{Service: "booking", Fresh: fresh}, got: make(map[gdflow.Key]int)}
+	if old := f.sides[s.at]; old != nil && !fresh {
+		s.holds, s.took, s.opened, s.most = old.holds, old.took, old.opened, old.most
+	} else {
+		s.holds = make(map[gdflow.Key]uint32)
+	}
+	f.sides[s.at] = s
+	return s
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.n++
+	heap.Push(&f.queue, event{at: f.now.Add(d), seq: f.n, do: do})
+}
+
+// run lets the time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		ev := heap.Pop(&f.queue).(event)
+		f.now = ev.at
+		ev.do()
+	}
+	f.now = end
+}
+
+// raw stands for a packet on the wire.
+func (f *fleet) raw(p gdflow.Packet) []byte {
+	f.packets = append(f.packets, p)
+	return binary.BigEndian.AppendUint32(nil, uint32(len(f.packets)-1))
+}
+
+func (f *fleet) packet(raw []byte) gdflow.Packet { return f.packets[binary.BigEndian.Uint32(raw)] }
+
+// send brings a caller's packet to an entry host.
+func (f *fleet) send(i int, p gdflow.Packet) {
+	f.after(hop, func() {
+		e := f.entries[entryAt(i)]
+		if e == nil || e.down {
+			return
+		}
+		e.core.Confirm(f.now)
+		f.steer(i, e, e.core.FromCaller(f.now, p, f.raw(p)))
+	})
+}
+
+// open opens a flow through an entry host.
+func (f *fleet) open(i int, k gdflow.Key) { f.send(i, gdflow.NewPacket(k, gdflow.Open)) }
+
+// request sends a request on an open flow.
+func (f *fleet) request(i int, k gdflow.Key) {
+	p := gdflow.NewPacket(k, gdflow.Data)
+	p.Size, p.Ack = 100, f.ackOf(k)
+	f.send(i, p)
+}
+
+// ackOf returns the number by which the caller confirms its upstream's acceptance.
+func (f *fleet) ackOf(k gdflow.Key) uint32 {
+	for _, s := range f.sides {
+		if n, ok := s.holds[k]; ok {
+			return n + 1
+		}
+	}
+	return 1
+}
+
+func (f *fleet) steer(i int, e *entry, actions []gdsteer.Action) {
+	for _, a := range actions {
+		switch a.Verb {
+		case gdsteer.Reset:
+			f.resets[a.Key] = a.Reason
+		case gdsteer.Forward:
+			f.messages++
+			p, c, to := f.packet(a.Packet), a.Carry, a.To
+			f.after(hop, func() { f.arrive(entryAt(i), to, c, p) })
+		}
+	}
+	next := e.core.NextTick()
+	if !next.IsZero() && (!e.tick.After(f.now) || next.Before(e.tick)) {
+		e.tick = next
+		f.after(max(next.Sub(f.now), 0), func() {
+			if !e.down {
+				e.core.Confirm(f.now)
+				f.steer(i, e, e.core.Tick(f.now))
+			}
+		})
+	}
+}
+
+// arrive brings a packet to an agent.
+func (f *fleet) arrive(from, to gdflow.Address, c gdguard.Carry, p gdflow.Packet) {
+	s := f.sides[to]
+	if s == nil || s.down {
+		return
+	}
+	for _, a := range append([]gdguard.Action(nil), s.guard.FromEntry(f.now, from, c, p)...) {
+		f.guard(s, a, p)
+	}
+}
+
+func (f *fleet) guard(s *side, a gdguard.Action, p gdflow.Packet) {
+	answer := func(do func(i int, e *entry)) {
+		f.messages++
+		f.after(hop, func() {
+			for i := range 64 {
+				if e := f.entries[entryAt(i)]; e != nil && entryAt(i) == a.Entry && !e.down {
+					do(i, e)
+				}
+			}
+		})
+	}
+	switch a.Verb {
+	case gdguard.Deliver:
+		f.deliver(s, p)
+	case gdguard.Return:
+		ans := gdsteer.Answer{From: s.at.At(7720), Load: s.guard.Load(), Revision: s.guard.Revision(), Reason: a.Reason}
+		answer(func(i int, e *entry) { f.steer(i, e, e.core.Returned(f.now, ans, p, f.raw(p))) })
+	case gdguard.Accepted:
+		answer(func(i int, e *entry) { f.steer(i, e, e.core.Accepted(f.now, s.at.At(7720), a.Key)) })
+	case gdguard.Held:
+		answer(func(i int, e *entry) { f.steer(i, e, e.core.Held(f.now, s.at.At(7720), a.Key)) })
+	case gdguard.End:
+		f.resets[a.Key] = gdsteer.FlowGone
+	}
+}
+
+// deliver gives a packet to the upstream, which answers at once or after its work.
+func (f *fleet) deliver(s *side, p gdflow.Packet) {
+	if s.mute {
+		return
+	}
+	_, held := s.holds[p.Key()]
+	switch {
+	case p.Opens():
+		s.opened++
+		s.holds[p.Key()] = rand.New(rand.NewPCG(1, uint64(len(f.packets)))).Uint32()
+		f.say(s, gdflow.Accept, p.Key(), 0)
+	case !held:
+		s.got[p.Key()]++
+		back := p
+		back.Returned = true
+		for _, a := range append([]gdguard.Action(nil), s.guard.FromUpstream(f.now, back)...) {
+			f.guard(s, a, p)
+		}
+	case p.Size > 0:
+		s.took++
+		s.running++
+		s.most = max(s.most, s.running)
+		f.after(f.work, func() {
+			s.running--
+			f.say(s, gdflow.Data, p.Key(), 500)
+		})
+	}
+}
+
+func (f *fleet) say(s *side, kind gdflow.Kind, k gdflow.Key, size int) {
+	if s.down || s.mute {
+		return
+	}
+	p := gdflow.NewPacket(k, kind)
+	p.Size, p.Seq = size, s.holds[k]
+	for _, a := range append([]gdguard.Action(nil), s.guard.FromUpstream(f.now, p)...) {
+		f.guard(s, a, p)
+	}
+}
+
+// wrong returns how many packets have reached an upstream that does not hold their
+// flow.
+func (f *fleet) wrong() int {
+	n := 0
+	for _, s := range f.sides {
+		for _, m := range s.got {
+			n += m
+		}
+	}
+	return n
+}
+
+func (f *fleet) took() int {
+	n := 0
+	for _, s := range f.sides {
+		n += s.took
+	}
+	return n
+}
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -70,15 +70,30 @@
 		}
 	}
 	if s.nextHolder(hash, r, f.search) != nil && s.mayWiden(now, r) {
-		for m := s.nextHolder(hash, r, f.search); m != nil; m = s.nextHolder(hash, r, f.search) {
-			s.ask(now, r, k, f, m.Address(), Action{Reason: Everyone, Carry: gdguard.Carry{Confirm: true}})
-		}
+		s.askOthers(now, r, k, f)
 	}
 	if !now.Before(f.search.deadline) || f.search.allAnswered() {
 		s.askAgain(now, r, k, f)
 	}
 }
 
+// askOthers asks all upstreams that were not asked yet.
+func (s *Steer) askOthers(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
+	var others []gdflow.Address
+	for i := range r.Shares {
+		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
+			for _, m := range p.Members() {
+				if f.search.of(m.Address()) == nil {
+					others = append(others, m.Address())
+				}
+			}
+		}
+	}
+	for _, at := range others {
+		s.ask(now, r, k, f, at, Action{Reason: Everyone, Carry: gdguard.Carry{Confirm: true}})
+	}
+}
+
 // mayWiden reports whether all upstreams of the route may be asked: their answers can
 // show that the flow is gone, since none is known not to answer, and not too many
 // searches have asked all lately.
--- /dev/null
+++ b/internal/core/gdsteer/steer_test.go
@@ -0,0 +1,273 @@
+package gdsteer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
+)
+
+// openAll opens flows spread over a second, so that no upstream is overloaded.
+func openAll(f *fleet, flows int) {
+	for i := range flows {
+		f.after(time.Duration(i)*time.Second/time.Duration(flows), func() { f.open(0, callerKey(i)) })
+	}
+	f.run(2 * time.Second)
+}
+
+// TestFlowsAreFoundByNewEntryHosts is the pattern of entry hosts that join in the
+// middle of many flows: routers then send nearly every flow to another host.
+func TestFlowsAreFoundByNewEntryHosts(t *testing.T) {
+	for _, upstreams := range []int{7, 46, 300} {
+		const flows = 400
+		f := newFleet(t, 1, upstreams, 3)
+		openAll(f, flows)
+		f.addEntry(1)
+		before := f.messages
+		for i := range flows {
+			f.request(1, callerKey(i))
+		}
+		f.run(time.Second)
+		require.Equal(t, flows, f.took(), "%d upstreams", upstreams)
+		require.Zero(t, f.wrong(), "no packet reaches an upstream that does not hold its flow")
+		require.Empty(t, f.resets)
+		// A packet there, a note back and the answers of those that do not hold it.
+		require.Less(t, float64(f.messages-before)/flows, 4.0, "messages a search, %d upstreams", upstreams)
+	}
+}
+
+// TestRestartedAgentsFindTheirFlows is the pattern of agents that are stopped and
+// started in turn: they know no flows, but their upstreams do.
+func TestRestartedAgentsFindTheirFlows(t *testing.T) {
+	const flows = 200
+	f := newFleet(t, 1, 7, 3)
+	openAll(f, flows)
+	for i := range 7 {
+		f.addSide(i, false)
+	}
+	f.addEntry(1)
+	for i := range flows {
+		f.request(1, callerKey(i))
+	}
+	f.run(time.Second)
+	require.Equal(t, flows, f.took())
+	require.Empty(t, f.resets)
+	for _, s := range f.sides {
+		for k, n := range s.got {
+			require.LessOrEqual(t, n, 1, "flow %s at an upstream that does not hold it", k)
+		}
+	}
+}
+
+// TestResetNeedsProof: a flow is reset when each upstream has said that it does not
+// hold it, and not while one says nothing.
+func TestResetNeedsProof(t *testing.T) {
+	tests := []struct {
+		name  string
+		lose  func(f *fleet, s *side, i int)
+		reset bool
+	}{
+		{"upstream started again", func(_ *fleet, s *side, _ int) { clear(s.holds) }, true},
+		{"host started again", func(f *fleet, _ *side, i int) { f.addSide(i, true) }, true},
+		{"host is silent", func(_ *fleet, s *side, _ int) { s.down = true }, false},
+		{"upstream is silent", func(_ *fleet, s *side, _ int) { s.mute = true }, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 1, 7, 3)
+			f.open(0, callerKey(1))
+			f.run(time.Second)
+			for i := range 7 {
+				if s := f.sides[upstreamAt(i)]; len(s.holds) > 0 {
+					tt.lose(f, s, i)
+				}
+			}
+			f.addEntry(1)
+			f.request(1, callerKey(1))
+			f.run(3 * time.Second)
+			require.Equal(t, tt.reset, len(f.resets) == 1)
+		})
+	}
+}
+
+// TestStaleViewProvesNothing: an entry host that has not heard of the store for a
+// while, or is behind an agent, may not know the upstream that holds a flow.
+func TestStaleViewProvesNothing(t *testing.T) {
+	tests := []struct {
+		name      string
+		confirmed time.Duration // before now
+		revision  uint64        // that the agents have seen
+		want      gdsteer.Verb
+	}{
+		{"view is recent", time.Second, 100, gdsteer.Reset},
+		{"view is old", 3 * time.Second, 100, gdsteer.Drop},
+		{"an agent is ahead", time.Second, 101, gdsteer.Drop},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var s gdsteer.Steer
+			var b gdbelief.Book
+			require.True(t, b.Load(start, update(3, 3, nil)))
+			s.SetView(b.View())
+			s.Confirm(start.Add(-tt.confirmed))
+			p := gdflow.NewPacket(callerKey(5), gdflow.Data)
+			actions := s.FromCaller(start, p, []byte{0})
+			for len(actions) > 0 && actions[0].Verb == gdsteer.Forward {
+				ans := gdsteer.Answer{From: actions[0].To, Reason: gdguard.NotHeld, Revision: tt.revision}
+				actions = s.Returned(start, ans, p, []byte{0})
+			}
+			require.Len(t, actions, 1)
+			require.Equal(t, tt.want, actions[0].Verb)
+		})
+	}
+}
+
+// TestRefusedByAllIsResetAtOnce: the reset is true, since no upstream took the flow,
+// and comes as soon as the last one has refused.
+func TestRefusedByAllIsResetAtOnce(t *testing.T) {
+	f := newFleet(t, 1, 5, 3)
+	for i := range 5 {
+		f.sides[upstreamAt(i)].guard.Leave()
+	}
+	f.open(0, callerKey(1))
+	f.run(5 * 2 * 2 * hop)
+	require.Equal(t, gdsteer.NoUpstream, f.resets[callerKey(1)])
+}
+
+// TestPowerLoss is the pattern of a loss of power: all hosts start again, and all
+// callers send on flows that nobody holds any more, or open new ones at once.
+func TestPowerLoss(t *testing.T) {
+	const flows, upstreams = 600, 46
+	f := newFleet(t, 1, upstreams, 2)
+	openAll(f, flows)
+	for i := range upstreams {
+		f.addSide(i, true)
+	}
+	for i := range 4 {
+		f.addEntry(i)
+	}
+	f.messages = 0
+	for i := range flows {
+		f.after(time.Duration(i)*2*time.Second/flows, func() { f.request(i%4, callerKey(i)) })
+		// The caller sends the packet again until it is reset.
+		for _, d := range []time.Duration{200, 600, 1400} {
+			f.after(time.Duration(i)*2*time.Second/flows+d*time.Millisecond, func() {
+				if _, ended := f.resets[callerKey(i)]; !ended {
+					f.request(i%4, callerKey(i))
+				}
+			})
+		}
+	}
+	f.run(5 * time.Second)
+	require.Len(t, f.resets, flows, "each caller may come back at once")
+	require.Less(t, float64(f.messages)/flows, 2.5*upstreams, "each upstream is asked about once")
+}
+
+// TestSilentUpstreamCostsLittle is the pattern of a host that stays away after a loss
+// of power: no search can prove anything, so none asks everyone again and again.
+func TestSilentUpstreamCostsLittle(t *testing.T) {
+	const flows, upstreams = 300, 46
+	f := newFleet(t, 1, upstreams, 2)
+	f.sides[upstreamAt(3)].down = true
+	// The host is known to be silent once two packets have gone unanswered.
+	for i := range flows {
+		f.after(time.Duration(i)*2*time.Second/flows, func() { f.request(0, callerKey(i)) })
+	}
+	f.run(4 * time.Second)
+	require.Empty(t, f.resets)
+	require.Less(t, float64(f.messages)/flows, 0.8*2*upstreams, "less than a question and an answer for each upstream")
+}
+
+// TestBurstSpreads is the pattern of many callers that come at once: no upstream is
+// given more than it works on while another has a free slot.
+func TestBurstSpreads(t *testing.T) {
+	const upstreams, slots = 12, 3
+	f := newFleet(t, 4, upstreams, slots)
+	f.work = 200 * time.Millisecond
+	const flows = upstreams * slots * 3 / 4
+	for i := range flows {
+		f.after(time.Duration(i)*5*time.Millisecond, func() { f.open(i%4, callerKey(i)) })
+		f.after(time.Duration(i)*5*time.Millisecond+20*time.Millisecond, func() { f.request(i%4, callerKey(i)) })
+	}
+	f.run(2 * time.Second)
+	total := 0
+	for _, s := range f.sides {
+		require.LessOrEqual(t, s.most, slots+1)
+		total += s.opened
+	}
+	require.Equal(t, flows, total)
+}
+
+// TestSilentHostIsPassedOver: a host that stops answering costs a new flow one
+// answer time, and later ones nothing.
+func TestSilentHostIsPassedOver(t *testing.T) {
+	f := newFleet(t, 1, 7, 3)
+	f.sides[upstreamAt(2)].down = true
+	opened := func() int {
+		n := 0
+		for _, s := range f.sides {
+			n += s.opened
+		}
+		return n
+	}
+	for i := range 50 {
+		f.open(0, callerKey(i))
+		f.run(50 * time.Millisecond)
+		require.Equal(t, i+1, opened(), "flow %d opened within 50 ms", i)
+	}
+}
+
+// TestNewFlowsGoOnlyWhereTheyMay lists who takes no new flows.
+func TestNewFlowsGoOnlyWhereTheyMay(t *testing.T) {
+	out := gdbelief.Change{Subject: gdbelief.Subject{Kind: gdbelief.Evacuation, Name: "out"}, Revision: 60}
+	u := update(8, 3, func(i int, u *gdbelief.Upstream) {
+		u.Draining = i < 2
+		if i >= 2 && i < 4 {
+			u.Domain = "out"
+		}
+	})
+	u.Changes = append(u.Changes, out)
+	var b gdbelief.Book
+	require.True(t, b.Load(start, u))
+	var s gdsteer.Steer
+	s.SetView(b.View())
+	for i := range 200 {
+		p := gdflow.NewPacket(callerKey(i), gdflow.Open)
+		for _, a := range s.FromCaller(start, p, []byte{0}) {
+			require.Equal(t, gdsteer.Forward, a.Verb)
+			for j := range 4 {
+				require.NotEqual(t, upstreamAt(j), a.To)
+			}
+			require.True(t, a.Carry.Standing.TakesNew)
+			require.Equal(t, uint64(100), a.Carry.Standing.Revision)
+		}
+	}
+}
+
+func TestFlowWithoutRouteOrUpstreamIsResetAtOnce(t *testing.T) {
+	var b gdbelief.Book
+	require.True(t, b.Load(start, update(0, 3, nil)))
+	var s gdsteer.Steer
+	p := gdflow.NewPacket(callerKey(1), gdflow.Open)
+	require.Equal(t, gdsteer.NotReady, s.FromCaller(start, p, nil)[0].Reason)
+	s.SetView(b.View())
+	require.Equal(t, gdsteer.NoUpstream, s.FromCaller(start, p, nil)[0].Reason)
+	p = gdflow.NewPacket(gdflow.KeyOf(callerKey(1).Caller(), serviceAt.At(1)), gdflow.Open)
+	require.Equal(t, gdsteer.NoRoute, s.FromCaller(start, p, nil)[0].Reason)
+}
+
+// TestForwardingAllocatesNothing bounds the cost of a packet of a known flow.
+func TestForwardingAllocatesNothing(t *testing.T) {
+	f := newFleet(t, 1, 7, 3)
+	f.open(0, callerKey(1))
+	f.run(time.Second)
+	e := f.entries[entryAt(0)]
+	p := gdflow.NewPacket(callerKey(1), gdflow.Data)
+	raw := make([]byte, 100)
+	require.Zero(t, testing.AllocsPerRun(1000, func() { e.core.FromCaller(f.now, p, raw) }))
+}
--- a/internal/operate/gdlog/bound.go
+++ b/internal/operate/gdlines/lines.go
@@ -1,14 +1,23 @@
-package gdlog
+// Package gdlines bounds how many lines a process writes on single decisions, so
+// that a burst of them costs neither the host's core nor the reader's patience.
+//
+// # Usage
+//
+//	var lines gdlines.Bound
+//	lines.Event(now, log, gdlog.FlowReset, "flow", key, "reason", reason.String())
+package gdlines
 
 import (
 	"fmt"
 	"time"
+
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 )
 
-// LinesPerSecond is how many lines on single decisions a process writes in a
+// PerSecond is how many lines on single decisions a process writes in a
 // second at most: enough for each flow of an ordinary day, and no more than a
 // hundredth of the smallest host's core.
-const LinesPerSecond = 200
+const PerSecond = 200
 
 // Bound bounds the lines on single decisions. What is left out is counted, and
 // the count is written with the first line of a later second. It is not safe for
@@ -21,15 +30,15 @@
 
 // Event writes the event unless the second has had its lines. Values that have a
 // String method are written by it.
-func (b *Bound) Event(now time.Time, l Logger, e Event, namesAndValues ...any) {
+func (b *Bound) Event(now time.Time, l gdlog.Logger, e gdlog.Event, namesAndValues ...any) {
 	if now.Sub(b.second) >= time.Second {
 		b.second, b.lines = now, 0
 		if b.left > 0 {
-			l.Event(LinesLeftOut, "count", b.left)
+			l.Event(gdlog.LinesLeftOut, "count", b.left)
 			b.left = 0
 		}
 	}
-	if b.lines >= LinesPerSecond {
+	if b.lines >= PerSecond {
 		b.left++
 		return
 	}
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -8,6 +8,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlines"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 )
 
@@ -19,7 +20,7 @@
 	returns                   []tally.Counter
 	revision, version         tally.Gauge
 	upstreams                 tally.Gauge
-	lines                     gdlog.Bound
+	lines                     gdlines.Bound
 }
 
 func (c *counters) init(scope tally.Scope) {
--- a/internal/process/gdside/counters.go
+++ b/internal/process/gdside/counters.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlines"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 )
 
@@ -16,7 +17,7 @@
 	delivered, answered       tally.Counter
 	resets, opened            tally.Counter
 	returns                   []tally.Counter
-	lines                     gdlog.Bound
+	lines                     gdlines.Bound
 }
 
 func (c *counters) init(scope tally.Scope) {
