Test the adapter, the messages, the beliefs, the readers and the whole path

Cause: the packages of the users' platform had no tests of their own. Change: tables, properties and fuzz targets; the path over sockets with stand-ins for both ends.

--- /dev/null
+++ b/internal/core/gdbelief/book_test.go
@@ -0,0 +1,249 @@
+package gdbelief_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+var (
+	start   = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	service = gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
+)
+
+func at(i int) gdflow.Address { return gdflow.AddressFrom([4]byte{10, 0, 0, byte(i)}, 8080) }
+
+func config(revision, version uint64) gdbelief.Change {
+	return gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Configuration}, Revision: revision,
+		Config: &gdbelief.Config{
+			Version: version,
+			Routes: []gdbelief.Route{{
+				Name: "r", Address: service,
+				Shares: []gdbelief.Share{{Service: "booking", Weight: 9}, {Service: "gallery", Weight: 1}},
+			}},
+			Services: []gdbelief.Service{{Name: "booking"}, {Name: "gallery"}},
+		},
+	}
+}
+
+func upstream(revision uint64, id string, change func(*gdbelief.Upstream)) gdbelief.Change {
+	u := &gdbelief.Upstream{ID: id, Service: "booking", Domain: "a", Address: at(1), Slots: 3}
+	if change != nil {
+		change(u)
+	}
+	return gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Registration, Name: id}, Revision: revision, Upstream: u,
+	}
+}
+
+func gone(revision uint64, id string) gdbelief.Change {
+	return gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Registration, Name: id}, Revision: revision, Gone: true,
+	}
+}
+
+func out(revision uint64, domain string, isGone bool) gdbelief.Change {
+	return gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Evacuation, Name: domain}, Revision: revision, Gone: isGone,
+	}
+}
+
+func loaded(t *testing.T, changes ...gdbelief.Change) *gdbelief.Book {
+	t.Helper()
+	b := &gdbelief.Book{}
+	require.True(t, b.Load(start, gdbelief.Update{Changes: changes, Revision: 10}))
+	return b
+}
+
+func member(t *testing.T, b *gdbelief.Book, a gdflow.Address) *gdbelief.Member {
+	t.Helper()
+	for _, m := range b.View().Upstreams() {
+		if m.Address() == a {
+			return m
+		}
+	}
+	return nil
+}
+
+func TestUpdateNeedsAWholeState(t *testing.T) {
+	var b gdbelief.Book
+	require.False(t, b.Apply(start, gdbelief.Update{Changes: []gdbelief.Change{config(3, 1)}, Revision: 3}))
+	require.Nil(t, b.View())
+}
+
+func TestBeliefsNeverRevert(t *testing.T) {
+	b := loaded(t, config(5, 7), upstream(6, "u1", func(u *gdbelief.Upstream) { u.Draining = true }))
+	older := gdbelief.Update{Revision: 4, Changes: []gdbelief.Change{config(2, 3), upstream(3, "u1", nil)}}
+	require.False(t, b.Apply(start, older))
+	require.False(t, b.Load(start, older), "a stale read of the whole state")
+	require.Equal(t, uint64(7), b.View().Version())
+	require.False(t, member(t, b, at(1)).TakesNew(start))
+	require.Equal(t, uint64(10), b.Revision())
+}
+
+// TestOrderDoesNotMatter: whatever the order and number of times in which changes
+// arrive, from the store or from peers, the same view results.
+func TestOrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var changes []gdbelief.Change
+		for rev := uint64(11); rev < 31; rev++ {
+			id := rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(rt, "id")
+			switch rapid.IntRange(0, 3).Draw(rt, "kind") {
+			case 0:
+				changes = append(changes, gone(rev, id))
+			case 1:
+				changes = append(changes, config(rev, rev))
+			case 2:
+				changes = append(changes, out(rev, "a", rapid.Bool().Draw(rt, "gone")))
+			default:
+				n := int(id[1] - '0')
+				changes = append(changes, upstream(rev, id, func(u *gdbelief.Upstream) {
+					u.Address, u.Slots = at(n), int(rev)
+				}))
+			}
+		}
+		whole := loaded(t, config(1, 1))
+		whole.Apply(start, gdbelief.Update{Changes: changes, Revision: 31})
+		mixed := loaded(t, config(1, 1))
+		for _, i := range rapid.Permutation(indices(len(changes))).Draw(rt, "order") {
+			mixed.Apply(start, gdbelief.Update{Changes: changes[i : i+1], Revision: changes[i].Revision})
+			mixed.Apply(start, gdbelief.Update{Changes: changes[:i], Revision: changes[i].Revision})
+		}
+		require.Equal(rt, whole.View().Version(), mixed.View().Version())
+		require.Equal(rt, whole.View().DomainsOut(), mixed.View().DomainsOut())
+		for i := range 4 {
+			x, y := member(t, whole, at(i)), member(t, mixed, at(i))
+			require.Equal(rt, x != nil && x.TakesNew(start), y != nil && y.TakesNew(start))
+			if x != nil && x.TakesNew(start) {
+				require.Equal(rt, x.Upstream().Slots, y.Upstream().Slots)
+			}
+		}
+	})
+}
+
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// TestLapsedRegistration: one that ran out while the store was away is used for two
+// more seconds, in which a live upstream registers again.
+func TestLapsedRegistration(t *testing.T) {
+	tests := []struct {
+		name   string
+		silent time.Duration // since the last confirmation
+		after  time.Duration
+		want   bool
+	}{
+		{"removed while the store answers", time.Second, 0, false},
+		{"lapsed, at once", 5 * time.Second, 0, true},
+		{"lapsed, within its grace", 5 * time.Second, 1900 * time.Millisecond, true},
+		{"lapsed, after it", 5 * time.Second, 2100 * time.Millisecond, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := loaded(t, config(5, 7), upstream(6, "u1", nil))
+			now := start.Add(tt.silent)
+			require.True(t, b.Load(now, gdbelief.Update{Changes: []gdbelief.Change{config(5, 7)}, Revision: 12}))
+			require.Equal(t, tt.want, member(t, b, at(1)).TakesNew(now.Add(tt.after)))
+		})
+	}
+}
+
+// TestRemovedUpstreamIsStillKnown: its flows may live on, for as long as a flow may.
+func TestRemovedUpstreamIsStillKnown(t *testing.T) {
+	b := loaded(t, config(5, 7), upstream(6, "u1", nil))
+	require.True(t, b.Apply(start, gdbelief.Update{Changes: []gdbelief.Change{gone(11, "u1")}, Revision: 11}))
+	require.NotNil(t, member(t, b, at(1)))
+	require.False(t, member(t, b, at(1)).TakesNew(start))
+	b.Apply(start.Add(61*time.Second), gdbelief.Update{Revision: 12})
+	require.Nil(t, member(t, b, at(1)))
+}
+
+// TestAddressIsUsedAgain: the upstream that came last to an address is the one there.
+func TestAddressIsUsedAgain(t *testing.T) {
+	gallery := func(u *gdbelief.Upstream) { u.Service = "gallery" }
+	tests := []struct {
+		name    string
+		changes []gdbelief.Change
+	}{
+		{"after the old one has gone", []gdbelief.Change{upstream(6, "u1", nil), gone(7, "u1"), upstream(8, "u2", gallery)}},
+		{"before the old one's entry has run out", []gdbelief.Change{upstream(6, "u1", nil), upstream(8, "u2", gallery)}},
+		{"the old one's entry was written later", []gdbelief.Change{
+			upstream(9, "u1", func(u *gdbelief.Upstream) { u.Born = 1000 }),
+			upstream(8, "u2", func(u *gdbelief.Upstream) { u.Service, u.Born = "gallery", 2000 }),
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			b := loaded(t, append(tt.changes, config(5, 7))...)
+			require.Equal(t, "gallery", member(t, b, at(1)).Upstream().Service)
+			p, _ := b.View().Pool("booking")
+			require.Empty(t, p.Members())
+		})
+	}
+}
+
+func TestDomainGoesOutAndComesBack(t *testing.T) {
+	b := loaded(t, config(5, 7), upstream(6, "u1", nil))
+	b.Apply(start, gdbelief.Update{Changes: []gdbelief.Change{out(11, "a", false)}, Revision: 11})
+	require.False(t, member(t, b, at(1)).TakesNew(start))
+	b.Apply(start, gdbelief.Update{Changes: []gdbelief.Change{out(12, "a", true)}, Revision: 12})
+	require.True(t, member(t, b, at(1)).TakesNew(start))
+}
+
+// TestBadConfigurationIsPassedOver: the last good one stays.
+func TestBadConfigurationIsPassedOver(t *testing.T) {
+	b := loaded(t, config(5, 7))
+	bad := config(11, 8)
+	bad.Config = nil
+	require.False(t, b.Apply(start, gdbelief.Update{Changes: []gdbelief.Change{bad}, Revision: 11}))
+	require.Equal(t, uint64(7), b.View().Version())
+}
+
+func TestPeerCatchesUp(t *testing.T) {
+	a := loaded(t, config(5, 7), upstream(6, "u1", nil))
+	a.Apply(start, gdbelief.Update{Changes: []gdbelief.Change{gone(11, "u1"), upstream(12, "u2", func(u *gdbelief.Upstream) {
+		u.Address = at(2)
+	})}, Revision: 12})
+	b := loaded(t, config(5, 7), upstream(6, "u1", nil))
+	now := start.Add(time.Second)
+	b.Apply(now, a.Since(now, b.Revision()))
+	require.Equal(t, a.Revision(), b.Revision())
+	require.False(t, member(t, b, at(1)).TakesNew(now))
+	require.True(t, member(t, b, at(2)).TakesNew(now))
+	require.Equal(t, time.Second, b.Age(now), "knowledge is as old as the peer's")
+}
+
+// TestSharesFollowWeights: the choice is the same for a flow on all hosts.
+func TestSharesFollowWeights(t *testing.T) {
+	b := loaded(t, config(5, 7))
+	r, ok := b.View().Route(service)
+	require.True(t, ok)
+	n := 0
+	for i := range 20000 {
+		k := gdflow.KeyOf(gdflow.AddressFrom([4]byte{100, 64, byte(i >> 8), byte(i)}, 4000), service)
+		require.Equal(t, r.Choose(k.Hash()), r.Choose(k.Hash()))
+		if r.Choose(k.Hash()) == "gallery" {
+			n++
+		}
+	}
+	require.InDelta(t, 0.1, float64(n)/20000, 0.01)
+	require.Empty(t, (&gdbelief.Route{}).Choose(1))
+}
+
+func TestColdUpstream(t *testing.T) {
+	b := loaded(t, config(5, 7), upstream(6, "u1", func(u *gdbelief.Upstream) { u.ColdFor = 2 * time.Second }))
+	m := member(t, b, at(1))
+	require.Equal(t, 1500*time.Millisecond, m.ColdLeft(start.Add(500*time.Millisecond)))
+	require.Zero(t, m.ColdLeft(start.Add(3*time.Second)))
+}
--- a/internal/core/gdpeers/peers.go
+++ b/internal/core/gdpeers/peers.go
@@ -135,6 +135,8 @@
 	if o == nil {
 		return
 	}
+	// A host that only others have named may know of this one already.
+	o.owed = o.owed || o.heard.IsZero()
 	o.heard, o.rank, o.reading, o.age, o.revision = now, b.Rank, b.Reading, b.Age, b.Revision
 	for _, m := range b.Members {
 		if m.Address == p.Self {
@@ -155,7 +157,7 @@
 		if p.known == nil {
 			p.known = make(map[gdflow.Address]*peer)
 		}
-		o = &peer{owed: true}
+		o = &peer{}
 		p.known[a] = o
 	}
 	return o
--- /dev/null
+++ b/internal/core/gdpeers/peers_test.go
@@ -0,0 +1,216 @@
+package gdpeers_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdpeers"
+)
+
+// beat is the time between two looks of a host.
+const beat = gdpeers.BeaconTime / 2
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func at(i int) gdflow.Address {
+	return gdflow.AddressFrom([4]byte{10, 0, byte(i >> 8), byte(i)}, 7721)
+}
+
+// host is one entry host of the model.
+type host struct {
+	peers     gdpeers.Peers
+	confirmed time.Time
+	refused   bool // by the store
+	down      bool
+	cut       bool // from the other hosts
+}
+
+// fleet is hosts in virtual time. Beacons arrive at once.
+type fleet struct {
+	now   time.Time
+	hosts []*host
+	// calls counts the seconds in which hosts read.
+	calls    int
+	messages int
+}
+
+func newFleet(n int) *fleet {
+	f := &fleet{now: start}
+	for range n {
+		f.join()
+	}
+	return f
+}
+
+func (f *fleet) join() *host {
+	i := len(f.hosts)
+	h := &host{confirmed: f.now, peers: gdpeers.Peers{
+		Self: at(i), Rank: uint32(i*7919%4096) << 4, Seeds: []gdflow.Address{at(0), at(1), at(2)},
+	}}
+	f.hosts = append(f.hosts, h)
+	return h
+}
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(beat) {
+		for i, h := range f.hosts {
+			if !h.down {
+				f.beat(i, h)
+			}
+		}
+	}
+}
+
+func (f *fleet) beat(i int, h *host) {
+	to := append([]gdflow.Address(nil), h.peers.Tick(f.now, f.now.Sub(h.confirmed))...)
+	if h.peers.Reading() {
+		f.calls++
+		if !h.refused {
+			h.confirmed = f.now
+		}
+	}
+	b := h.peers.Beacon(f.now, 1, f.now.Sub(h.confirmed))
+	for _, a := range to {
+		f.messages++
+		ip := a.IP()
+		j := int(ip[2])<<8 | int(ip[3])
+		if j >= len(f.hosts) || f.hosts[j].down || f.hosts[j].cut || h.cut {
+			continue
+		}
+		o := f.hosts[j]
+		o.peers.Heard(f.now, at(i), b)
+		if heard := f.now.Add(-b.Age); b.Reading && heard.After(o.confirmed) {
+			o.confirmed = heard
+		}
+	}
+}
+
+func (f *fleet) readers() []int {
+	var out []int
+	for i, h := range f.hosts {
+		if !h.down && h.peers.Reading() {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// oldest returns the greatest age of what a host knows, of those that are neither
+// down nor cut off.
+func (f *fleet) oldest() time.Duration {
+	var age time.Duration
+	for _, h := range f.hosts {
+		if !h.down && !h.cut {
+			age = max(age, f.now.Sub(h.confirmed))
+		}
+	}
+	return age
+}
+
+// TestTwoReadersWhateverTheSize: calls and messages don't grow with the square of the
+// deployment, nor the calls at all.
+func TestTwoReadersWhateverTheSize(t *testing.T) {
+	for _, n := range []int{2, 5, 23, 100, 300} {
+		f := newFleet(n)
+		f.run(10 * time.Second)
+		require.Len(t, f.readers(), 2, "%d hosts", n)
+		f.calls, f.messages = 0, 0
+		const beats = 60
+		f.run(beats * beat)
+		require.Equal(t, 2*beats, f.calls, "%d hosts", n)
+		perHost := float64(f.messages) / float64(n) / (beats * beat).Seconds()
+		require.Less(t, perHost, 2*(1/gdpeers.BeaconTime.Seconds()+1)+1, "messages a second for each of %d hosts", n)
+		require.Less(t, f.oldest(), time.Second)
+	}
+}
+
+func TestSingleHostReads(t *testing.T) {
+	f := newFleet(1)
+	f.run(3 * time.Second)
+	require.Equal(t, []int{0}, f.readers())
+}
+
+// TestReaderIsReplaced: knowledge stays recent for all who can be reached, however
+// the readers are lost.
+func TestReaderIsReplaced(t *testing.T) {
+	tests := []struct {
+		name string
+		lose func(f *fleet, readers []int)
+	}{
+		{"one is down", func(f *fleet, r []int) { f.hosts[r[0]].down = true }},
+		{"both are down", func(f *fleet, r []int) { f.hosts[r[0]].down, f.hosts[r[1]].down = true, true }},
+		{"one is cut off from the others", func(f *fleet, r []int) { f.hosts[r[0]].cut = true }},
+		{"one is refused by the store", func(f *fleet, r []int) { f.hosts[r[0]].refused = true }},
+		{"both are refused", func(f *fleet, r []int) { f.hosts[r[0]].refused, f.hosts[r[1]].refused = true, true }},
+		{"both shut down", func(f *fleet, r []int) {
+			f.hosts[r[0]].peers.Leave()
+			f.hosts[r[1]].peers.Leave()
+		}},
+		{"the seeds are down too", func(f *fleet, r []int) {
+			for _, i := range append(r, 0, 1, 2) {
+				f.hosts[i].down = true
+			}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(12)
+			f.run(10 * time.Second)
+			tt.lose(f, f.readers())
+			var oldest time.Duration
+			for range 60 {
+				f.run(beat)
+				oldest = max(oldest, f.oldest())
+			}
+			// The shortest bound on a configuration in the users' settings is 3 s.
+			require.Less(t, oldest, 3*time.Second)
+			f.run(10 * time.Second)
+			require.LessOrEqual(t, len(f.readers()), 4, "two, and those that can't know better")
+			require.Less(t, f.oldest(), 2*time.Second)
+		})
+	}
+}
+
+// TestStartTogether is the pattern of a loss of power: all hosts start at the same
+// time and know only the seeds. They don't all become readers.
+func TestStartTogether(t *testing.T) {
+	f := newFleet(23)
+	most := 0
+	for range 40 {
+		f.run(beat)
+		most = max(most, len(f.readers()))
+	}
+	require.LessOrEqual(t, most, 6)
+	require.Len(t, f.readers(), 2)
+}
+
+// TestJoiningHostDoesNotRead: one that joins a deployment with readers hears of them
+// first.
+func TestJoiningHostDoesNotRead(t *testing.T) {
+	f := newFleet(5)
+	f.run(10 * time.Second)
+	before := f.readers()
+	h := f.join()
+	h.peers.Rank = 1 << 30
+	f.run(5 * time.Second)
+	require.Equal(t, before, f.readers())
+}
+
+// TestOutageOfTheStore: while nobody reaches it, not all hosts ask at once.
+func TestOutageOfTheStore(t *testing.T) {
+	f := newFleet(23)
+	f.run(10 * time.Second)
+	for _, h := range f.hosts {
+		h.refused = true
+	}
+	f.run(20 * time.Second)
+	for _, h := range f.hosts {
+		h.refused = false
+	}
+	f.run(5 * time.Second)
+	require.Len(t, f.readers(), 2)
+	require.Less(t, f.oldest(), 2*time.Second)
+}
--- /dev/null
+++ b/internal/core/gdrecent/recent_test.go
@@ -0,0 +1,47 @@
+package gdrecent_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdrecent"
+)
+
+func TestUnusedEntriesAreForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var dropped []string
+	m := gdrecent.Map[string, int]{Keep: 10 * time.Second, Most: 100, Dropped: func(k string, _ int) { dropped = append(dropped, k) }}
+	m.Put(now, "used", 1)
+	m.Put(now, "unused", 2)
+	for i := range 30 {
+		_, ok := m.Get(now.Add(time.Duration(i)*time.Second), "used")
+		require.True(t, ok, "second %d", i)
+	}
+	_, ok := m.Get(now.Add(30*time.Second), "unused")
+	require.False(t, ok)
+	require.Equal(t, []string{"unused"}, dropped)
+	require.Equal(t, 1, m.Len())
+}
+
+func TestFullMapKeepsTheNewest(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := gdrecent.Map[int, int]{Keep: time.Hour, Most: 10}
+	for i := range 1000 {
+		m.Put(now, i, i)
+		require.LessOrEqual(t, m.Len(), 20)
+	}
+	for i := 990; i < 1000; i++ {
+		_, ok := m.Get(now, i)
+		require.True(t, ok, "entry %d", i)
+	}
+	n := 0
+	m.Each(func(int, int) bool { n++; return n < 5 })
+	require.Equal(t, 5, n)
+	m.Delete(999)
+	_, ok := m.Get(now, 999)
+	require.False(t, ok)
+	m.Clear()
+	require.Zero(t, m.Len())
+}
--- /dev/null
+++ b/internal/process/gdentry/path_test.go
@@ -0,0 +1,293 @@
+package gdentry_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"golang.org/x/sync/errgroup"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/process/gdentry"
+	"godwitdrift.example/godwitdrift/internal/process/gdside"
+	"godwitdrift.example/godwitdrift/platform"
+)
+
+// patience is how long a test waits for what happens within milliseconds.
+const patience = 20 * time.Second
+
+// source is a store in memory.
+type source struct {
+	mu      sync.Mutex
+	changes []gdbelief.Change
+	lost    bool // the history is gone once
+	loads   int
+	added   chan struct{}
+}
+
+func (s *source) update(after uint64) gdbelief.Update {
+	u := gdbelief.Update{}
+	for _, c := range s.changes {
+		u.Revision = max(u.Revision, c.Revision)
+		if c.Revision > after {
+			u.Changes = append(u.Changes, c)
+		}
+	}
+	return u
+}
+
+func (s *source) Load(context.Context) (gdbelief.Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads++
+	return s.update(0), nil
+}
+
+func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (gdbelief.Update, error) {
+	s.mu.Lock()
+	u, lost := s.update(after), s.lost
+	s.lost = false
+	s.mu.Unlock()
+	if lost {
+		return gdbelief.Update{}, gdbelief.ErrHistoryLost
+	}
+	if len(u.Changes) > 0 {
+		return u, nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return u, ctx.Err()
+	case <-t.C:
+	case <-s.added:
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.update(after), nil
+}
+
+func (s *source) add(c gdbelief.Change) {
+	s.mu.Lock()
+	s.changes = append(s.changes, c)
+	s.mu.Unlock()
+	select {
+	case s.added <- struct{}{}:
+	default:
+	}
+}
+
+// deployment is an entry host, an agent and stand-ins for the upstream and the caller,
+// which are sockets of the test.
+type deployment struct {
+	t        *testing.T
+	source   *source
+	entry    *gdentry.Entry
+	upstream *net.UDPConn
+	caller   *net.UDPConn
+	outbound netip.AddrPort
+	key      gdflow.Key
+	stop     context.CancelFunc
+	ended    chan error
+}
+
+func listen(t *testing.T, ip string, port uint16) *net.UDPConn {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(ip), port)))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func portOf(c *net.UDPConn) uint16 { return c.LocalAddr().(*net.UDPAddr).AddrPort().Port() }
+
+// freePort returns a port that nothing used a moment ago.
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	c, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	defer c.Close()
+	return portOf(c)
+}
+
+func config(revision uint64, address gdflow.Address) gdbelief.Change {
+	return gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Configuration}, Revision: revision,
+		Config: &gdbelief.Config{
+			Version: revision, IdleTimeout: 15 * time.Second,
+			Routes:   []gdbelief.Route{{Name: "r", Address: address, Shares: []gdbelief.Share{{Service: "booking", Weight: 1}}}},
+			Services: []gdbelief.Service{{Name: "booking"}},
+		},
+	}
+}
+
+func deploy(t *testing.T) *deployment {
+	t.Helper()
+	const entryIP, sideIP, callerIP = "127.0.0.2", "127.0.0.3", "127.0.0.4"
+	d := &deployment{t: t, source: &source{added: make(chan struct{}, 1)}, ended: make(chan error, 1)}
+	d.caller, d.upstream = listen(t, callerIP, 0), listen(t, sideIP, 0)
+	callers, hop, feed, outbound := portOf(d.caller), freePort(t), freePort(t), freePort(t)
+	side, entry := netip.MustParseAddr(sideIP), netip.MustParseAddr(entryIP)
+	d.outbound = netip.AddrPortFrom(side, outbound)
+	service := gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
+	d.key = gdflow.KeyOf(gdflow.AddressFrom([4]byte{127, 0, 0, 4}, 40001), service)
+	app, ok := gdflow.AddressOf(netip.AddrPortFrom(side, portOf(d.upstream)))
+	require.True(t, ok)
+	d.source.changes = []gdbelief.Change{config(1, service), {
+		Subject: gdbelief.Subject{Kind: gdbelief.Registration, Name: "u1"}, Revision: 2,
+		Upstream: &gdbelief.Upstream{ID: "u1", Service: "booking", Domain: "a", Address: app, Slots: 3},
+	}}
+	d.entry = &gdentry.Entry{
+		Name: "entry-1", Domain: "a", Callers: netip.AddrPortFrom(entry, callers), Hop: netip.AddrPortFrom(entry, hop),
+		Feed: netip.AddrPortFrom(entry, feed), Codec: platform.Codec{}, Source: d.source, Scope: tally.NoopScope,
+		Grace: 3 * time.Second,
+	}
+	agent := &gdside.Side{
+		Guard: gdguard.Guard{Service: "booking", Fresh: true}, Hop: netip.AddrPortFrom(side, hop),
+		Upstream: netip.AddrPortFrom(side, portOf(d.upstream)), FromUpstream: d.outbound, CallerPort: callers,
+		Codec: platform.Codec{}, Scope: tally.NoopScope, Grace: 3 * time.Second,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	d.stop = stop
+	var g errgroup.Group
+	g.Go(func() error { return d.entry.Run(ctx) })
+	g.Go(func() error { return agent.Run(ctx) })
+	go func() { d.ended <- g.Wait() }()
+	require.Eventually(t, d.entry.Ready, patience, time.Millisecond)
+	return d
+}
+
+// packet returns a packet between the flow's ends as the platform has it.
+func (d *deployment) packet(toService bool, flags byte, seq, ack uint32, data string) []byte {
+	b := make([]byte, platform.HeaderSize, platform.HeaderSize+len(data))
+	from, to := d.key.Caller(), d.key.Service()
+	if !toService {
+		from, to = to, from
+	}
+	binary.BigEndian.PutUint32(b, seq)
+	binary.BigEndian.PutUint32(b[4:], ack)
+	binary.BigEndian.PutUint16(b[8:], from.Port())
+	src, dst := from.IP(), to.IP()
+	copy(b[10:], src[:])
+	copy(b[14:], dst[:])
+	binary.BigEndian.PutUint16(b[18:], to.Port())
+	binary.BigEndian.PutUint16(b[24:], uint16(len(data)))
+	b[30] = flags
+	return append(b, data...)
+}
+
+func (d *deployment) read(c *net.UDPConn) []byte {
+	d.t.Helper()
+	require.NoError(d.t, c.SetReadDeadline(time.Now().Add(patience)))
+	buf := make([]byte, 2000)
+	n, err := c.Read(buf)
+	require.NoError(d.t, err)
+	return buf[:n]
+}
+
+func (d *deployment) callerSends(b []byte) {
+	d.t.Helper()
+	_, err := d.caller.WriteToUDPAddrPort(b, d.entry.Callers)
+	require.NoError(d.t, err)
+}
+
+func (d *deployment) upstreamSends(b []byte) {
+	d.t.Helper()
+	_, err := d.upstream.WriteToUDPAddrPort(b, d.outbound)
+	require.NoError(d.t, err)
+}
+
+const (
+	syn = 1
+	ack = 64
+	rst = 128
+)
+
+// openFlow opens the flow and returns after the upstream has the confirmation.
+func (d *deployment) openFlow() {
+	d.t.Helper()
+	d.callerSends(d.packet(true, syn, 10, 0, ""))
+	require.Equal(d.t, d.packet(true, syn, 10, 0, ""), d.read(d.upstream))
+	d.upstreamSends(d.packet(false, syn|ack, 1000, 11, ""))
+	require.Equal(d.t, d.packet(false, syn|ack, 1000, 11, ""), d.read(d.caller))
+	d.callerSends(d.packet(true, ack, 11, 1001, "request"))
+	require.Equal(d.t, d.packet(true, ack, 11, 1001, "request"), d.read(d.upstream))
+}
+
+// TestFlowEndToEnd: both ends get what the other sent, to the byte.
+func TestFlowEndToEnd(t *testing.T) {
+	d := deploy(t)
+	d.openFlow()
+	d.upstreamSends(d.packet(false, ack, 1001, 18, "answer"))
+	require.Equal(t, d.packet(false, ack, 1001, 18, "answer"), d.read(d.caller))
+	d.stop()
+	require.NoError(t, <-d.ended)
+}
+
+// TestNoRouteIsResetAtOnce also shows that a configuration is in force as soon as the
+// source has it.
+func TestNoRouteIsResetAtOnce(t *testing.T) {
+	d := deploy(t)
+	d.openFlow()
+	d.source.add(config(3, gdflow.AddressFrom([4]byte{198, 18, 0, 9}, 443)))
+	require.Eventually(t, func() bool {
+		d.callerSends(d.packet(true, ack, 18, 1001, ""))
+		require.NoError(t, d.caller.SetReadDeadline(time.Now().Add(20*time.Millisecond)))
+		buf := make([]byte, 2000)
+		n, err := d.caller.Read(buf)
+		return err == nil && n == platform.HeaderSize && buf[30] == rst
+	}, patience, time.Millisecond)
+	d.stop()
+	require.NoError(t, <-d.ended)
+}
+
+// TestLostHistoryIsLoadedAgain: the state is read as a whole, and nothing reverts.
+func TestLostHistoryIsLoadedAgain(t *testing.T) {
+	d := deploy(t)
+	d.source.mu.Lock()
+	d.source.lost = true
+	d.source.mu.Unlock()
+	require.Eventually(t, func() bool {
+		d.source.mu.Lock()
+		defer d.source.mu.Unlock()
+		return d.source.loads >= 2
+	}, patience, 10*time.Millisecond)
+	d.openFlow()
+	d.stop()
+	require.NoError(t, <-d.ended)
+}
+
+// TestLeavingHostForwardsOn: after the signal the host is not ready, and what still
+// comes is forwarded.
+func TestLeavingHostForwardsOn(t *testing.T) {
+	d := deploy(t)
+	d.openFlow()
+	d.stop()
+	require.Eventually(t, func() bool { return !d.entry.Ready() }, patience, time.Millisecond)
+	d.callerSends(d.packet(true, ack, 18, 1001, "more"))
+	require.Equal(t, d.packet(true, ack, 18, 1001, "more"), d.read(d.upstream))
+	d.upstreamSends(d.packet(false, ack, 1001, 22, "answer"))
+	require.Equal(t, d.packet(false, ack, 1001, 22, "answer"), d.read(d.caller))
+	require.NoError(t, <-d.ended)
+}
+
+// TestEndedUpstreamResetsItsFlows: nothing listens at the upstream's port any more.
+func TestEndedUpstreamResetsItsFlows(t *testing.T) {
+	d := deploy(t)
+	d.openFlow()
+	require.NoError(t, d.upstream.Close())
+	d.callerSends(d.packet(true, ack, 18, 1001, "more"))
+	b := d.read(d.caller)
+	require.Equal(t, byte(rst), b[30])
+	require.Equal(t, uint32(1001), binary.BigEndian.Uint32(b), "within the caller's window")
+	d.stop()
+	require.NoError(t, <-d.ended)
+}
--- /dev/null
+++ b/internal/wire/gdfeed/feed_test.go
@@ -0,0 +1,159 @@
+package gdfeed_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdpeers"
+	"godwitdrift.example/godwitdrift/internal/wire/gdfeed"
+)
+
+func at(i int) gdflow.Address { return gdflow.AddressFrom([4]byte{10, 0, byte(i >> 8), byte(i)}, 8080) }
+
+func registration(i int) gdbelief.Change {
+	id := fmt.Sprintf("i-%08x", i)
+	return gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Registration, Name: id}, Revision: uint64(100 + i),
+		Upstream: &gdbelief.Upstream{
+			ID: id, Service: "booking", Domain: "bilbao-a", Address: at(i), Slots: 3, Draining: i%2 == 0,
+			ColdFor: 2 * time.Second, Born: 1_796_342_400_000,
+		},
+	}
+}
+
+func config(routes int) gdbelief.Change {
+	c := &gdbelief.Config{
+		Version: 7, IdleTimeout: 15 * time.Second,
+		Routes:   []gdbelief.Route{},
+		Services: []gdbelief.Service{{Name: "booking", MaxFlows: 2000, ColdFor: 2 * time.Second, ColdPerSecond: 20}},
+	}
+	for i := range routes {
+		c.Routes = append(c.Routes, gdbelief.Route{
+			Name: fmt.Sprintf("r-%06x", i), Address: at(i), Shares: []gdbelief.Share{{Service: "booking", Weight: 1}},
+			Priority: 2, Goal: 120 * time.Millisecond, Timeout: time.Second, Idempotent: true,
+		})
+	}
+	return gdbelief.Change{Subject: gdbelief.Subject{Kind: gdbelief.Configuration}, Revision: 90, Config: c}
+}
+
+func gone(i int) gdbelief.Change {
+	c := registration(i)
+	c.Gone, c.Upstream = true, nil
+	return c
+}
+
+func beacon(changes ...gdbelief.Change) gdfeed.Beacon {
+	return gdfeed.Beacon{
+		Beacon: gdpeers.Beacon{
+			Revision: 500, Age: 250 * time.Millisecond, Rank: 9, Reading: true,
+			Members: []gdpeers.Member{{Address: at(1), Rank: 4}, {Address: at(2), Rank: 5}},
+		},
+		After:  80,
+		Update: gdbelief.Update{Changes: changes, Revision: 500, Age: 250 * time.Millisecond},
+	}
+}
+
+func TestBeaconRoundTrips(t *testing.T) {
+	want := beacon(registration(1), gone(2), gdbelief.Change{
+		Subject: gdbelief.Subject{Kind: gdbelief.Evacuation, Name: "bilbao-a"}, Revision: 120,
+	})
+	data, err := gdfeed.EncodeBeacons(want)
+	require.NoError(t, err)
+	require.Len(t, data, 1)
+	got, err := gdfeed.DecodeBeacon(data[0])
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+// TestManyChangesGoIntoSeveralBeacons is the pattern of a loss of power: all
+// upstreams register again within a second or two. Applied in order, the beacons
+// bring a book to the sender's revision without a fetch.
+func TestManyChangesGoIntoSeveralBeacons(t *testing.T) {
+	var changes []gdbelief.Change
+	for i := range 120 {
+		changes = append(changes, registration(i))
+	}
+	data, err := gdfeed.EncodeBeacons(beacon(changes...))
+	require.NoError(t, err)
+	var b gdbelief.Book
+	now := time.Unix(1000, 0)
+	require.True(t, b.Load(now, gdbelief.Update{Changes: []gdbelief.Change{config(1)}, Revision: 90}))
+	for _, d := range data {
+		require.LessOrEqual(t, len(d), gdfeed.MaxBeacon)
+		got, err := gdfeed.DecodeBeacon(d)
+		require.NoError(t, err)
+		require.LessOrEqual(t, got.After, b.Revision(), "no gap")
+		b.Apply(now, got.Update)
+	}
+	require.Equal(t, uint64(500), b.Revision())
+	require.Len(t, b.View().Upstreams(), 120)
+}
+
+// TestLargeConfigurationIsFetched: no beacon claims to bring what does not fit in.
+func TestLargeConfigurationIsFetched(t *testing.T) {
+	data, err := gdfeed.EncodeBeacons(beacon(config(600), registration(1)))
+	require.NoError(t, err)
+	require.Len(t, data, 1)
+	got, err := gdfeed.DecodeBeacon(data[0])
+	require.NoError(t, err)
+	require.Zero(t, got.After)
+	require.Empty(t, got.Update.Changes)
+	require.Equal(t, uint64(500), got.Revision)
+}
+
+func TestUpdateRoundTrips(t *testing.T) {
+	want := gdbelief.Update{Revision: 500, Age: time.Second, Changes: []gdbelief.Change{config(600), registration(1), gone(3)}}
+	var buf bytes.Buffer
+	require.NoError(t, gdfeed.WriteUpdate(&buf, want))
+	require.Less(t, buf.Len(), 24<<10, "600 routes on a link of 10 Mbit/s in 20 ms")
+	got, err := gdfeed.ReadUpdate(&buf)
+	require.NoError(t, err)
+	require.Equal(t, want, got)
+}
+
+func TestBadMessagesAreRefused(t *testing.T) {
+	_, err := gdfeed.DecodeBeacon(nil)
+	require.ErrorContains(t, err, "empty")
+	_, err = gdfeed.DecodeBeacon([]byte{9, 0})
+	require.ErrorContains(t, err, "version 9, want 1")
+	_, err = gdfeed.ReadUpdate(bytes.NewReader([]byte{1, 2, 3}))
+	require.ErrorContains(t, err, "read update")
+	stateless := registration(1)
+	stateless.Upstream = nil
+	data, err := gdfeed.EncodeBeacons(beacon(stateless))
+	require.NoError(t, err)
+	_, err = gdfeed.DecodeBeacon(data[0])
+	require.ErrorContains(t, err, `name "i-00000001" has no state`)
+}
+
+func FuzzDecodeBeacon(f *testing.F) {
+	data, err := gdfeed.EncodeBeacons(beacon(registration(1), gone(2), config(2)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data[0])
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if got, err := gdfeed.DecodeBeacon(b); err == nil {
+			_, err := gdfeed.EncodeBeacons(got)
+			require.NoError(t, err)
+		}
+	})
+}
+
+func FuzzReadUpdate(f *testing.F) {
+	var buf bytes.Buffer
+	if err := gdfeed.WriteUpdate(&buf, gdbelief.Update{Revision: 5, Changes: []gdbelief.Change{config(2), registration(1)}}); err != nil {
+		f.Fatal(err)
+	}
+	f.Add(buf.Bytes())
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		// It must neither panic nor allocate without bound.
+		_, _ = gdfeed.ReadUpdate(bytes.NewReader(b))
+	})
+}
--- /dev/null
+++ b/internal/wire/gdhop/hop_test.go
@@ -0,0 +1,83 @@
+package gdhop_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
+)
+
+var standing = gdguard.Standing{
+	Revision: 1 << 40, TakesNew: true, Slots: 3, ColdPerSecond: 700, ColdLeft: 1500 * time.Millisecond,
+}
+
+var key = gdflow.KeyOf(gdflow.AddressFrom([4]byte{100, 64, 0, 7}, 40001), gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))
+
+func TestMessagesRoundTrip(t *testing.T) {
+	packet := []byte("packet")
+	opens := gdguard.Carry{Service: 77, Forced: true, Standing: standing}
+	data := gdguard.Carry{Service: 77, Confirm: true}
+	tests := []struct {
+		name string
+		b    []byte
+		want gdhop.Message
+	}{
+		{"opening", append(gdhop.AppendCarry(nil, opens, true), packet...), gdhop.Message{Type: gdhop.Carry, Carry: opens, Packet: packet}},
+		{"data", append(gdhop.AppendCarry(nil, data, false), packet...), gdhop.Message{Type: gdhop.Carry, Carry: data, Packet: packet}},
+		{"standing", gdhop.AppendStanding(nil, 77, standing), gdhop.Message{
+			Type: gdhop.Standing, Carry: gdguard.Carry{Service: 77, Standing: standing}, Packet: []byte{},
+		}},
+		{"return", append(gdhop.AppendReturn(nil, gdguard.Busy, 9, 42), packet...), gdhop.Message{
+			Type: gdhop.Return, Reason: gdguard.Busy, Load: 9, Revision: 42, Packet: packet,
+		}},
+		{"held", gdhop.AppendNote(nil, gdhop.Held, key, 70000), gdhop.Message{Type: gdhop.Held, Key: key, Load: 65535}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			m, err := gdhop.Parse(tt.b)
+			require.NoError(t, err)
+			require.Equal(t, tt.want, m)
+		})
+	}
+	require.LessOrEqual(t, len(gdhop.AppendCarry(nil, opens, true)), gdhop.MaxOverhead)
+}
+
+func TestBadMessagesAreRefused(t *testing.T) {
+	tests := []struct {
+		name, want string
+		b          []byte
+	}{
+		{"empty", "has no type", nil},
+		{"other version", "version 9, want 1", []byte{9, 1, 0, 0}},
+		{"unknown type", "unknown type 99", []byte{1, 99}},
+		{"short carry", "shorter than 8", []byte{1, 1, 0}},
+		{"short standing", "shorter than 16", gdhop.AppendStanding(nil, 1, standing)[:12]},
+		{"standing with more", "carries a packet", append(gdhop.AppendStanding(nil, 1, standing), 1)},
+		{"unknown reason", "unknown reason 200", append([]byte{1, 3, 200}, make([]byte, 20)...)},
+		{"long note", "note of 17 bytes", append(gdhop.AppendNote(nil, gdhop.Held, key, 1), 0)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := gdhop.Parse(tt.b)
+			require.ErrorContains(t, err, tt.want)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(append(gdhop.AppendCarry(nil, gdguard.Carry{Standing: standing}, true), 1, 2, 3))
+	f.Add(gdhop.AppendStanding(nil, 7, standing))
+	f.Add(append(gdhop.AppendReturn(nil, gdguard.Busy, 9, 42), 1))
+	f.Add(gdhop.AppendNote(nil, gdhop.Accepted, key, 3))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := gdhop.Parse(b)
+		if err != nil {
+			return
+		}
+		require.LessOrEqual(t, len(m.Packet), len(b))
+	})
+}
