Take over changed settings, and start from another host's view

Ruled out: ignoring the signal (the settings file may have changed). Change: SIGHUP and a changed file are taken over (seeds, store, grace period), bad settings leave the old ones in force; an entry host that can't reach the store starts from the view of another. Tests: TestChangedSettings, TestHostStartsWhileTheStoreIsDown.

--- a/cmd/gdhost/agent.go
+++ b/cmd/gdhost/agent.go
@@ -36,6 +36,7 @@
 				Codec: platform.Codec{},
 				Log:   h.log, Scope: h.metrics.Scope(), Grace: s.Grace(),
 			}
+			h.reload = func(s *platform.Settings) { a.Reload(s.Grace()) }
 			return h.run(ctx, a.Ready, a.Run)
 		},
 	}
--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -36,25 +36,33 @@
 				return err
 			}
 			s := h.settings
-			store := &platform.Store{
-				Address: s.Store().String(),
-				HTTP: &http.Client{Transport: &http.Transport{
-					DialContext:         (&net.Dialer{Timeout: connectTime}).DialContext,
-					IdleConnTimeout:     keepIdle,
-					MaxIdleConnsPerHost: 1,
-					DisableCompression:  true,
-				}},
-				Bad: func(err error) { h.log.Failure(gdlog.ValueUnusable, err) },
+			client := storeClient()
+			store := func(s *platform.Settings) *platform.Store {
+				return &platform.Store{
+					Address: s.Store().String(), HTTP: client,
+					Bad: func(err error) { h.log.Failure(gdlog.ValueUnusable, err) },
+				}
 			}
 			e := &gdentry.Entry{
 				Name: s.Name(), Domain: s.Domain(), Callers: s.Callers(),
 				Hop:   netip.AddrPortFrom(s.Callers().Addr(), s.HopPort()),
 				Feed:  netip.AddrPortFrom(s.Callers().Addr(), s.FeedPort()),
 				Seeds: s.Seeds(), Rank: s.Rank(),
-				Codec: platform.Codec{}, Source: store,
+				Codec: platform.Codec{}, Source: store(s),
 				Log: h.log, Scope: h.metrics.Scope(), Grace: s.Grace(),
 			}
+			h.reload = func(s *platform.Settings) { e.Reload(s.Seeds(), store(s), s.Grace()) }
 			return h.run(ctx, e.Ready, e.Run)
 		},
 	}
 }
+
+// storeClient returns a client that keeps one connection to the store.
+func storeClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: connectTime}).DialContext,
+		IdleConnTimeout:     keepIdle,
+		MaxIdleConnsPerHost: 1,
+		DisableCompression:  true,
+	}}
+}
--- a/cmd/gdhost/host.go
+++ b/cmd/gdhost/host.go
@@ -38,7 +38,9 @@
 
 // host is what both kinds of processes need besides their work.
 type host struct {
+	path     string
 	settings *platform.Settings
+	reload   func(*platform.Settings)
 	log      gdlog.Logger
 	metrics  *gdmetric.Metrics
 	lines    *gdlog.Queue
@@ -52,7 +54,7 @@
 	lines := gdlog.NewQueue(os.Stdout, gdlog.DefaultQueue)
 	log := gdlog.New(lines, gdlog.ParseLevel(cmd.String("log-level"))).With("process", s.Name())
 	return &host{
-		settings: s, log: log, lines: lines,
+		path: cmd.String("settings"), settings: s, log: log, lines: lines,
 		metrics: gdmetric.New("godwitdrift_"+role, map[string]string{"process": s.Name()}),
 	}, nil
 }
@@ -70,6 +72,7 @@
 	g.Go(func() error { return serve(serving, h.settings.Ready(), platform.ReadyPath, readiness(ready)) })
 	metrics := netip.AddrPortFrom(h.settings.Ready().Addr(), metricsPort)
 	g.Go(func() error { return serve(serving, metrics, metricsPath, h.metrics) })
+	g.Go(func() error { h.watchSettings(serving); return nil })
 	err := work(ctx)
 	stop()
 	if served := g.Wait(); err == nil {
--- /dev/null
+++ b/cmd/gdhost/main_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/platform"
+)
+
+const patience = 20 * time.Second
+
+// settingsText returns settings of an entry host on loopback addresses.
+func settingsText(t *testing.T, ip string) string {
+	t.Helper()
+	port := func() int {
+		l, err := net.Listen("tcp4", ip+":0")
+		require.NoError(t, err)
+		defer l.Close()
+		return l.Addr().(*net.TCPAddr).Port
+	}
+	hop := port()
+	return fmt.Sprintf(`node_name=entry-1
+zone=a
+listen.datagram_addr=%[1]s:%[2]d
+listen.ready=%[1]s:%[3]d
+internal_ports=%[4]d,%[5]d
+bounds.grace_s=1
+limits.link_mbps=100
+platform.address=%[1]s:1
+`, ip, port(), port(), hop, hop+10)
+}
+
+// TestChangedSettings: a signal, and a change without one, are taken over by the
+// running process; bad settings leave the old ones in force.
+func TestChangedSettings(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "node.conf")
+	good := settingsText(t, "127.0.0.6")
+	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
+	s, err := platform.LoadSettings(path)
+	require.NoError(t, err)
+	log := filepath.Join(t.TempDir(), "log")
+	out, err := os.Create(log)
+	require.NoError(t, err)
+	stdout := os.Stdout
+	os.Stdout = out
+	defer func() { os.Stdout = stdout }()
+
+	ended := make(chan error, 1)
+	go func() { ended <- app().Run(t.Context(), []string{"gdhost", "agent", "--settings", path}) }()
+	require.ErrorContains(t, <-ended, "name no upstream")
+	ctx, stop := context.WithCancel(t.Context())
+	go func() { ended <- app().Run(ctx, []string{"gdhost", "entry", "--settings", path}) }()
+	logged := func(text string) func() bool {
+		return func() bool {
+			data, err := os.ReadFile(log)
+			return err == nil && strings.Contains(string(data), text)
+		}
+	}
+	ready := func() (int, error) {
+		res, err := http.Get("http://" + s.Ready().String() + platform.ReadyPath)
+		if err != nil {
+			return 0, err
+		}
+		return res.StatusCode, res.Body.Close()
+	}
+	require.Eventually(t, func() bool { code, err := ready(); return err == nil && code == http.StatusServiceUnavailable },
+		patience, 10*time.Millisecond, "no view yet")
+
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.Eventually(t, logged(`"text":"settings reloaded"`), patience, 10*time.Millisecond)
+	require.NoError(t, os.WriteFile(path, []byte("zone"), 0o600))
+	require.Eventually(t, logged(`settings not reloaded, the old ones stay`), patience, 10*time.Millisecond)
+	require.True(t, logged(`line 1: line \"zone\" has no =`)())
+	require.NoError(t, os.WriteFile(path, []byte(strings.Replace(good, "zone=a", "zone=b", 1)), 0o600))
+	require.Eventually(t, logged(`"need-restart":["zone"]`), patience, 10*time.Millisecond)
+	code, err := ready()
+	require.NoError(t, err, "the process goes on")
+	require.Equal(t, http.StatusServiceUnavailable, code)
+	stop()
+	require.NoError(t, <-ended)
+}
+
+func TestCommandsExplainThemselves(t *testing.T) {
+	var out strings.Builder
+	a := app()
+	a.Writer = &out
+	commands := a.Commands
+	require.NoError(t, a.Run(t.Context(), []string{"gdhost", "--help"}))
+	for _, c := range commands {
+		require.Contains(t, out.String(), c.Name)
+		require.NotEmpty(t, c.Description)
+	}
+}
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -53,6 +53,13 @@
 // LinesLeftOut tells how many lines a busy process has not written, event 106.
 var LinesLeftOut = declare(106, Info, "lines on single decisions left out", nothing)
 
+// Events 107 and 108: settings that changed while the process runs.
+var (
+	SettingsReloaded = declare(107, Info, "settings reloaded", "If it names settings that need it: restart the process.")
+	SettingsRejected = declare(108, Error, "settings not reloaded, the old ones stay",
+		"Mend the settings file; the error names the line.")
+)
+
 // Events 200 to 299: the configuration.
 var (
 	ConfigurationInForce = declare(200, Info, "configuration in force", nothing)
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -104,6 +104,27 @@
 // Ready reports whether the routers may send packets.
 func (e *Entry) Ready() bool { return e.ready.Load() && !e.leaving.Load() }
 
+// Reload takes over what may change while the process runs: the seeds, the source,
+// and the grace period.
+func (e *Entry) Reload(seeds []netip.Addr, source Source, grace time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Seeds, e.Source, e.Grace = seeds, source, grace
+	e.peers.Seeds = e.seedAddresses()
+}
+
+func (e *Entry) source() Source {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Source
+}
+
+func (e *Entry) grace() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Grace
+}
+
 // Run forwards packets until some time after the context has ended.
 func (e *Entry) Run(ctx context.Context) error {
 	if err := e.listen(); err != nil {
@@ -178,7 +199,7 @@
 	for now := range t.C {
 		passed := now.Sub(began)
 		quiet := now.Sub(time.Unix(0, e.lastSeen.Load()))
-		if passed > e.Grace-graceMargin || passed > noticeTime && quiet > quietTime {
+		if passed > e.grace()-graceMargin || passed > noticeTime && quiet > quietTime {
 			e.Log.Event(gdlog.DrainEnded, "after", passed.String(), "quiet", quiet.String())
 			return
 		}
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -44,12 +44,17 @@
 // joinPeers sets up what the host knows of others at its start.
 func (e *Entry) joinPeers() {
 	self, _ := gdflow.AddressOf(e.Feed)
-	e.peers = gdpeers.Peers{Self: self, Rank: e.Rank}
+	e.peers = gdpeers.Peers{Self: self, Rank: e.Rank, Seeds: e.seedAddresses()}
+}
+
+func (e *Entry) seedAddresses() []gdflow.Address {
+	var out []gdflow.Address
 	for _, s := range e.Seeds {
 		if a, ok := gdflow.AddressOf(netip.AddrPortFrom(s, e.Feed.Port())); ok {
-			e.peers.Seeds = append(e.peers.Seeds, a)
+			out = append(out, a)
 		}
 	}
+	return out
 }
 
 // remember notes the book's revision for the changes in beacons.
@@ -154,7 +159,7 @@
 		have = e.book.Revision()
 	}
 	e.mu.Unlock()
-	if loaded && b.Revision > have {
+	if b.Revision > have {
 		select {
 		case e.behind <- host:
 		default:
@@ -207,7 +212,12 @@
 			now := time.Now()
 			u.Age += now.Sub(asked)
 			e.mu.Lock()
-			e.takeLocked(now, u, (*gdbelief.Book).Apply, host.String())
+			f := (*gdbelief.Book).Apply
+			if !e.book.Loaded() {
+				// All changes from the first on are the whole state.
+				f = (*gdbelief.Book).Load
+			}
+			e.takeLocked(now, u, f, host.String())
 			e.mu.Unlock()
 		}
 		sleep(ctx, fetchPause)
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -37,16 +37,17 @@
 
 // follow loads the state and then watches the source while it is this host's turn.
 func (e *Entry) follow(ctx context.Context) {
-	whole, failures := true, 0
+	relist, failures := false, 0
 	for ctx.Err() == nil {
-		if !whole && !e.isReading() {
+		loaded := e.isLoaded()
+		if loaded && !e.isReading() {
 			select {
 			case <-ctx.Done():
 			case <-e.turn:
 			}
 			continue
 		}
-		err := e.refresh(ctx, whole)
+		err := e.refresh(ctx, relist || !loaded)
 		if ctx.Err() != nil {
 			return
 		}
@@ -54,7 +55,7 @@
 			if failures > 0 {
 				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", failures)
 			}
-			whole, failures = false, 0
+			relist, failures = false, 0
 			sleep(ctx, gatherTime)
 			continue
 		}
@@ -62,7 +63,7 @@
 			e.Log.Failure(gdlog.PlatformUnreachable, err, "revision", e.revision())
 		}
 		failures++
-		whole = whole && !e.isLoaded() || errors.Is(err, gdbelief.ErrHistoryLost)
+		relist = relist || errors.Is(err, gdbelief.ErrHistoryLost)
 		sleep(ctx, min(retryTime<<min(failures-1, 8), mostRetryTime))
 	}
 }
@@ -95,14 +96,14 @@
 	defer cancel()
 	asked := time.Now()
 	if whole {
-		u, err := e.Source.Load(ctx)
+		u, err := e.source().Load(ctx)
 		if err != nil {
 			return err
 		}
 		e.take(asked, u, (*gdbelief.Book).Load)
 		return nil
 	}
-	u, err := e.Source.Watch(ctx, e.revision(), watchTime)
+	u, err := e.source().Watch(ctx, e.revision(), watchTime)
 	if err != nil {
 		return err
 	}
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -265,6 +265,43 @@
 	require.NoError(t, <-d.ended)
 }
 
+// noSource is a store that answers nothing.
+type noSource struct{}
+
+func (noSource) Load(ctx context.Context) (gdbelief.Update, error) {
+	<-ctx.Done()
+	return gdbelief.Update{}, ctx.Err()
+}
+
+func (noSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (gdbelief.Update, error) {
+	<-ctx.Done()
+	return gdbelief.Update{}, ctx.Err()
+}
+
+// TestHostStartsWhileTheStoreIsDown: it has the state from another entry host.
+func TestHostStartsWhileTheStoreIsDown(t *testing.T) {
+	d := deploy(t)
+	d.openFlow()
+	at := func(a netip.AddrPort) netip.AddrPort {
+		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.5"), a.Port())
+	}
+	second := &gdentry.Entry{
+		Name: "entry-2", Domain: "a", Callers: at(d.entry.Callers), Hop: at(d.entry.Hop), Feed: at(d.entry.Feed),
+		Seeds: []netip.Addr{d.entry.Feed.Addr()}, Codec: platform.Codec{}, Source: noSource{}, Scope: tally.NoopScope,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- second.Run(ctx) }()
+	require.Eventually(t, second.Ready, patience, time.Millisecond)
+	_, err := d.caller.WriteToUDPAddrPort(d.packet(true, ack, 18, 1001, "more"), second.Callers)
+	require.NoError(t, err)
+	require.Equal(t, d.packet(true, ack, 18, 1001, "more"), d.read(d.upstream))
+	stop()
+	require.NoError(t, <-ended)
+	d.stop()
+	require.NoError(t, <-d.ended)
+}
+
 // TestLeavingHostForwardsOn: after the signal the host is not ready, and what still
 // comes is forwarded.
 func TestLeavingHostForwardsOn(t *testing.T) {
--- a/internal/process/gdside/side.go
+++ b/internal/process/gdside/side.go
@@ -77,6 +77,19 @@
 // Ready reports whether the agent lets in new flows.
 func (s *Side) Ready() bool { return !s.leaving.Load() }
 
+// Reload takes over what may change while the process runs: the grace period.
+func (s *Side) Reload(grace time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.Grace = grace
+}
+
+func (s *Side) grace() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.Grace
+}
+
 // Run lets packets through until some time after the context has ended.
 func (s *Side) Run(ctx context.Context) error {
 	if err := s.listen(); err != nil {
@@ -138,7 +151,7 @@
 	t := time.NewTicker(idleCheck)
 	defer t.Stop()
 	for now := range t.C {
-		if passed := now.Sub(began); passed > s.Grace-graceMargin || s.load() == 0 {
+		if passed := now.Sub(began); passed > s.grace()-graceMargin || s.load() == 0 {
 			s.Log.Event(gdlog.DrainEnded, "after", passed.String(), "working", s.load())
 			return
 		}
