Let an agent try its upstream again after it has ended, and look when in doubt

Cause: after the end of its upstream's process an agent refused every new flow, and only a packet of the upstream ended that: one that starts again on the same host beside a living agent would never have had a flow again. Found in reading. Ruled out: taking all flows at once again (they would hang if nothing is there). Change: one flow now and then may try; an upstream that has work and says nothing for 0.15 s is looked at with a connection to its port, which the host refuses if no process listens, and its flows are then reset. Tests: TestUpstreamStartsAgain, TestDoubt; the first failed before.

--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -43,6 +43,11 @@
 	silentAfter = 3
 	// probeInterval is how often a silent upstream gets a request for a flow.
 	probeInterval = 200 * time.Millisecond
+	// doubtTime is how long an upstream at work says nothing before the agent looks
+	// whether its process is there: longer than nearly all requests take.
+	doubtTime = 150 * time.Millisecond
+	// doubtInterval is the time between two such looks.
+	doubtInterval = 500 * time.Millisecond
 )
 
 // Carry is what an entry host says of a packet that it sends.
@@ -99,6 +104,8 @@
 	answers  answers
 	leaving  bool
 	ended    bool
+	heard    time.Time // the last packet of the upstream
+	doubted  time.Time
 	actions  []Action
 }
 
@@ -189,7 +196,7 @@
 // refusal returns why the upstream can't take a new flow, or 0.
 func (g *Guard) refusal(now time.Time, c Carry) Reason {
 	switch {
-	case g.ended:
+	case g.ended && !g.answers.probe(now):
 		return Ended
 	case g.leaving:
 		return Leaving
@@ -258,7 +265,7 @@
 func (g *Guard) FromUpstream(now time.Time, p gdflow.Packet) []Action {
 	g.init(now)
 	g.work.expire(now)
-	g.ended = false
+	g.ended, g.heard = false, now
 	g.answers.received()
 	f, known := g.flows.Get(now, p.Key())
 	if p.Returned {
@@ -310,6 +317,19 @@
 	g.giveBack(p.Key(), entry, NotHeld)
 }
 
+// Doubt reports whether the agent is to look if the upstream's process is there: it
+// has work and has said nothing for a while.
+func (g *Guard) Doubt(now time.Time) bool {
+	if g.ended || g.work.n == 0 || now.Sub(g.heard) < doubtTime || now.Sub(g.doubted) < doubtInterval {
+		return false
+	}
+	if oldest, ok := g.work.oldest(); !ok || now.Sub(oldest) < doubtTime {
+		return false
+	}
+	g.doubted = now
+	return true
+}
+
 // UpstreamEnded is called when the upstream's process is known to be gone. All
 // its flows are ended, so that the callers come back at once.
 func (g *Guard) UpstreamEnded(now time.Time) []Action {
--- a/internal/core/gdguard/guard_test.go
+++ b/internal/core/gdguard/guard_test.go
@@ -75,7 +75,10 @@
 			g.Learn(start, draining.Standing)
 		}, carry(4), gdguard.Draining},
 		{"agent shuts down", func(_ *testing.T, g *gdguard.Guard) { g.Leave() }, carry(5), gdguard.Leaving},
-		{"upstream ended", func(_ *testing.T, g *gdguard.Guard) { g.UpstreamEnded(start) }, carry(5), gdguard.Ended},
+		{"upstream ended", func(_ *testing.T, g *gdguard.Guard) {
+			g.UpstreamEnded(start)
+			g.FromEntry(start, entry, carry(5), openPacket(9)) // one now and then may try
+		}, carry(5), gdguard.Ended},
 		{"all slots at work", func(t *testing.T, g *gdguard.Guard) {
 			for i := range 3 {
 				hold(t, g, start, 10+i, 7)
@@ -224,6 +227,42 @@
 	require.Zero(t, g.Load())
 }
 
+// TestUpstreamStartsAgain: an agent that outlives its upstream lets one flow try now
+// and then, and takes flows again once the upstream answers.
+func TestUpstreamStartsAgain(t *testing.T) {
+	g := &gdguard.Guard{Service: "booking", Fresh: true}
+	g.UpstreamEnded(start)
+	delivered := 0
+	for i := range 100 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		if only(t, g.FromEntry(now, entry, carry(1), openPacket(i))).Verb == gdguard.Deliver {
+			delivered++
+			if delivered == 3 {
+				g.FromUpstream(now, packet(i, gdflow.Accept, 5, 1, 0))
+				break
+			}
+		}
+	}
+	require.Equal(t, 3, delivered)
+	later := start.Add(2*time.Second + 900*time.Millisecond)
+	require.Equal(t, gdguard.Deliver, only(t, g.FromEntry(later, entry, carry(1), openPacket(200))).Verb)
+	require.Equal(t, gdguard.Deliver, only(t, g.FromEntry(later, entry, carry(1), openPacket(201))).Verb)
+}
+
+// TestDoubt: an upstream at work that says nothing is looked at, at times.
+func TestDoubt(t *testing.T) {
+	g := &gdguard.Guard{Service: "booking", Fresh: true}
+	hold(t, g, start, 1, 100)
+	g.FromUpstream(start, packet(1, gdflow.Data, 101, 1, 10))
+	require.False(t, g.Doubt(start.Add(time.Second)), "no work")
+	began := start.Add(time.Second)
+	g.FromEntry(began, entry, carry(1), packet(1, gdflow.Data, 1, 111, 10))
+	require.False(t, g.Doubt(began.Add(100*time.Millisecond)))
+	require.True(t, g.Doubt(began.Add(200*time.Millisecond)))
+	require.False(t, g.Doubt(began.Add(300*time.Millisecond)), "not again at once")
+	require.True(t, g.Doubt(began.Add(800*time.Millisecond)))
+}
+
 // TestSilentUpstream: requests for flows that get no answer make it silent; a probe
 // now and then, and any packet of its own, end that.
 func TestSilentUpstream(t *testing.T) {
--- a/internal/core/gdguard/limits.go
+++ b/internal/core/gdguard/limits.go
@@ -34,6 +34,16 @@
 	}
 }
 
+// oldest returns when the oldest request began that is still at work.
+func (w *workload) oldest() (time.Time, bool) {
+	for _, b := range w.begun {
+		if b.f.working {
+			return b.at, true
+		}
+	}
+	return time.Time{}, false
+}
+
 // expire ends requests that got no answer in time.
 func (w *workload) expire(now time.Time) {
 	i := 0
--- a/internal/process/gdside/packets.go
+++ b/internal/process/gdside/packets.go
@@ -86,19 +86,48 @@
 		if !errors.Is(err, syscall.ECONNREFUSED) {
 			return
 		}
-		now := time.Now()
-		s.mu.Lock()
-		flows := s.Guard.Flows()
-		actions := s.Guard.UpstreamEnded(now)
-		if len(actions) > 0 {
-			s.Log.Event(gdlog.UpstreamEnded, "flows", flows, "resets", len(actions))
+		s.upstreamEnded(time.Now(), out)
+	}
+}
+
+// probeUpstream opens a connection to the upstream's port when the guard doubts that
+// its process is there: a host refuses it when nothing listens.
+func (s *Side) probeUpstream(ctx context.Context) {
+	out := s.newSender()
+	d := net.Dialer{Timeout: probeTime}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.doubt:
+		}
+		c, err := d.DialContext(ctx, "tcp4", s.Upstream.String())
+		switch {
+		case err == nil:
+			if err := c.Close(); err != nil {
+				s.seen.failedWrites.Inc(1)
+			}
+		case errors.Is(err, syscall.ECONNREFUSED):
+			s.upstreamEnded(time.Now(), out)
+		default:
+			s.Log.Failure(gdlog.UpstreamUnreachable, err)
 		}
-		out.do(now, gdflow.Packet{}, nil, actions)
-		s.mu.Unlock()
-		out.flush()
 	}
 }
 
+// upstreamEnded ends the flows of an upstream whose process is gone.
+func (s *Side) upstreamEnded(now time.Time, out *sender) {
+	s.mu.Lock()
+	flows := s.Guard.Flows()
+	actions := s.Guard.UpstreamEnded(now)
+	if len(actions) > 0 {
+		s.Log.Event(gdlog.UpstreamEnded, "flows", flows, "resets", len(actions))
+	}
+	out.do(now, gdflow.Packet{}, nil, actions)
+	s.mu.Unlock()
+	out.flush()
+}
+
 // read hands each datagram to handle, with the guard locked, until the socket is
 // closed.
 func (s *Side) read(ctx context.Context, in *gdbatch.Reader, out *sender,
@@ -119,8 +148,15 @@
 			b, from := in.At(i)
 			handle(now, b, from)
 		}
+		doubt := s.Guard.Doubt(now)
 		s.mu.Unlock()
 		out.flush()
+		if doubt {
+			select {
+			case s.doubt <- struct{}{}:
+			default:
+			}
+		}
 	}
 }
 
--- a/internal/process/gdside/side.go
+++ b/internal/process/gdside/side.go
@@ -37,6 +37,8 @@
 	idleCheck = 20 * time.Millisecond
 	// graceMargin is what is left of the grace period when the agent ends anyway.
 	graceMargin = 500 * time.Millisecond
+	// probeTime bounds a look at the upstream's port, which is on the same host.
+	probeTime = 200 * time.Millisecond
 )
 
 // Codec reads and writes the callers' packets.
@@ -70,6 +72,7 @@
 	hop     *net.UDPConn
 	from    *net.UDPConn
 	to      *net.UDPConn
+	doubt   chan struct{}
 	leaving atomic.Bool
 	seen    counters
 }
@@ -96,11 +99,13 @@
 		return err
 	}
 	s.seen.init(s.Scope)
+	s.doubt = make(chan struct{}, 1)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return s.readEntries(work) })
 	g.Go(func() error { return s.readUpstream(work) })
 	g.Go(func() error { s.watchUpstream(work); return nil })
+	g.Go(func() error { s.probeUpstream(work); return nil })
 	g.Go(func() error {
 		defer stop()
 		s.leave(ctx, work)
