Bound what is let in at busy upstreams, and hold or refuse the rest

Ruled out: letting entry hosts choose by reported loads alone (they change within the time of a report). Change: a flow that no upstream has a free slot for is let in only up to three requests a slot (four if urgent); beyond that it is offered again every 20 ms, and refused once its route's goal has passed. A restarted agent tells after 5 ms that its upstream holds a flow, and not only with the answer.

--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -41,8 +41,16 @@
 	// silentAfter is how many requests for flows in a row go unanswered before the
 	// upstream counts as silent. Two could be lost on their own.
 	silentAfter = 3
+	// forcedDepth and urgentDepth are how many requests for each slot an upstream may
+	// have when a flow is let in because none has a free slot: so many that the last
+	// one's wait is two or three times its work, which the users' goals allow.
+	forcedDepth = 3
+	urgentDepth = 4
 	// probeInterval is how often a silent upstream gets a request for a flow.
 	probeInterval = 200 * time.Millisecond
+	// returnTime is how long an upstream takes at most to return a packet of a flow
+	// that it does not hold, which it does at once and on the same host.
+	returnTime = 5 * time.Millisecond
 	// doubtTime is how long an upstream at work says nothing before the agent looks
 	// whether its process is there: longer than nearly all requests take.
 	doubtTime = 150 * time.Millisecond
@@ -56,8 +64,9 @@
 	Service uint32
 	// Standing is set for packets that open a flow.
 	Standing Standing
-	// Forced says that no upstream with free slots was found.
-	Forced bool
+	// Forced says that no upstream with free slots was found, and Urgent that the
+	// flow is for requests of the first priorities.
+	Forced, Urgent bool
 	// Confirm asks to be told when the upstream holds the flow.
 	Confirm bool
 }
@@ -87,6 +96,13 @@
 	expected uint32 // the next byte that the caller expects
 }
 
+// triedFlow is an unknown flow whose packet was given to the upstream.
+type triedFlow struct {
+	key gdflow.Key
+	f   *flow
+	at  time.Time
+}
+
 // Guard is the decision core of the agent. Its exported fields are set before the
 // first call.
 type Guard struct {
@@ -101,6 +117,7 @@
 	flows    gdrecent.Map[gdflow.Key, *flow]
 	work     workload
 	cold     budget
+	tried    []triedFlow
 	answers  answers
 	leaving  bool
 	ended    bool
@@ -155,6 +172,7 @@
 func (g *Guard) FromEntry(now time.Time, entry gdflow.Address, c Carry, p gdflow.Packet) []Action {
 	g.init(now)
 	g.work.expire(now)
+	g.settleTried(now)
 	switch {
 	case c.Service != gdbelief.HashOf(g.Service):
 		g.giveBack(p.Key(), entry, WrongService)
@@ -206,12 +224,24 @@
 		return Cold
 	case g.answers.silent(now) && !g.answers.probe(now):
 		return Silent
-	case !c.Forced && g.work.n >= int(g.standing.Slots):
+	case g.work.n >= int(g.standing.Slots)*depth(c):
 		return Busy
 	}
 	return 0
 }
 
+// depth returns how many requests for each slot the upstream may have for the flow to
+// be let in.
+func depth(c Carry) int {
+	switch {
+	case c.Forced && c.Urgent:
+		return urgentDepth
+	case c.Forced:
+		return forcedDepth
+	}
+	return 1
+}
+
 // isCold reports whether the cold bound holds. After a start of its own the agent
 // takes the upstream for cold until it is told otherwise.
 func (g *Guard) isCold(now time.Time) bool {
@@ -233,7 +263,10 @@
 		f.state = open
 	}
 	f.entry, f.expected = entry, p.Ack
-	f.confirm = c.Confirm && f.state == unknown
+	if f.state == unknown && c.Confirm && !f.confirm {
+		f.confirm = true
+		g.tried = append(g.tried, triedFlow{key: p.Key(), f: f, at: now})
+	}
 	if c.Confirm && f.state == open {
 		g.add(Action{Verb: Held, Key: p.Key(), Entry: entry})
 	}
@@ -243,6 +276,22 @@
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
 
+// settleTried takes the flows for held whose packets the upstream has not returned.
+func (g *Guard) settleTried(now time.Time) {
+	i := 0
+	for ; i < len(g.tried) && now.Sub(g.tried[i].at) >= returnTime; i++ {
+		if t := g.tried[i]; t.f.state == unknown {
+			t.f.state, t.f.confirm = open, false
+			g.add(Action{Verb: Held, Key: t.key, Entry: t.f.entry})
+		}
+	}
+	if i > 0 {
+		n := copy(g.tried, g.tried[i:])
+		clear(g.tried[n:])
+		g.tried = g.tried[:n]
+	}
+}
+
 // takes reports whether the upstream holds the flow of the packet, or may hold it.
 func (f *flow) takes(p gdflow.Packet) bool {
 	switch f.state {
@@ -265,6 +314,7 @@
 func (g *Guard) FromUpstream(now time.Time, p gdflow.Packet) []Action {
 	g.init(now)
 	g.work.expire(now)
+	g.settleTried(now)
 	g.ended, g.heard = false, now
 	g.answers.received()
 	f, known := g.flows.Get(now, p.Key())
--- a/internal/core/gdsteer/answer.go
+++ b/internal/core/gdsteer/answer.go
@@ -39,7 +39,7 @@
 	if ans.Reason == gdguard.Silent || ans.Reason == gdguard.Ended {
 		s.hosts.avoid(now, ans.From)
 	}
-	if f.state != opening {
+	if f.state != opening || f.search.holding {
 		return
 	}
 	t := f.search.of(ans.From)
@@ -82,7 +82,7 @@
 // searchFrom starts a search after one upstream has said that it does not hold the
 // flow.
 func (s *Steer) searchFrom(now time.Time, r *gdbelief.Route, ans Answer, p gdflow.Packet, f *flow, raw []byte) {
-	s.begin(f, looking, p, raw)
+	s.begin(now, f, looking, p, raw)
 	f.search.tries = append(f.search.tries, try{at: ans.From, answered: true})
 	s.nextLook(now, r, p.Key(), f)
 }
@@ -154,6 +154,10 @@
 	if !ok || f.search == nil || !f.search.deadline.Equal(t.at) {
 		return
 	}
+	if f.search.holding {
+		s.offerAgain(now, t.key, f)
+		return
+	}
 	for i := range f.search.tries {
 		if t := &f.search.tries[i]; !t.answered {
 			s.hosts.unanswered(now, t.at)
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -39,10 +39,16 @@
 		return
 	}
 	if t := sr.least(); t != nil {
-		t.busy = false
+		if sr.forced {
+			s.hold(now, r, k, f)
+			return
+		}
+		sr.forced = true
 		at := t.at
 		sr.drop(at)
-		s.ask(now, r, k, f, at, Action{Opens: true, Reason: LeastLoaded, Carry: gdguard.Carry{Forced: true}})
+		s.ask(now, r, k, f, at, Action{
+			Opens: true, Reason: LeastLoaded, Carry: gdguard.Carry{Forced: true, Urgent: r.Priority <= urgentPriority},
+		})
 		return
 	}
 	if sr.allAnswered() {
@@ -55,6 +61,29 @@
 	s.lose(now, k, f)
 }
 
+// hold lets a flow wait that all upstreams have too much work for, or refuses it when
+// it has waited for its goal.
+func (s *Steer) hold(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
+	sr := f.search
+	if now.Sub(sr.began) >= min(max(r.Goal, leastHold), mostHold) {
+		s.finish(f)
+		f.state = 0
+		s.add(Action{Verb: Reset, Key: k, Reason: Overloaded, Tries: len(sr.tries)})
+		return
+	}
+	sr.holding = true
+	s.await(k, sr, now.Add(holdTime))
+}
+
+// offerAgain offers a flow that has waited to all upstreams anew.
+func (s *Steer) offerAgain(now time.Time, k gdflow.Key, f *flow) {
+	f.search.holding, f.search.forced = false, false
+	f.search.tries = f.search.tries[:0]
+	if r, ok := s.view.Route(k.Service()); ok {
+		s.nextOpen(now, r, k, f)
+	}
+}
+
 // nextLook asks the next upstream whether it holds the flow. Once the likely ones
 // have said no, it asks all others, if their answers can show that the flow is gone.
 func (s *Steer) nextLook(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -57,6 +57,15 @@
 	// busyTries is how many busy upstreams are asked before the least loaded one
 	// gets the flow all the same.
 	busyTries = 3
+	// holdTime is the time after which a flow is offered again that all upstreams have
+	// too much work for: about a request's work.
+	holdTime = 20 * time.Millisecond
+	// leastHold and mostHold bound how long a flow waits so; between them it is its
+	// route's goal, after which no answer could be in time.
+	leastHold = 50 * time.Millisecond
+	mostHold  = 250 * time.Millisecond
+	// urgentPriority is the last priority that counts as urgent.
+	urgentPriority = 1
 	// lostTime is how long a flow that was not found is not searched for again, less
 	// than the callers' shortest time before they send a packet again. It doubles
 	// with each search up to mostLostTime.
@@ -161,7 +170,7 @@
 		s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 		return
 	}
-	s.begin(f, opening, p, raw)
+	s.begin(now, f, opening, p, raw)
 	s.nextOpen(now, r, p.Key(), f)
 }
 
@@ -171,6 +180,10 @@
 	case settled:
 		s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Reason: Known})
 	case opening:
+		if f.search.holding {
+			s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
+			return
+		}
 		at := f.search.last().at
 		s.forward(now, r, at, Action{Key: p.Key(), Packet: raw, Reason: Waiting, Carry: gdguard.Carry{Confirm: true}})
 	case looking:
@@ -185,16 +198,16 @@
 		}
 		fallthrough
 	default:
-		s.begin(f, looking, p, raw)
+		s.begin(now, f, looking, p, raw)
 		s.nextLook(now, r, p.Key(), f)
 	}
 }
 
 // begin starts a search for the flow's upstream.
-func (s *Steer) begin(f *flow, st state, p gdflow.Packet, raw []byte) {
+func (s *Steer) begin(now time.Time, f *flow, st state, p gdflow.Packet, raw []byte) {
 	s.finish(f)
 	f.state = st
-	f.search = &search{ack: p.Ack}
+	f.search = &search{ack: p.Ack, began: now}
 	s.packets++
 	if s.packets <= mostPackets {
 		f.search.packet = append([]byte(nil), raw...)
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -34,6 +34,8 @@
 	NoRoute
 	// NoUpstream: no upstream takes new flows.
 	NoUpstream
+	// Overloaded: no upstream could take the flow within its goal.
+	Overloaded
 	// FlowGone: each upstream that could hold the flow has said that it does not.
 	FlowGone
 	// NotFound: some upstreams did not say whether they hold the flow.
@@ -50,7 +52,7 @@
 
 var reasonNames = [reasons]string{
 	ByRank: "by-rank", Known: "known", LeastLoaded: "least-loaded", NoRoute: "no-route",
-	NoUpstream: "no-upstream", FlowGone: "flow-gone", NotFound: "not-found", NotReady: "not-ready",
+	NoUpstream: "no-upstream", Overloaded: "overloaded", FlowGone: "flow-gone", NotFound: "not-found", NotReady: "not-ready",
 	Waiting: "waiting", Everyone: "everyone",
 }
 
@@ -128,7 +130,10 @@
 	tries    []try
 	deadline time.Time
 	ack      uint32
-	rounds   int // how often those that do not answer were asked again
+	began    time.Time
+	rounds   int  // how often those that do not answer were asked again
+	forced   bool // the least loaded upstream was asked to take the flow all the same
+	holding  bool // all upstreams have too much work for now
 }
 
 // try is one upstream that was asked.
--- a/internal/wire/gdhop/hop.go
+++ b/internal/wire/gdhop/hop.go
@@ -63,6 +63,7 @@
 	flagForced
 	flagConfirm
 	flagTakesNew
+	flagUrgent
 )
 
 // Message is a decoded message.
@@ -90,6 +91,9 @@
 	if c.Forced {
 		flags |= flagForced
 	}
+	if c.Urgent {
+		flags |= flagUrgent
+	}
 	if c.Confirm {
 		flags |= flagConfirm
 	}
@@ -161,6 +165,7 @@
 	}
 	flags := b[2]
 	m.Carry.Forced, m.Carry.Confirm = flags&flagForced != 0, flags&flagConfirm != 0
+	m.Carry.Urgent = flags&flagUrgent != 0
 	m.Carry.Service = binary.BigEndian.Uint32(b[4:])
 	b = b[carrySize:]
 	if flags&flagOpens != 0 {
