Name only the next hosts to read in beacons

Beacons named 32 random hosts. Ruled out: naming none (a host that starts knows only the seeds). Change: beacons name the eight hosts that are the next to read.

--- a/internal/core/gdpeers/peers.go
+++ b/internal/core/gdpeers/peers.go
@@ -55,8 +55,9 @@
 	// beacons, and at a start the time to hear of the others.
 	loneTime   = 2 * BeaconTime
 	secondTime = time.Second
-	// MostMembers bounds the members that a beacon names: 320 bytes.
-	MostMembers = 32
+	// MostMembers bounds the members that a beacon names, those that are the next to
+	// read: 120 bytes.
+	MostMembers = 8
 	// mostKnown bounds the hosts that are remembered.
 	mostKnown = 4096
 )
@@ -302,10 +303,11 @@
 	for a, o := range p.known {
 		// Only hosts that were heard themselves are named, so that one that is gone
 		// is forgotten.
-		if now.Sub(o.heard) < memberTime && len(b.Members) < MostMembers {
+		if now.Sub(o.heard) < memberTime {
 			b.Members = append(b.Members, Member{Address: a, Rank: o.rank})
 		}
 	}
 	slices.SortFunc(b.Members, func(x, y Member) int { return cmp.Compare(x.Rank, y.Rank) })
+	b.Members = b.Members[:min(len(b.Members), MostMembers)]
 	return b
 }
