Tell agents when their upstreams cease to take new flows

Cause: agents learnt their standing from opening packets only, and no entry host that knows of a drain sends one: an entry host that was paused could still open flows at a draining upstream. A standing of the service that had the address before was taken over too. Both found in reading, with tests that failed first (TestAgentsAreToldOfChanges, TestStandingNeverReverts). Change: the two readers send agents the standings that change; an agent takes over those of its own service only. Hosts that stop answering, and answer again, are logged (events 307, 308).

--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -44,10 +44,10 @@
 				}
 			}
 			e := &gdentry.Entry{
-				Name: s.Name(), Domain: s.Domain(), Callers: s.Callers(),
-				Hop:   netip.AddrPortFrom(s.Callers().Addr(), s.HopPort()),
-				Feed:  netip.AddrPortFrom(s.Callers().Addr(), s.FeedPort()),
-				Seeds: s.Seeds(), Rank: s.Rank(),
+				Callers: s.Callers(),
+				Hop:     netip.AddrPortFrom(s.Callers().Addr(), s.HopPort()),
+				Feed:    netip.AddrPortFrom(s.Callers().Addr(), s.FeedPort()),
+				Seeds:   s.Seeds(), Rank: s.Rank(),
 				Codec: platform.Codec{}, Source: store(s),
 				Log: h.log, Scope: h.metrics.Scope(), Grace: s.Grace(),
 			}
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -151,13 +151,17 @@
 // Leave makes the guard refuse new flows because the agent shuts down.
 func (g *Guard) Leave() { g.leaving = true }
 
+func (g *Guard) serves(c Carry) bool { return c.Service == gdbelief.HashOf(g.Service) }
+
 // sure reports whether a flow that the guard does not know can't be held.
 func (g *Guard) sure(now time.Time) bool { return g.Fresh || now.Sub(g.started) > sureAfter }
 
-// Learn takes in a standing unless a newer one is known. It reports whether the
-// belief has changed.
-func (g *Guard) Learn(now time.Time, s Standing) bool {
-	if s.Revision < g.standing.Revision {
+// Learn takes in the standing of a service's upstream, unless a newer one is known or
+// it is about another service, whose address this host may have had. It reports
+// whether the belief has changed.
+func (g *Guard) Learn(now time.Time, c Carry) bool {
+	s := c.Standing
+	if s.Revision < g.standing.Revision || !g.serves(c) {
 		return false
 	}
 	changed := s.TakesNew != g.standing.TakesNew || g.standing.Revision == 0
@@ -174,7 +178,7 @@
 	g.work.expire(now)
 	g.settleTried(now)
 	switch {
-	case c.Service != gdbelief.HashOf(g.Service):
+	case !g.serves(c):
 		g.giveBack(p.Key(), entry, WrongService)
 	case p.Opens():
 		g.openFlow(now, entry, c, p)
@@ -192,7 +196,7 @@
 
 // openFlow decides on a packet that opens a flow.
 func (g *Guard) openFlow(now time.Time, entry gdflow.Address, c Carry, p gdflow.Packet) {
-	g.Learn(now, c.Standing)
+	g.Learn(now, c)
 	f, known := g.flows.Get(now, p.Key())
 	if known && f.state >= asked {
 		f.entry = entry
--- a/internal/core/gdguard/guard_test.go
+++ b/internal/core/gdguard/guard_test.go
@@ -72,7 +72,7 @@
 		{"for another service", nil, wrong, gdguard.WrongService},
 		{"draining", nil, draining, gdguard.Draining},
 		{"draining, as another entry host knows", func(_ *testing.T, g *gdguard.Guard) {
-			g.Learn(start, draining.Standing)
+			g.Learn(start, draining)
 		}, carry(4), gdguard.Draining},
 		{"agent shuts down", func(_ *testing.T, g *gdguard.Guard) { g.Leave() }, carry(5), gdguard.Leaving},
 		{"upstream ended", func(_ *testing.T, g *gdguard.Guard) {
@@ -152,11 +152,21 @@
 // TestStandingNeverReverts: an entry host that was paused says what held before.
 func TestStandingNeverReverts(t *testing.T) {
 	g := &gdguard.Guard{Service: "booking"}
-	require.True(t, g.Learn(start, gdguard.Standing{Revision: 9, TakesNew: false}))
-	require.False(t, g.Learn(start, gdguard.Standing{Revision: 8, TakesNew: true}))
+	learn := func(revision uint64, takesNew bool) bool {
+		c := carry(revision)
+		c.Standing.TakesNew = takesNew
+		return g.Learn(start, c)
+	}
+	require.True(t, learn(9, false))
+	require.False(t, learn(8, true))
 	require.False(t, g.Standing().TakesNew)
-	require.True(t, g.Learn(start, gdguard.Standing{Revision: 10, TakesNew: true}))
+	require.True(t, learn(10, true))
 	require.Equal(t, uint64(10), g.Revision())
+	other := carry(11)
+	other.Service = gdbelief.HashOf("gallery")
+	other.Standing.TakesNew = false
+	require.False(t, g.Learn(start, other), "of the service that had the address before")
+	require.True(t, g.Standing().TakesNew)
 }
 
 // TestCopyAcceptedByTwo: a flow whose opening reached two upstreams is held by the
--- a/internal/core/gdsteer/fleet_test.go
+++ b/internal/core/gdsteer/fleet_test.go
@@ -85,7 +85,7 @@
 	most    int
 	opened  int
 	free    []time.Time // when each slot is free
-	mute    bool // the upstream answers nothing
+	mute    bool        // the upstream answers nothing
 }
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
@@ -144,7 +144,7 @@
 
 func (f *fleet) addEntry(i int) *entry {
 	e := &entry{}
-	e.core.SetView(f.view)
+	e.core.SetView(f.now, f.view)
 	e.core.Confirm(f.now)
 	f.entries[entryAt(i)] = e
 	return e
--- a/internal/core/gdsteer/hosts.go
+++ b/internal/core/gdsteer/hosts.go
@@ -18,7 +18,11 @@
 )
 
 // hosts remembers which hosts have stopped answering.
-type hosts struct{ m map[[4]byte]*host }
+type hosts struct {
+	m map[[4]byte]*host
+	// changed, if set, is told when a host becomes suspect and when it answers again.
+	changed func(at gdflow.Address, suspect bool)
+}
 
 type host struct {
 	unanswered int
@@ -26,7 +30,21 @@
 }
 
 // heard notes an answer.
-func (h *hosts) heard(at gdflow.Address) { delete(h.m, at.IP()) }
+func (h *hosts) heard(at gdflow.Address) {
+	o, ok := h.m[at.IP()]
+	if !ok {
+		return
+	}
+	delete(h.m, at.IP())
+	h.tell(at, o, false)
+}
+
+// tell reports a change of a host that became suspect.
+func (h *hosts) tell(at gdflow.Address, o *host, suspect bool) {
+	if h.changed != nil && o.unanswered >= suspectAfter {
+		h.changed(at, suspect)
+	}
+}
 
 // unanswered notes that a packet got no answer in time.
 func (h *hosts) unanswered(now time.Time, at gdflow.Address) {
@@ -35,6 +53,9 @@
 	if o.unanswered >= suspectAfter {
 		o.until = now.Add(suspectTime)
 	}
+	if o.unanswered == suspectAfter {
+		h.tell(at, o, true)
+	}
 }
 
 // avoid makes a host suspect whose agent says that its upstream is not there.
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -32,7 +32,7 @@
 	// keepFlow is how long an unused flow is remembered at least: the longest idle
 	// timeout in the users' settings, doubled by the map's second generation.
 	keepFlow = 15 * time.Second
-	// mostFlows bounds one generation of flows: 64 bytes each, 4 MB.
+	// mostFlows bounds one generation of flows, to a few megabytes.
 	mostFlows = 1 << 15
 	// mostPackets bounds the packets kept for another try: 1.3 kB each, 1.3 MB.
 	mostPackets = 1024
@@ -82,8 +82,8 @@
 // Steer is the decision core of an entry host. Its exported fields are set before
 // the first call.
 type Steer struct {
-	// Domain is the failure domain of the entry host.
-	Domain string
+	// Suspected, if set, is told when a host becomes suspect and when it answers again.
+	Suspected func(host gdflow.Address, suspect bool)
 
 	view      *gdbelief.View
 	confirmed time.Time
@@ -102,8 +102,30 @@
 	at  time.Time
 }
 
-// SetView puts a view in force.
-func (s *Steer) SetView(v *gdbelief.View) { s.view = v }
+// SetView puts a view in force. It returns what the agents are to be told whose
+// upstreams begin or cease to take new flows: another entry host may not know of the
+// change yet, and the agent is the last to check.
+func (s *Steer) SetView(now time.Time, v *gdbelief.View) []Action {
+	s.init()
+	before := make(map[gdflow.Address]bool)
+	if s.view != nil {
+		for _, m := range s.view.Upstreams() {
+			before[m.Address()] = m.TakesNew(now)
+		}
+	}
+	s.view = v
+	for _, m := range v.Upstreams() {
+		was, known := before[m.Address()]
+		p, ok := v.Pool(m.Upstream().Service)
+		if ok && known && was != m.TakesNew(now) {
+			s.add(Action{
+				Verb: Tell, To: m.Address(),
+				Carry: gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)},
+			})
+		}
+	}
+	return s.actions
+}
 
 // Confirm notes that the view held at the time.
 func (s *Steer) Confirm(at time.Time) { s.confirmed = at }
@@ -124,6 +146,7 @@
 	if s.flows.Keep == 0 {
 		s.flows = gdrecent.Map[gdflow.Key, *flow]{Keep: keepFlow, Most: mostFlows, Dropped: s.dropped}
 	}
+	s.hosts.changed = s.Suspected
 	s.actions = s.actions[:0]
 }
 
--- a/internal/core/gdsteer/steer_test.go
+++ b/internal/core/gdsteer/steer_test.go
@@ -116,7 +116,7 @@
 			var s gdsteer.Steer
 			var b gdbelief.Book
 			require.True(t, b.Load(start, update(3, 3, nil)))
-			s.SetView(b.View())
+			s.SetView(start, b.View())
 			s.Confirm(start.Add(-tt.confirmed))
 			p := gdflow.NewPacket(callerKey(5), gdflow.Data)
 			actions := s.FromCaller(start, p, []byte{0})
@@ -264,7 +264,7 @@
 	var b gdbelief.Book
 	require.True(t, b.Load(start, u))
 	var s gdsteer.Steer
-	s.SetView(b.View())
+	s.SetView(start, b.View())
 	for i := range 200 {
 		p := gdflow.NewPacket(callerKey(i), gdflow.Open)
 		for _, a := range s.FromCaller(start, p, []byte{0}) {
@@ -278,13 +278,36 @@
 	}
 }
 
+// TestAgentsAreToldOfChanges: an entry host that was paused acts on an old view, and the
+// agent refuses what it sends.
+func TestAgentsAreToldOfChanges(t *testing.T) {
+	var b gdbelief.Book
+	require.True(t, b.Load(start, update(3, 3, nil)))
+	var awake, paused gdsteer.Steer
+	require.Empty(t, awake.SetView(start, b.View()), "nothing was different before")
+	paused.SetView(start, b.View())
+	u := update(3, 3, func(_ int, u *gdbelief.Upstream) { u.Draining = true })
+	require.True(t, b.Apply(start, gdbelief.Update{Revision: 101, Changes: []gdbelief.Change{{
+		Subject: u.Changes[1].Subject, Revision: 101, Upstream: u.Changes[1].Upstream,
+	}}}))
+	told := awake.SetView(start, b.View())
+	require.Len(t, told, 1)
+	require.Equal(t, gdsteer.Tell, told[0].Verb)
+	require.Equal(t, upstreamAt(0), told[0].To)
+	agent := gdguard.Guard{Service: "booking", Fresh: true}
+	agent.Learn(start, told[0].Carry)
+	p := gdflow.NewPacket(callerKey(1), gdflow.Open)
+	sent := paused.FromCaller(start, p, []byte{0})[0]
+	require.Equal(t, gdguard.Draining, agent.FromEntry(start, entryAt(1), sent.Carry, p)[0].Reason)
+}
+
 func TestFlowWithoutRouteOrUpstreamIsResetAtOnce(t *testing.T) {
 	var b gdbelief.Book
 	require.True(t, b.Load(start, update(0, 3, nil)))
 	var s gdsteer.Steer
 	p := gdflow.NewPacket(callerKey(1), gdflow.Open)
 	require.Equal(t, gdsteer.NotReady, s.FromCaller(start, p, nil)[0].Reason)
-	s.SetView(b.View())
+	s.SetView(start, b.View())
 	require.Equal(t, gdsteer.NoUpstream, s.FromCaller(start, p, nil)[0].Reason)
 	p = gdflow.NewPacket(gdflow.KeyOf(callerKey(1).Caller(), serviceAt.At(1)), gdflow.Open)
 	require.Equal(t, gdsteer.NoRoute, s.FromCaller(start, p, nil)[0].Reason)
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -17,6 +17,8 @@
 	Reset
 	// Drop does nothing with the packet.
 	Drop
+	// Tell sends an agent its upstream's standing, without a packet.
+	Tell
 )
 
 // Reason says why an entry host does what it does.
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -91,6 +91,9 @@
 	PeerReachable = declare(304, Info, "peer reachable again", nothing)
 	ReadingBegun  = declare(305, Info, "host reads the platform's store", nothing)
 	ReadingEnded  = declare(306, Info, "host hears of changes from others", nothing)
+	HostSilent    = declare(307, Info, "host has stopped answering",
+		"If it lasts: look at the agent there. New flows go elsewhere meanwhile.")
+	HostAnswers = declare(308, Info, "host answers again", nothing)
 )
 
 // Events 400 to 499: datagrams.
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -60,8 +60,6 @@
 
 // Entry is an entry host's process. Its exported fields are set before Run.
 type Entry struct {
-	// Name and Domain are the host's name and failure domain.
-	Name, Domain string
 	// Callers is where the callers' packets arrive; the callers take theirs at the
 	// same port.
 	Callers netip.AddrPort
@@ -130,7 +128,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	e.core.Domain = e.Domain
+	e.core.Suspected = e.suspected
 	e.wake, e.turn = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
 	e.joinPeers()
@@ -206,6 +204,16 @@
 	}
 }
 
+// suspected notes that an agent's host has stopped answering, or answers again. The
+// lock is held.
+func (e *Entry) suspected(host gdflow.Address, suspect bool) {
+	ev := gdlog.HostAnswers
+	if suspect {
+		ev = gdlog.HostSilent
+	}
+	e.seen.event(time.Now(), e.Log, ev, "host", host, "revision", e.book.Revision())
+}
+
 func (e *Entry) flows() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -7,7 +7,9 @@
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 )
 
 const (
@@ -133,7 +135,11 @@
 	}
 	e.remember(now)
 	v := e.book.View()
-	e.core.SetView(v)
+	standings := e.core.SetView(now, v)
+	if e.peers.Reading() {
+		// The readers are the first to know, and two are enough.
+		e.tell(standings)
+	}
 	e.peers.Urge()
 	e.seen.view(v)
 	e.Log.Event(gdlog.ViewChanged, "revision", v.Revision(), "version", v.Version(), "age", u.Age.String(),
@@ -144,6 +150,16 @@
 	}
 }
 
+// tell sends agents the standings of their upstreams.
+func (e *Entry) tell(standings []gdsteer.Action) {
+	for _, a := range standings {
+		b := gdhop.AppendStanding(nil, a.Carry.Service, a.Carry.Standing)
+		if _, err := e.hop.WriteToUDPAddrPort(b, a.To.At(e.Hop.Port()).AddrPort()); err != nil {
+			e.seen.failedWrites.Inc(1)
+		}
+	}
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -146,7 +146,7 @@
 		Upstream: &gdbelief.Upstream{ID: "u1", Service: "booking", Domain: "a", Address: app, Slots: 3},
 	}}
 	d.entry = &gdentry.Entry{
-		Name: "entry-1", Domain: "a", Callers: netip.AddrPortFrom(entry, callers), Hop: netip.AddrPortFrom(entry, hop),
+		Callers: netip.AddrPortFrom(entry, callers), Hop: netip.AddrPortFrom(entry, hop),
 		Feed: netip.AddrPortFrom(entry, feed), Codec: platform.Codec{}, Source: d.source, Scope: tally.NoopScope,
 		Grace: 3 * time.Second,
 	}
@@ -286,7 +286,7 @@
 		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.5"), a.Port())
 	}
 	second := &gdentry.Entry{
-		Name: "entry-2", Domain: "a", Callers: at(d.entry.Callers), Hop: at(d.entry.Hop), Feed: at(d.entry.Feed),
+		Callers: at(d.entry.Callers), Hop: at(d.entry.Hop), Feed: at(d.entry.Feed),
 		Seeds: []netip.Addr{d.entry.Feed.Addr()}, Codec: platform.Codec{}, Source: noSource{}, Scope: tally.NoopScope,
 	}
 	ctx, stop := context.WithCancel(t.Context())
--- a/internal/process/gdside/packets.go
+++ b/internal/process/gdside/packets.go
@@ -32,7 +32,7 @@
 		}
 		switch m.Type {
 		case gdhop.Standing:
-			s.learn(now, entry, m.Carry.Standing)
+			s.learn(now, entry, m.Carry)
 		case gdhop.Carry:
 			p, err := s.Codec.FromCaller(m.Packet)
 			if err != nil {
@@ -40,7 +40,7 @@
 				return
 			}
 			if p.Opens() {
-				s.learn(now, entry, m.Carry.Standing)
+				s.learn(now, entry, m.Carry)
 			}
 			out.do(now, p, m.Packet, s.Guard.FromEntry(now, entry, m.Carry, p))
 		}
@@ -48,8 +48,8 @@
 }
 
 // learn takes in what an entry host says of the upstream.
-func (s *Side) learn(now time.Time, entry gdflow.Address, st gdguard.Standing) {
-	if s.Guard.Learn(now, st) {
+func (s *Side) learn(now time.Time, entry gdflow.Address, c gdguard.Carry) {
+	if st := c.Standing; s.Guard.Learn(now, c) {
 		s.Log.Event(gdlog.StandingChanged, "revision", st.Revision, "takes-new", st.TakesNew, "slots", st.Slots,
 			"cold-left", st.ColdLeft.String(), "source", entry.String())
 	}
