Refuse no flow that a silent upstream may hold, and show state on request

Cause: a flow that was offered to an upstream which said nothing could be refused after it had been offered to the others again; had the first one accepted it, the reset would have met an open flow and "has not run" could have been untrue. A flow whose upstream's address went to another service was dropped until its caller's deadline. Both found in reading. Change: such flows are not refused; a flow whose upstream is not in the view is looked for. One loop reads sockets for both programs (gdpump). /state shows what a process knows. Tests: TestSilentUpstreamForbidsRefusal, TestFlowOfAnAddressUsedAgain; each fails with its check switched off.

--- a/cmd/gdhost/agent.go
+++ b/cmd/gdhost/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/urfave/cli/v3"
@@ -36,6 +37,7 @@
 				Codec: platform.Codec{},
 				Log:   h.log, Scope: h.metrics.Scope(), Grace: s.Grace(),
 			}
+			h.state = func(now time.Time) any { return a.State(now) }
 			h.reload = func(s *platform.Settings) { a.Reload(s.Grace()) }
 			return h.run(ctx, a.Ready, a.Run)
 		},
--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -51,6 +51,7 @@
 				Codec: platform.Codec{}, Source: store(s),
 				Log: h.log, Scope: h.metrics.Scope(), Grace: s.Grace(),
 			}
+			h.state = func(now time.Time) any { return e.State(now) }
 			h.reload = func(s *platform.Settings) { e.Reload(s.Seeds(), store(s), s.Grace()) }
 			return h.run(ctx, e.Ready, e.Run)
 		},
--- a/cmd/gdhost/host.go
+++ b/cmd/gdhost/host.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -22,6 +23,8 @@
 	// deploy/system.toml tells the platform.
 	metricsPort = 9464
 	metricsPath = "/metrics"
+	// statePath is where a process shows its state, at the same port.
+	statePath = "/state"
 	// headerTime bounds the time that an HTTP client may take to send its request.
 	headerTime = 2 * time.Second
 )
@@ -41,6 +44,7 @@
 	path     string
 	settings *platform.Settings
 	reload   func(*platform.Settings)
+	state    func(now time.Time) any
 	log      gdlog.Logger
 	metrics  *gdmetric.Metrics
 	lines    *gdlog.Queue
@@ -69,9 +73,13 @@
 	h.log.Event(gdlog.ProcessStarted, "domain", h.settings.Domain(), "first-start", h.settings.FirstStart())
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g, serving := errgroup.WithContext(serving)
-	g.Go(func() error { return serve(serving, h.settings.Ready(), platform.ReadyPath, readiness(ready)) })
-	metrics := netip.AddrPortFrom(h.settings.Ready().Addr(), metricsPort)
-	g.Go(func() error { return serve(serving, metrics, metricsPath, h.metrics) })
+	g.Go(func() error {
+		return serve(serving, h.settings.Ready(), map[string]http.Handler{platform.ReadyPath: readiness(ready)})
+	})
+	g.Go(func() error {
+		at := netip.AddrPortFrom(h.settings.Ready().Addr(), metricsPort)
+		return serve(serving, at, map[string]http.Handler{metricsPath: h.metrics, statePath: http.HandlerFunc(h.dump)})
+	})
 	g.Go(func() error { h.watchSettings(serving); return nil })
 	err := work(ctx)
 	stop()
@@ -97,19 +105,29 @@
 	})
 }
 
-// serve answers at one path until the context ends.
-func serve(ctx context.Context, at netip.AddrPort, path string, h http.Handler) error {
+// dump answers with the state of the process.
+func (h *host) dump(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(h.state(time.Now())); err != nil {
+		h.log.Failure(gdlog.PeerUnreachable, err, "asked", statePath)
+	}
+}
+
+// serve answers at the paths until the context ends.
+func serve(ctx context.Context, at netip.AddrPort, paths map[string]http.Handler) error {
 	l, err := net.Listen("tcp4", at.String())
 	if err != nil {
 		return errors.Wrapf(err, "listen at %s", at)
 	}
 	mux := http.NewServeMux()
-	mux.Handle(path, h)
+	for path, h := range paths {
+		mux.Handle(path, h)
+	}
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", path)
+		return errors.Wrapf(err, "serve at %s", at)
 	}
 	return nil
 }
--- a/cmd/gdhost/main_test.go
+++ b/cmd/gdhost/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -40,6 +41,34 @@
 `, ip, port(), port(), hop, hop+10)
 }
 
+// captureLog sends standard output to a file until the test ends. What it returns
+// reports whether the file has the text.
+func captureLog(t *testing.T) func(text string) func() bool {
+	t.Helper()
+	log := filepath.Join(t.TempDir(), "log")
+	out, err := os.Create(log)
+	require.NoError(t, err)
+	stdout := os.Stdout
+	os.Stdout = out
+	t.Cleanup(func() { os.Stdout = stdout })
+	return func(text string) func() bool {
+		return func() bool {
+			data, err := os.ReadFile(log)
+			return err == nil && strings.Contains(string(data), text)
+		}
+	}
+}
+
+func requireState(t *testing.T, url string) {
+	t.Helper()
+	res, err := http.Get(url)
+	require.NoError(t, err)
+	defer res.Body.Close()
+	state, err := io.ReadAll(res.Body)
+	require.NoError(t, err)
+	require.Contains(t, string(state), `"revision":0`)
+}
+
 // TestChangedSettings: a signal, and a change without one, are taken over by the
 // running process; bad settings leave the old ones in force.
 func TestChangedSettings(t *testing.T) {
@@ -48,24 +77,12 @@
 	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
 	s, err := platform.LoadSettings(path)
 	require.NoError(t, err)
-	log := filepath.Join(t.TempDir(), "log")
-	out, err := os.Create(log)
-	require.NoError(t, err)
-	stdout := os.Stdout
-	os.Stdout = out
-	defer func() { os.Stdout = stdout }()
-
+	logged := captureLog(t)
 	ended := make(chan error, 1)
 	go func() { ended <- app().Run(t.Context(), []string{"gdhost", "agent", "--settings", path}) }()
 	require.ErrorContains(t, <-ended, "name no upstream")
 	ctx, stop := context.WithCancel(t.Context())
 	go func() { ended <- app().Run(ctx, []string{"gdhost", "entry", "--settings", path}) }()
-	logged := func(text string) func() bool {
-		return func() bool {
-			data, err := os.ReadFile(log)
-			return err == nil && strings.Contains(string(data), text)
-		}
-	}
 	ready := func() (int, error) {
 		res, err := http.Get("http://" + s.Ready().String() + platform.ReadyPath)
 		if err != nil {
@@ -86,6 +103,7 @@
 	code, err := ready()
 	require.NoError(t, err, "the process goes on")
 	require.Equal(t, http.StatusServiceUnavailable, code)
+	requireState(t, fmt.Sprintf("http://%s:%d%s", s.Ready().Addr(), metricsPort, statePath))
 	stop()
 	require.NoError(t, <-ended)
 }
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -267,12 +267,8 @@
 		f.state = open
 	}
 	f.entry, f.expected = entry, p.Ack
-	if f.state == unknown && c.Confirm && !f.confirm {
-		f.confirm = true
-		g.tried = append(g.tried, triedFlow{key: p.Key(), f: f, at: now})
-	}
-	if c.Confirm && f.state == open {
-		g.add(Action{Verb: Held, Key: p.Key(), Entry: entry})
+	if c.Confirm {
+		g.confirm(now, p.Key(), f)
 	}
 	if p.Size > 0 {
 		g.work.begin(now, f)
@@ -280,6 +276,18 @@
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
 
+// confirm tells the entry host that the flow is held, or will do so when the upstream
+// has shown it.
+func (g *Guard) confirm(now time.Time, k gdflow.Key, f *flow) {
+	switch {
+	case f.state == open:
+		g.add(Action{Verb: Held, Key: k, Entry: f.entry})
+	case f.state == unknown && !f.confirm:
+		f.confirm = true
+		g.tried = append(g.tried, triedFlow{key: k, f: f, at: now})
+	}
+}
+
 // settleTried takes the flows for held whose packets the upstream has not returned.
 func (g *Guard) settleTried(now time.Time) {
 	i := 0
--- a/internal/core/gdsteer/answer.go
+++ b/internal/core/gdsteer/answer.go
@@ -160,6 +160,7 @@
 	}
 	for i := range f.search.tries {
 		if t := &f.search.tries[i]; !t.answered {
+			f.search.silent = true
 			s.hosts.unanswered(now, t.at)
 		}
 	}
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -51,8 +51,9 @@
 		})
 		return
 	}
-	if sr.allAnswered() {
-		// Each upstream has refused, so the request has not run.
+	if sr.allAnswered() && !sr.silent {
+		// Each upstream has refused, so the request has not run. One that said nothing
+		// may have accepted the flow.
 		s.finish(f)
 		f.state = 0
 		s.add(Action{Verb: Reset, Key: k, Reason: NoUpstream, Tries: len(sr.tries)})
@@ -66,6 +67,10 @@
 func (s *Steer) hold(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
 	sr := f.search
 	if now.Sub(sr.began) >= min(max(r.Goal, leastHold), mostHold) {
+		if sr.silent {
+			s.lose(now, k, f)
+			return
+		}
 		s.finish(f)
 		f.state = 0
 		s.add(Action{Verb: Reset, Key: k, Reason: Overloaded, Tries: len(sr.tries)})
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -201,6 +201,12 @@
 func (s *Steer) callerSends(now time.Time, r *gdbelief.Route, f *flow, p gdflow.Packet, raw []byte) {
 	switch f.state {
 	case settled:
+		if s.member(r, f.at) == nil {
+			// The address went to another service, or was forgotten.
+			s.begin(now, f, looking, p, raw)
+			s.nextLook(now, r, p.Key(), f)
+			return
+		}
 		s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Reason: Known})
 	case opening:
 		if f.search.holding {
--- a/internal/core/gdsteer/steer_test.go
+++ b/internal/core/gdsteer/steer_test.go
@@ -142,6 +142,58 @@
 	require.Equal(t, gdsteer.NoUpstream, f.resets[callerKey(1)])
 }
 
+// TestSilentUpstreamForbidsRefusal: an upstream that was offered the flow and said
+// nothing may have accepted it, so "has not run" could be untrue.
+func TestSilentUpstreamForbidsRefusal(t *testing.T) {
+	for _, reason := range []gdguard.Reason{gdguard.Draining, gdguard.Busy} {
+		var s gdsteer.Steer
+		var b gdbelief.Book
+		require.True(t, b.Load(start, update(2, 3, nil)))
+		s.SetView(start, b.View())
+		now := start
+		p := gdflow.NewPacket(callerKey(5), gdflow.Open)
+		first := s.FromCaller(now, p, []byte{0})[0].To
+		now = s.NextTick()
+		var all []gdsteer.Action
+		for actions := s.Tick(now); now.Before(start.Add(time.Second)); actions = s.Tick(now) {
+			for len(actions) > 0 && actions[0].Verb == gdsteer.Forward && actions[0].To != first {
+				all = append(all, actions...)
+				actions = s.Returned(now, gdsteer.Answer{From: actions[0].To, Reason: reason}, p, []byte{0})
+			}
+			all = append(all, actions...)
+			if s.NextTick().IsZero() {
+				break
+			}
+			now = s.NextTick()
+		}
+		require.NotEmpty(t, all)
+		for _, a := range all {
+			require.NotEqual(t, gdsteer.Reset, a.Verb, reason.String())
+		}
+	}
+}
+
+// TestFlowOfAnAddressUsedAgain: the flow's upstream is gone, and another service has its
+// address; the caller is told.
+func TestFlowOfAnAddressUsedAgain(t *testing.T) {
+	f := newFleet(t, 1, 1, 3)
+	f.open(0, callerKey(1))
+	f.run(time.Second)
+	var b gdbelief.Book
+	require.True(t, b.Load(f.now, update(2, 3, func(i int, u *gdbelief.Upstream) {
+		if i == 0 {
+			u.Service = "gallery"
+		}
+	})))
+	f.addSide(1, true)
+	e := f.entries[entryAt(0)]
+	e.core.SetView(f.now, b.View())
+	f.request(0, callerKey(1))
+	f.run(time.Second)
+	require.Equal(t, gdsteer.FlowGone, f.resets[callerKey(1)])
+	require.Zero(t, f.took()+f.wrong(), "nothing reaches the other service")
+}
+
 // TestPowerLoss is the pattern of a loss of power: all hosts start again, and all
 // callers send on flows that nobody holds any more, or open new ones at once.
 func TestPowerLoss(t *testing.T) {
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -135,6 +135,7 @@
 	began    time.Time
 	rounds   int  // how often those that do not answer were asked again
 	forced   bool // the least loaded upstream was asked to take the flow all the same
+	silent   bool // an upstream that was offered the flow has not answered in time
 	holding  bool // all upstreams have too much work for now
 }
 
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"net/netip"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdpump"
 	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
 	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 )
@@ -85,16 +83,7 @@
 func (e *Entry) read(ctx context.Context, in *gdbatch.Reader,
 	handle func(time.Time, []byte, netip.AddrPort), out *sender,
 ) error {
-	for {
-		n, err := in.Read()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			e.seen.failedReads.Inc(1)
-			continue
-		}
-		now := time.Now()
+	return gdpump.Run(ctx, in, func() { e.seen.failedReads.Inc(1) }, func(now time.Time, n int) {
 		e.mu.Lock()
 		for i := range n {
 			b, from := in.At(i)
@@ -109,7 +98,7 @@
 			default:
 			}
 		}
-	}
+	})
 }
 
 // tick looks after the searches' time limits while there are any.
--- a/internal/process/gdside/packets.go
+++ b/internal/process/gdside/packets.go
@@ -12,6 +12,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdpump"
 	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
 	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 )
@@ -133,16 +134,7 @@
 func (s *Side) read(ctx context.Context, in *gdbatch.Reader, out *sender,
 	handle func(time.Time, []byte, netip.AddrPort),
 ) error {
-	for {
-		n, err := in.Read()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			s.seen.failedReads.Inc(1)
-			continue
-		}
-		now := time.Now()
+	return gdpump.Run(ctx, in, func() { s.seen.failedReads.Inc(1) }, func(now time.Time, n int) {
 		s.mu.Lock()
 		for i := range n {
 			b, from := in.At(i)
@@ -157,7 +149,7 @@
 			default:
 			}
 		}
-	}
+	})
 }
 
 // sender carries out the guard's actions. It belongs to one goroutine.
