--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -338,13 +338,13 @@
 		f = &flow{state: open}
 		g.flows.Put(now, p.Key(), f)
 	}
-	g.answered(now, f, p)
+	g.answered(f, p)
 	g.add(Action{Verb: ToCaller, Key: p.Key()})
 	return g.actions
 }
 
 // answered follows the state of a flow by what the upstream sends on it.
-func (g *Guard) answered(_ time.Time, f *flow, p gdflow.Packet) {
+func (g *Guard) answered(f *flow, p gdflow.Packet) {
 	switch {
 	case p.Kind == gdflow.Accept && f.state <= half:
 		f.state, f.accepted = half, p.Seq
--- a/internal/process/gdside/packets.go
+++ b/internal/process/gdside/packets.go
@@ -144,14 +144,19 @@
 		s.mu.Unlock()
 		out.flush()
 		if doubt {
-			select {
-			case s.doubt <- struct{}{}:
-			default:
-			}
+			s.lookAtUpstream()
 		}
 	})
 }
 
+// lookAtUpstream has the upstream's port probed, if that is not being done already.
+func (s *Side) lookAtUpstream() {
+	select {
+	case s.doubt <- struct{}{}:
+	default:
+	}
+}
+
 // sender carries out the guard's actions. It belongs to one goroutine.
 type sender struct {
 	s   *Side
@@ -171,7 +176,9 @@
 		switch a.Verb {
 		case gdguard.Deliver:
 			if _, err := s.to.Write(raw); err != nil {
+				// The refusal of an earlier packet may show here and not at watchUpstream.
 				s.seen.failedWrites.Inc(1)
+				s.lookAtUpstream()
 			}
 		case gdguard.ToCaller:
 			d.out.Queue(append(d.out.Buffer(), raw...), a.Key.Caller().At(s.CallerPort).AddrPort())
