Call an agent ready only when its sockets are open

The agent said that it was ready before it had opened its sockets, and the packet of a caller that sends nothing twice was lost. Shown by a run with 0.3 s of delay before the sockets are opened: the same failure at the same line; with the change and the same delay it passes. Ruled out: a longer patience (nothing sends the packet again). Change: Ready needs open sockets; the test waits for both processes.

--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -161,7 +161,9 @@
 	g.Go(func() error { return d.entry.Run(ctx) })
 	g.Go(func() error { return agent.Run(ctx) })
 	go func() { d.ended <- g.Wait() }()
-	require.Eventually(t, d.entry.Ready, patience, time.Millisecond)
+	// What arrives before a socket is open is lost, and the caller here sends nothing
+	// twice.
+	require.Eventually(t, func() bool { return d.entry.Ready() && agent.Ready() }, patience, time.Millisecond)
 	return d
 }
 
--- a/internal/process/gdside/side.go
+++ b/internal/process/gdside/side.go
@@ -73,12 +73,14 @@
 	from    *net.UDPConn
 	to      *net.UDPConn
 	doubt   chan struct{}
+	serving atomic.Bool // all sockets are open
 	leaving atomic.Bool
 	seen    counters
 }
 
-// Ready reports whether the agent lets in new flows.
-func (s *Side) Ready() bool { return !s.leaving.Load() }
+// Ready reports whether the agent lets in new flows: its sockets are open, and it does
+// not shut down.
+func (s *Side) Ready() bool { return s.serving.Load() && !s.leaving.Load() }
 
 // Reload takes over what may change while the process runs: the grace period.
 func (s *Side) Reload(grace time.Duration) {
@@ -100,6 +102,7 @@
 	}
 	s.seen.init(s.Scope)
 	s.doubt = make(chan struct{}, 1)
+	s.serving.Store(true)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return s.readEntries(work) })
