--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -43,6 +43,8 @@
 
 // joinPeers sets up what the host knows of others at its start.
 func (e *Entry) joinPeers() {
+	e.mu.Lock() // settings may be reloaded while the host starts
+	defer e.mu.Unlock()
 	self, _ := gdflow.AddressOf(e.Feed)
 	e.peers = gdpeers.Peers{Self: self, Rank: e.Rank, Seeds: e.seedAddresses()}
 }
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -304,6 +304,24 @@
 	require.NoError(t, <-d.ended)
 }
 
+// TestReloadWhileStarting: settings may be reloaded before the host runs; the race
+// detector sees an access without the lock.
+func TestReloadWhileStarting(t *testing.T) {
+	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.7"), 0)
+	e := &gdentry.Entry{
+		Callers: at, Hop: at, Feed: netip.AddrPortFrom(at.Addr(), freePort(t)),
+		Codec: platform.Codec{}, Source: noSource{}, Scope: tally.NoopScope,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	for until := time.Now().Add(100 * time.Millisecond); time.Now().Before(until); {
+		e.Reload(nil, noSource{}, 0)
+	}
+	stop()
+	require.NoError(t, <-ended)
+}
+
 // TestLeavingHostForwardsOn: after the signal the host is not ready, and what still
 // comes is forwarded.
 func TestLeavingHostForwardsOn(t *testing.T) {
