Walk a route's upstreams in one place

Cause: last reading: four loops over a route's services and their upstreams, and two looks for the same upstream with each packet of a known flow. Change: Steer.members yields them; a packet of a known flow looks once. Three accessors that nothing called are gone. Behaviour and tests are as before.

--- a/internal/core/gdbelief/view.go
+++ b/internal/core/gdbelief/view.go
@@ -54,9 +54,6 @@
 // Address returns the upstream's address, which is on the host of its agent.
 func (m *Member) Address() gdflow.Address { return m.upstream.Address }
 
-// Revision returns the revision of the state.
-func (m *Member) Revision() uint64 { return m.revision }
-
 // Seed returns the number by which the upstream is ranked for a flow. It follows
 // from the address alone, so that an upstream that starts again keeps its rank.
 func (m *Member) Seed() uint64 { return m.seed }
@@ -72,9 +69,6 @@
 // Gone reports whether the registration was removed, and since when.
 func (m *Member) Gone() (time.Time, bool) { return m.since, m.gone }
 
-// DomainOut reports whether the upstream's failure domain is out.
-func (m *Member) DomainOut() bool { return m.domainOut }
-
 // ColdLeft returns how long the upstream stays cold.
 func (m *Member) ColdLeft(now time.Time) time.Duration {
 	return max(0, m.since.Add(m.upstream.ColdFor).Sub(now))
@@ -86,9 +80,6 @@
 // Version returns the version of the configuration.
 func (v *View) Version() uint64 { return v.config.Version }
 
-// IdleTimeout returns how long a flow may be silent.
-func (v *View) IdleTimeout() time.Duration { return v.config.IdleTimeout }
-
 // Route returns the route at the address.
 func (v *View) Route(a gdflow.Address) (*Route, bool) {
 	r, ok := v.routes[a]
--- a/internal/core/gdsteer/answer.go
+++ b/internal/core/gdsteer/answer.go
@@ -116,13 +116,9 @@
 	if !ok {
 		return host
 	}
-	for i := range r.Shares {
-		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
-			for _, m := range p.Members() {
-				if m.Address().IP() == host.IP() {
-					return m.Address()
-				}
-			}
+	for m := range s.members(r) {
+		if m.Address().IP() == host.IP() {
+			return m.Address()
 		}
 	}
 	return host
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -114,13 +114,9 @@
 // askOthers asks all upstreams that were not asked yet.
 func (s *Steer) askOthers(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
 	var others []gdflow.Address
-	for i := range r.Shares {
-		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
-			for _, m := range p.Members() {
-				if f.search.of(m.Address()) == nil {
-					others = append(others, m.Address())
-				}
-			}
+	for m := range s.members(r) {
+		if f.search.of(m.Address()) == nil {
+			others = append(others, m.Address())
 		}
 	}
 	for _, at := range others {
@@ -135,13 +131,9 @@
 	if now.Sub(s.confirmed) > freshAge || s.Behind() {
 		return false
 	}
-	for i := range r.Shares {
-		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
-			for _, m := range p.Members() {
-				if s.hosts.suspect(now, m.Address()) && !left(now, m) {
-					return false
-				}
-			}
+	for m := range s.members(r) {
+		if s.hosts.suspect(now, m.Address()) && !left(now, m) {
+			return false
 		}
 	}
 	return s.wide.take(now, widePerSecond, wideBurst)
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -20,6 +20,7 @@
 package gdsteer
 
 import (
+	"iter"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
@@ -201,13 +202,14 @@
 func (s *Steer) callerSends(now time.Time, r *gdbelief.Route, f *flow, p gdflow.Packet, raw []byte) {
 	switch f.state {
 	case settled:
-		if s.member(r, f.at) == nil {
+		m := s.member(r, f.at)
+		if m == nil {
 			// The address went to another service, or was forgotten.
 			s.begin(now, f, looking, p, raw)
 			s.nextLook(now, r, p.Key(), f)
 			return
 		}
-		s.forward(now, r, f.at, Action{Key: p.Key(), Packet: raw, Reason: Known})
+		s.forwardTo(now, m, Action{Key: p.Key(), Packet: raw, Reason: Known})
 	case opening:
 		if f.search.holding {
 			s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
@@ -267,15 +269,21 @@
 	}
 }
 
-// forward adds the action of sending a packet to an upstream's agent.
+// forward adds the action of sending a packet to the agent of the upstream at the
+// address.
 func (s *Steer) forward(now time.Time, r *gdbelief.Route, to gdflow.Address, a Action) {
-	a.Verb, a.To = Forward, to
 	m := s.member(r, to)
 	if m == nil {
-		a.Verb, a.Reason = Drop, NotFound
+		a.Verb, a.To, a.Reason = Drop, to, NotFound
 		s.add(a)
 		return
 	}
+	s.forwardTo(now, m, a)
+}
+
+// forwardTo adds the action of sending a packet to an upstream's agent.
+func (s *Steer) forwardTo(now time.Time, m *gdbelief.Member, a Action) {
+	a.Verb, a.To = Forward, m.Address()
 	p, ok := s.view.Pool(m.Upstream().Service)
 	if !ok {
 		a.Verb, a.Reason = Drop, NotFound
@@ -289,17 +297,30 @@
 	s.add(a)
 }
 
-// member returns the upstream at the address, if the route leads to it.
-func (s *Steer) member(r *gdbelief.Route, at gdflow.Address) *gdbelief.Member {
-	for i := range r.Shares {
-		if p, ok := s.view.Pool(r.Shares[i].Service); ok {
+// members yields the upstreams to which the route leads.
+func (s *Steer) members(r *gdbelief.Route) iter.Seq[*gdbelief.Member] {
+	return func(yield func(*gdbelief.Member) bool) {
+		for i := range r.Shares {
+			p, ok := s.view.Pool(r.Shares[i].Service)
+			if !ok {
+				continue
+			}
 			for _, m := range p.Members() {
-				if m.Address() == at {
-					return m
+				if !yield(m) {
+					return
 				}
 			}
 		}
 	}
+}
+
+// member returns the upstream at the address, if the route leads to it.
+func (s *Steer) member(r *gdbelief.Route, at gdflow.Address) *gdbelief.Member {
+	for m := range s.members(r) {
+		if m.Address() == at {
+			return m
+		}
+	}
 	return nil
 }
 
