Measure how long flows take to settle and upstreams to answer

Ruled out: a time for each packet, which costs a clock reading on the path. Change: the cores tell the processes how long a flow was on offer or sought, and how long a request was with its upstream; both are histograms of 0.5 ms to 4 s.

--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -92,8 +92,9 @@
 	state    state
 	confirm  bool
 	working  bool
-	accepted uint32 // the upstream's number in its acceptance
-	expected uint32 // the next byte that the caller expects
+	since    time.Time // when the request at work was let in
+	accepted uint32    // the upstream's number in its acceptance
+	expected uint32    // the next byte that the caller expects
 }
 
 // triedFlow is an unknown flow whose packet was given to the upstream.
@@ -110,6 +111,9 @@
 	Service string
 	// Fresh says that the upstream has started no earlier than the agent.
 	Fresh bool
+	// Answered, if set, is told how long a request was with the upstream until the
+	// first bytes of its answer.
+	Answered func(took time.Duration)
 
 	started  time.Time
 	standing Standing
@@ -338,13 +342,13 @@
 		f = &flow{state: open}
 		g.flows.Put(now, p.Key(), f)
 	}
-	g.answered(f, p)
+	g.answered(now, f, p)
 	g.add(Action{Verb: ToCaller, Key: p.Key()})
 	return g.actions
 }
 
 // answered follows the state of a flow by what the upstream sends on it.
-func (g *Guard) answered(f *flow, p gdflow.Packet) {
+func (g *Guard) answered(now time.Time, f *flow, p gdflow.Packet) {
 	switch {
 	case p.Kind == gdflow.Accept && f.state <= half:
 		f.state, f.accepted = half, p.Seq
@@ -356,6 +360,9 @@
 			g.add(Action{Verb: Held, Key: p.Key(), Entry: f.entry})
 		}
 	}
+	if p.Size > 0 && f.working && g.Answered != nil {
+		g.Answered(now.Sub(f.since))
+	}
 	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
 		g.work.end(f)
 	}
--- a/internal/core/gdguard/guard_test.go
+++ b/internal/core/gdguard/guard_test.go
@@ -327,3 +327,18 @@
 		g.FromUpstream(start, out)
 	}))
 }
+
+// TestAnswerTimeIsTold: once a request, from its bytes to the first of the answer.
+func TestAnswerTimeIsTold(t *testing.T) {
+	var told []time.Duration
+	g := &gdguard.Guard{Service: "booking", Fresh: true, Answered: func(took time.Duration) { told = append(told, took) }}
+	hold(t, g, start, 1, 1000)
+	g.FromUpstream(start, packet(1, gdflow.Data, 1001, 1, 0))
+	require.Empty(t, told, "an acknowledgement is no answer")
+	g.FromEntry(start, entry, carry(1), packet(1, gdflow.Data, 1, 1001, 100))
+	for i := range 3 {
+		at := start.Add(time.Duration(20+i) * time.Millisecond)
+		g.FromUpstream(at, packet(1, gdflow.Data, uint32(1001+1200*i), 101, 1200))
+	}
+	require.Equal(t, []time.Duration{20 * time.Millisecond}, told)
+}
--- a/internal/core/gdguard/limits.go
+++ b/internal/core/gdguard/limits.go
@@ -22,7 +22,7 @@
 	if f.working {
 		return
 	}
-	f.working = true
+	f.working, f.since = true, now
 	w.n++
 	w.begun = append(w.begun, begun{f: f, at: now})
 }
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -85,6 +85,9 @@
 type Steer struct {
 	// Suspected, if set, is told when a host becomes suspect and when it answers again.
 	Suspected func(host gdflow.Address, suspect bool)
+	// Settled, if set, is told how long a flow's upstream was looked for, or how long
+	// the flow was on offer, when an upstream has it.
+	Settled func(took time.Duration)
 
 	view      *gdbelief.View
 	confirmed time.Time
@@ -258,6 +261,9 @@
 	var later [][]byte
 	if f.search != nil {
 		later = f.search.later
+		if s.Settled != nil {
+			s.Settled(now.Sub(f.search.began))
+		}
 	}
 	s.finish(f)
 	f.state, f.at, f.losses = settled, at, 0
--- a/internal/core/gdsteer/steer_test.go
+++ b/internal/core/gdsteer/steer_test.go
@@ -375,3 +375,15 @@
 	raw := make([]byte, 100)
 	require.Zero(t, testing.AllocsPerRun(1000, func() { e.core.FromCaller(f.now, p, raw) }))
 }
+
+// TestSettleTimeIsTold: the way of an offer and its answer, once a flow.
+func TestSettleTimeIsTold(t *testing.T) {
+	f := newFleet(t, 1, 2, 1)
+	var told []time.Duration
+	f.entries[entryAt(0)].core.Settled = func(took time.Duration) { told = append(told, took) }
+	f.open(0, callerKey(1))
+	f.run(time.Second)
+	f.request(0, callerKey(1))
+	f.run(time.Second)
+	require.Equal(t, []time.Duration{2 * hop}, told)
+}
--- a/internal/operate/gdmetric/metrics.go
+++ b/internal/operate/gdmetric/metrics.go
@@ -13,6 +13,20 @@
 // latest.
 const ReportInterval = time.Second
 
+const (
+	// shortestBucket is the bound of the first latency bucket: about a round trip
+	// between two hosts.
+	shortestBucket = 500 * time.Microsecond
+	// latencyBuckets is the number of buckets, each twice as wide as the one before:
+	// the last bound is 4 s, longer than any deadline.
+	latencyBuckets = 14
+)
+
+// LatencyBuckets returns the bounds of a histogram of times within a deployment.
+func LatencyBuckets() tally.DurationBuckets {
+	return tally.MustMakeExponentialDurationBuckets(shortestBucket, 2, latencyBuckets)
+}
+
 // Metrics joins a tally scope with the reporter to which it reports.
 type Metrics struct {
 	scope    tally.Scope
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -10,6 +10,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlines"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
 )
 
 // counters are the metrics of an entry host and the bound of its log.
@@ -18,6 +19,7 @@
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
 	returns                   []tally.Counter
+	settleTime                tally.Histogram
 	revision, version         tally.Gauge
 	upstreams                 tally.Gauge
 	lines                     gdlines.Bound
@@ -29,6 +31,7 @@
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
 	c.revision, c.version = scope.Gauge("revision"), scope.Gauge("version")
 	c.upstreams = scope.Gauge("upstreams")
+	c.settleTime = scope.Histogram("settle_seconds", gdmetric.LatencyBuckets())
 	for r := range gdsteer.Reasons() {
 		tagged := scope.Tagged(map[string]string{"reason": gdsteer.Reason(r).String()})
 		c.forwards = append(c.forwards, tagged.Counter("packets_forwarded"))
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -133,6 +133,7 @@
 	e.behind = make(chan gdflow.Address, 1)
 	e.joinPeers()
 	e.seen.init(e.Scope)
+	e.core.Settled = e.seen.settleTime.RecordDuration
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return e.readCallers(work) })
--- a/internal/process/gdside/counters.go
+++ b/internal/process/gdside/counters.go
@@ -8,6 +8,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlines"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
 )
 
 // counters are the metrics of an agent and the bound of its log.
@@ -17,6 +18,7 @@
 	delivered, answered       tally.Counter
 	resets, opened            tally.Counter
 	returns                   []tally.Counter
+	answerTime                tally.Histogram
 	lines                     gdlines.Bound
 }
 
@@ -25,6 +27,7 @@
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
 	c.delivered, c.answered = scope.Counter("packets_delivered"), scope.Counter("packets_answered")
 	c.resets, c.opened = scope.Counter("flows_reset"), scope.Counter("flows_opened")
+	c.answerTime = scope.Histogram("answer_seconds", gdmetric.LatencyBuckets())
 	for r := range gdguard.Reasons() {
 		tagged := scope.Tagged(map[string]string{"reason": gdguard.Reason(r).String()})
 		c.returns = append(c.returns, tagged.Counter("packets_returned"))
--- a/internal/process/gdside/side.go
+++ b/internal/process/gdside/side.go
@@ -101,6 +101,7 @@
 		return err
 	}
 	s.seen.init(s.Scope)
+	s.Guard.Answered = s.seen.answerTime.RecordDuration
 	s.doubt = make(chan struct{}, 1)
 	s.serving.Store(true)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
