--- a/internal/rig/gdrigup/parts.go
+++ b/internal/rig/gdrigup/parts.go
@@ -246,7 +246,7 @@
 func (r *Rig) crashed() error {
 	for _, p := range r.Processes() {
 		if ended, wanted := p.Exited(); ended && !wanted {
-			return errors.Errorf("%s ended on its own:\n%s", p.Name(), tail(p.log))
+			return errors.Errorf("%s ended on its own:\n%s", p.Name(), tail(p.LogFile()))
 		}
 	}
 	return nil
