Soak the programs on the users' platform under seeded faults

Ruled out: a third-party network emulator (not allowed, needs root); a relay for the feed between entry hosts, whose peers find each other by their own addresses; jumps of the time of day, which can't be given to a process without root. Change: platform/platformsim speaks the platform's side, written from its pages; internal/rig has ends of flows (gdend), a relay that harms datagrams and streams (gdrelay), the deployment with routers, callers, upstreams and operator (gdhostrig), and the seeded faults, the checks and the mutants (gdsoak). gdrig soak plays seeds; make demo plays one; make test plays two with the race detector.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 test: format vet lint race
 
 format:
-	@out="$$($(TOOL) gofumpt -l cmd config internal)"; \
+	@out="$$($(TOOL) gofumpt -l cmd config internal platform)"; \
 	if [ -n "$$out" ]; then echo "gofumpt: not formatted:"; echo "$$out"; exit 1; fi
 
 vet:
@@ -37,6 +37,7 @@
 
 demo: build
 	bin/gdrig demo --deployment examples/rejilla-norte
+	bin/gdrig soak --seed 3 --trouble 4
 
 # Writes the committed generated code anew; the build does not need it. It
 # takes protoc, and builds the generators from the tools module.
--- /dev/null
+++ b/internal/rig/gdend/end_test.go
@@ -0,0 +1,85 @@
+package gdend_test
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/rig/gdend"
+	"godwitdrift.example/godwitdrift/platform/platformsim"
+)
+
+var (
+	start   = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+	caller  = gdflow.AddressFrom([4]byte{100, 64, 0, 7}, 40001)
+	service = gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
+)
+
+// TestStreamsSurviveTheWay: both streams arrive whole although packets are lost, come
+// twice and out of order, and both ends close.
+func TestStreamsSurviveTheWay(t *testing.T) {
+	request, answer := bytes.Repeat([]byte("request "), 300), bytes.Repeat([]byte("answer "), 9000)
+	for seed := range uint64(50) {
+		w := &way{rand: rand.New(rand.NewPCG(seed, 1)), lost: 0.2 * float64(seed%4) / 4}
+		a, b := gdend.New(caller, service, 1<<32-700, 9000), gdend.New(service, caller, 9000, 1<<32-700)
+		a.Write(request)
+		a.Finish()
+		var atA, atB []byte
+		answered := false
+		for now := start; now.Before(start.Add(time.Minute)) && !(a.Closed() && b.Closed()); now = now.Add(10 * time.Millisecond) {
+			for _, p := range w.carry(append(a.Poll(now), b.Poll(now)...)) {
+				if p.To == service {
+					atB = append(atB, b.Take(now, p)...)
+				} else {
+					atA = append(atA, a.Take(now, p)...)
+				}
+			}
+			if b.Finished() && !answered {
+				answered = true
+				b.Write(answer)
+				b.Finish()
+			}
+		}
+		require.True(t, a.Closed() && b.Closed(), "seed %d", seed)
+		require.Equal(t, request, atB, "seed %d", seed)
+		require.Equal(t, answer, atA, "seed %d", seed)
+	}
+}
+
+// way loses packets, doubles them and changes their order.
+type way struct {
+	rand *rand.Rand
+	lost float64
+}
+
+func (w *way) carry(in []platformsim.Packet) []platformsim.Packet {
+	var out []platformsim.Packet
+	for _, p := range in {
+		for _, share := range []float64{1 - w.lost, w.lost} {
+			if w.rand.Float64() < share {
+				out = append(out, p)
+			}
+		}
+	}
+	w.rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// TestEndGivesUp: eight repeats, the last ones 1.6 s apart.
+func TestEndGivesUp(t *testing.T) {
+	e := gdend.New(caller, service, 1, 1)
+	e.Write([]byte("request"))
+	sent := len(e.Poll(start))
+	var last time.Time
+	for !e.Next().IsZero() {
+		last = e.Next()
+		sent += len(e.Poll(last))
+	}
+	require.Equal(t, 9, sent)
+	require.True(t, e.GivenUp())
+	require.Equal(t, start.Add(11*time.Second), last, "0.2, 0.4 and 0.8 s, and six times 1.6 s")
+}
--- /dev/null
+++ b/internal/rig/gdsoak/mutants.go
@@ -0,0 +1,144 @@
+package gdsoak
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdhostrig"
+)
+
+// Mutant is the product with a mechanism that keeps a promise switched off.
+type Mutant struct {
+	// Promise is the one that breaks then.
+	Promise string
+	// Only names the faults under which it shows.
+	Only  []string
+	edits []edit
+}
+
+// edit replaces a text that a source file has exactly once.
+type edit struct{ file, old, new string }
+
+// Mutants returns one mutant for each promise that a fault of the product alone can
+// break. The others follow from the packets' signatures; the ledger's tests show that
+// it notices them too.
+func Mutants() []Mutant {
+	const (
+		view   = "internal/core/gdbelief/view.go"
+		book   = "internal/core/gdbelief/book.go"
+		search = "internal/core/gdsteer/search.go"
+	)
+	return []Mutant{
+		{drained, []string{"scale-in"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.domainOut"}}},
+		{domainOut, []string{"domain-out"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.upstream.Draining"}}},
+		{coldStart, []string{"scale-out", "replace"}, []edit{
+			{"internal/core/gdguard/guard.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
+		}},
+		{rightService, []string{"config"}, []edit{
+			{"platform/values.go", "gdbelief.Share{{Service: r.Service,", "gdbelief.Share{{Service: \"gallery\","},
+		}},
+		{flowStays, []string{"replace", "terminate-entry"}, []edit{
+			{search, "len(f.search.tries) < serialTries", "len(f.search.tries) < 1"},
+			{search, "return s.wide.take(now, widePerSecond, wideBurst)", "return false"},
+			{search, "len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.Behind() || s.nextHolder(0, r, sr) != nil", "len(sr.tries) == 0"},
+		}},
+		{configInTime, []string{"config"}, []edit{
+			{book, "c.Kind == Configuration && (c.Gone || c.Config == nil)", "c.Kind == Configuration && known"},
+		}},
+		{neverBack, []string{"config"}, []edit{
+			{
+				view, "v.routes, v.services = b.routing(v.config)",
+				"v.routes, v.services = b.routing(v.config)\n" +
+					"if mutantVersion != v.config.Version {\n" +
+					"mutantVersion, mutantRoutes = v.config.Version, append(mutantRoutes, v.routes)\n}",
+			},
+			{
+				view, "r, ok := v.routes[a]",
+				"if n := len(mutantRoutes); n > 2 && time.Now().UnixMilli()/700%2 == 0 {\n" +
+					"r, ok := mutantRoutes[n-3][a]\nreturn r, ok\n}\nr, ok := v.routes[a]",
+			},
+			{view, "func newPool(", "var (\nmutantRoutes []map[gdflow.Address]*Route\nmutantVersion uint64\n)\n\nfunc newPool("},
+		}},
+		{unaltered, []string{"config"}, []edit{
+			{"internal/process/gdentry/packets.go", "\t\te.Codec.Clean(b)\n", "\t\te.Codec.Clean(b)\n\t\tb[0]++\n"},
+		}},
+		{recovers, []string{"config"}, []edit{
+			{"internal/process/gdentry/entry.go", "return e.ready.Load() && !e.leaving.Load()", "return false"},
+		}},
+		{keepsRunning, []string{"garbage"}, []edit{
+			{book, "	old, known := b.records[c.Subject]", "	old, known := b.records[c.Subject]\nif c.Kind == Registration && c.Gone && !known {\npanic(\"mutant\")\n}"},
+		}},
+	}
+}
+
+// overlay writes the mutant's files to a folder and returns the file that has the
+// compiler take them in place of those below the root.
+func (m Mutant) overlay(root, dir string) (string, error) {
+	texts := make(map[string]string)
+	for _, e := range m.edits {
+		path := filepath.Join(root, e.file)
+		text, ok := texts[path]
+		if !ok {
+			data, err := os.ReadFile(path)
+			if err != nil {
+				return "", errors.WithStack(err)
+			}
+			text = string(data)
+		}
+		if n := strings.Count(text, e.old); n != 1 {
+			return "", errors.Errorf("mutant of %s: %s has %q %d times", m.Promise, e.file, e.old, n)
+		}
+		texts[path] = strings.Replace(text, e.old, e.new, 1)
+	}
+	replace := make(map[string]string)
+	for path, text := range texts {
+		replace[path] = filepath.Join(dir, filepath.Base(path))
+		if err := os.WriteFile(replace[path], []byte(text), logMode); err != nil {
+			return "", errors.WithStack(err)
+		}
+	}
+	data, err := json.Marshal(map[string]any{"Replace": replace})
+	if err != nil {
+		return "", errors.WithStack(err)
+	}
+	file := filepath.Join(dir, "overlay.json")
+	return file, errors.WithStack(os.WriteFile(file, data, logMode))
+}
+
+// mutantTrouble is how long faults begin in a run of a mutant.
+const mutantTrouble = 6 * time.Second
+
+// Run builds the mutant from the sources below the root and plays a seed with it. It
+// returns how often the promise was seen broken.
+func (m Mutant) Run(ctx context.Context, root, dir string, shape gdhostrig.Shape) (int, error) {
+	dir = filepath.Join(dir, "mutant-"+m.Promise)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return 0, errors.WithStack(err)
+	}
+	file, err := m.overlay(root, dir)
+	if err != nil {
+		return 0, err
+	}
+	binary := filepath.Join(dir, "gdhost")
+	build := exec.CommandContext(ctx, "go", "build", "-overlay", file, "-o", binary, "./cmd/gdhost")
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		return 0, errors.Wrapf(err, "build mutant of %s: %s", m.Promise, out)
+	}
+	s := &Soak{Binary: binary, Dir: filepath.Join(dir, "run"), Seed: 1, Shape: shape, Trouble: mutantTrouble, Only: m.Only}
+	r, err := s.Run(ctx)
+	n := 0
+	for _, b := range r.Breaches {
+		if b.Promise == m.Promise {
+			n++
+		}
+	}
+	return n, err
+}
--- /dev/null
+++ b/internal/rig/gdsoak/series.go
@@ -0,0 +1,87 @@
+package gdsoak
+
+import (
+	"context"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdhostrig"
+)
+
+// Series is many soaks. Its exported fields are set before Run.
+type Series struct {
+	Binary, Dir string
+	Shape       gdhostrig.Shape
+	Trouble     time.Duration
+	Only        []string
+	// Jobs is how many run at a time.
+	Jobs int
+	// Progress, if set, is told of each report, one at a time.
+	Progress func(Report)
+}
+
+// Summary adds up reports.
+type Summary struct {
+	Seeds    int                 `json:"seeds"`
+	Requests int                 `json:"requests"`
+	Faults   map[string]int      `json:"faults"`
+	Harmed   map[string]int      `json:"datagrams-harmed"`
+	Checks   map[string]int      `json:"checks"`
+	Broken   map[string][]uint64 `json:"broken"`
+}
+
+// Run plays seeds until next has none or the context ends. It returns what they found.
+func (s *Series) Run(ctx context.Context, next func() (seed uint64, ok bool)) (Summary, error) {
+	sum := Summary{
+		Faults: make(map[string]int), Harmed: make(map[string]int), Checks: make(map[string]int), Broken: make(map[string][]uint64),
+	}
+	var mu sync.Mutex
+	g, ctx := errgroup.WithContext(ctx)
+	for range max(s.Jobs, 1) {
+		g.Go(func() error {
+			for ctx.Err() == nil {
+				mu.Lock()
+				seed, ok := next()
+				mu.Unlock()
+				if !ok {
+					return nil
+				}
+				soak := &Soak{
+					Binary: s.Binary, Dir: filepath.Join(s.Dir, "seed-"+strconv.FormatUint(seed, 10)), Seed: seed,
+					Shape: s.Shape, Trouble: s.Trouble, Only: s.Only,
+				}
+				r, err := soak.Run(ctx)
+				if err != nil {
+					return err
+				}
+				mu.Lock()
+				sum.add(r)
+				if s.Progress != nil {
+					s.Progress(r)
+				}
+				mu.Unlock()
+			}
+			return nil
+		})
+	}
+	return sum, g.Wait()
+}
+
+func (s *Summary) add(r Report) {
+	s.Seeds++
+	s.Requests += r.Requests
+	for _, part := range []struct{ to, from map[string]int }{{s.Faults, r.Faults}, {s.Harmed, r.Harmed}, {s.Checks, r.Checks}} {
+		for name, n := range part.from {
+			part.to[name] += n
+		}
+	}
+	for _, b := range r.Breaches {
+		if seeds := s.Broken[b.Promise]; len(seeds) == 0 || seeds[len(seeds)-1] != r.Seed {
+			s.Broken[b.Promise] = append(seeds, r.Seed)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/gdsoak/soak_test.go
@@ -0,0 +1,73 @@
+package gdsoak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdhostrig"
+)
+
+// root is the source folder, seen from this one.
+const root = "../../.."
+
+// TestMutantsFitTheSource: each switches off what it is meant to.
+func TestMutantsFitTheSource(t *testing.T) {
+	for _, m := range Mutants() {
+		_, err := m.overlay(root, t.TempDir())
+		require.NoError(t, err)
+	}
+}
+
+// TestPlanFollowsFromSeed: a seed fixes the faults and their times, and every kind
+// comes within a few seeds.
+func TestPlanFollowsFromSeed(t *testing.T) {
+	seen := make(map[string]bool)
+	for seed := range uint64(20) {
+		a := (&Soak{Seed: seed, Trouble: 12 * time.Second}).plan()
+		b := (&Soak{Seed: seed, Trouble: 12 * time.Second}).plan()
+		require.Equal(t, len(a), len(b))
+		for i := range a {
+			require.Equal(t, a[i].at, b[i].at)
+			require.Equal(t, a[i].name, b[i].name)
+			seen[a[i].name] = true
+			require.True(t, seed%plannedShare != 0 || a[i].planned, "%s in seed %d", a[i].name, seed)
+		}
+	}
+	require.Len(t, seen, len(faults))
+}
+
+// TestShortSoak plays a seed of planned and one of unplanned faults with real
+// processes that have the race detector.
+func TestShortSoak(t *testing.T) {
+	binary := filepath.Join(t.TempDir(), "gdhost")
+	build := exec.Command("go", "build", "-race", "-o", binary, "./cmd/gdhost")
+	build.Dir = root
+	out, err := build.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	t.Setenv("GORACE", "halt_on_error=1")
+	seeds := []uint64{3, 4}
+	s := &Series{
+		Binary: binary, Dir: filepath.Join(t.TempDir(), "out"), Shape: gdhostrig.Small(), Trouble: 4 * time.Second, Jobs: len(seeds),
+	}
+	left := seeds
+	sum, err := s.Run(t.Context(), func() (uint64, bool) {
+		if len(left) == 0 {
+			return 0, false
+		}
+		seed := left[0]
+		left = left[1:]
+		return seed, true
+	})
+	require.NoError(t, err)
+	require.Empty(t, sum.Broken)
+	require.Equal(t, len(seeds), sum.Seeds)
+	for _, promise := range []string{
+		rightService, onlyAsked, atMostOnce, wholeAnswer, unaltered, trulyNotRun, flowStays, recovers, keepsRunning,
+	} {
+		require.Positive(t, sum.Checks[promise], promise)
+	}
+}
