End a search that a newer view can decide

Cause: after a loss of power upstreams register one after the other, so that agents have always seen a higher revision than an entry host. Ruled out: silent hosts (all had answered by 36.2 s), the bound on wide searches. Change: a search that all have answered waits for the revision that agents had shown by then, in steps of 50 ms, instead of giving up; later revisions don't count. TestRegistrationsDuringSearches fails without it; TestStaleViewProvesNothing lets the wait pass and asks for the same verdict as before.

--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -128,7 +128,7 @@
 // show that the flow is gone, since none is known not to answer, and not too many
 // searches have asked all lately.
 func (s *Steer) mayWiden(now time.Time, r *gdbelief.Route) bool {
-	if now.Sub(s.confirmed) > freshAge || s.Behind() {
+	if now.Sub(s.confirmed) > freshAge {
 		return false
 	}
 	for m := range s.members(r) {
@@ -143,6 +143,11 @@
 // if there are none or they were asked often enough.
 func (s *Steer) askAgain(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
 	sr := f.search
+	if sr.allAnswered() && sr.waits < mostViewWaits && s.nextHolder(0, r, sr) == nil && s.behind(sr) {
+		sr.waits++
+		s.await(k, sr, now.Add(viewWait))
+		return
+	}
 	if sr.rounds >= mostRounds || s.provesGone(now, r, sr) || sr.allAnswered() {
 		s.conclude(now, r, k, f)
 		return
@@ -210,7 +215,7 @@
 // provesGone reports whether the search has shown that no upstream holds the flow:
 // each one that could has said so, and the view is recent enough to name them all.
 func (s *Steer) provesGone(now time.Time, r *gdbelief.Route, sr *search) bool {
-	if len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.Behind() || s.nextHolder(0, r, sr) != nil {
+	if len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.nextHolder(0, r, sr) != nil {
 		return false
 	}
 	for _, t := range sr.tries {
@@ -218,7 +223,17 @@
 			return false
 		}
 	}
-	return true
+	return !s.behind(sr)
+}
+
+// behind reports whether agents had shown a higher revision than the view's when the
+// last upstream of the search answered. Later ones don't count, or a search would have
+// no end while registrations come one after the other.
+func (s *Steer) behind(sr *search) bool {
+	if sr.need == 0 {
+		sr.need = max(s.newest, 1)
+	}
+	return s.view.Revision() < sr.need
 }
 
 // ask sends the packet of the search to an upstream and waits for the answer.
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -72,6 +72,11 @@
 	// with each search up to mostLostTime.
 	lostTime     = 150 * time.Millisecond
 	mostLostTime = 1200 * time.Millisecond
+	// viewWait is the time after which a search that needs a newer view looks for it
+	// again: half the time between two beacons. mostViewWaits bounds how often, to
+	// less than a second.
+	viewWait      = 50 * time.Millisecond
+	mostViewWaits = 8
 	// freshAge is the age of the view up to which it proves that a flow is gone.
 	freshAge = 2500 * time.Millisecond
 	// leftAfter is how long after its removal from the view an upstream that does
--- a/internal/core/gdsteer/steer_test.go
+++ b/internal/core/gdsteer/steer_test.go
@@ -124,12 +124,50 @@
 				ans := gdsteer.Answer{From: actions[0].To, Reason: gdguard.NotHeld, Revision: tt.revision}
 				actions = s.Returned(start, ans, p, []byte{0})
 			}
+			for next := s.NextTick(); len(actions) == 0 && !next.IsZero(); next = s.NextTick() {
+				actions = s.Tick(next) // it waits for a newer view, which does not come
+			}
 			require.Len(t, actions, 1)
 			require.Equal(t, tt.want, actions[0].Verb)
 		})
 	}
 }
 
+// TestRegistrationsDuringSearches is the pattern of a loss of power: upstreams register
+// one after the other, so that agents are always ahead of an entry host. A search ends
+// as soon as the host knows what was known when all had answered.
+func TestRegistrationsDuringSearches(t *testing.T) {
+	const upstreams = 12
+	f := newFleet(t, 1, upstreams, 2)
+	e := f.entries[entryAt(0)]
+	var b gdbelief.Book
+	u := update(upstreams, 2, nil)
+	require.True(t, b.Load(f.now, u))
+	for i := range 40 {
+		revision := uint64(101 + i)
+		f.after(time.Duration(i)*25*time.Millisecond, func() {
+			for _, s := range f.sides {
+				c := gdguard.Carry{Service: gdbelief.HashOf("booking"), Standing: s.guard.Standing()}
+				c.Standing.Revision, c.Standing.TakesNew, c.Standing.Slots = revision, true, 2
+				s.guard.Learn(f.now, c)
+			}
+		})
+		// The entry host hears of it 120 ms later.
+		f.after(time.Duration(i)*25*time.Millisecond+120*time.Millisecond, func() {
+			up := gdbelief.Upstream{ID: upstreamAt(i % upstreams).String(), Service: "booking", Address: upstreamAt(i % upstreams), Slots: 2, Born: int64(revision)}
+			b.Apply(f.now, gdbelief.Update{Revision: revision, Changes: []gdbelief.Change{{
+				Subject: gdbelief.Subject{Kind: gdbelief.Registration, Name: up.ID}, Revision: revision, Upstream: &up,
+			}}})
+			e.core.SetView(f.now, b.View())
+		})
+	}
+	for i := range 20 {
+		f.after(time.Duration(200+20*i)*time.Millisecond, func() { f.request(0, callerKey(i)) })
+	}
+	f.run(750 * time.Millisecond) // agents are ahead all the while
+	require.Len(t, f.resets, 20)
+}
+
 // TestRefusedByAllIsResetAtOnce: the reset is true, since no upstream took the flow,
 // and comes as soon as the last one has refused.
 func TestRefusedByAllIsResetAtOnce(t *testing.T) {
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -133,10 +133,12 @@
 	deadline time.Time
 	ack      uint32
 	began    time.Time
-	rounds   int  // how often those that do not answer were asked again
-	forced   bool // the least loaded upstream was asked to take the flow all the same
-	silent   bool // an upstream that was offered the flow has not answered in time
-	holding  bool // all upstreams have too much work for now
+	rounds   int    // how often those that do not answer were asked again
+	waits    int    // how often a newer view was waited for
+	need     uint64 // the revision that a view must have to show that the flow is gone, or 0
+	forced   bool   // the least loaded upstream was asked to take the flow all the same
+	silent   bool   // an upstream that was offered the flow has not answered in time
+	holding  bool   // all upstreams have too much work for now
 }
 
 // try is one upstream that was asked.
