--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -96,6 +96,7 @@
 	state    state
 	confirm  bool
 	working  bool
+	offered  bool      // it counts as work, and its request has not come
 	since    time.Time // when the request at work was let in
 	accepted uint32    // the upstream's number in its acceptance
 	expected uint32    // the next byte that the caller expects
@@ -243,7 +244,7 @@
 	g.cold.spend(now)
 	g.answers.sent(now)
 	f = &flow{entry: entry, state: asked, expected: p.Ack}
-	g.work.begin(now, f)
+	g.work.offer(now, f)
 	g.flows.Put(now, p.Key(), f)
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
@@ -389,7 +390,7 @@
 			g.add(Action{Verb: Held, Key: p.Key(), Entry: f.entry})
 		}
 	}
-	if p.Size > 0 && f.working && g.Answered != nil {
+	if p.Size > 0 && f.working && !f.offered && g.Answered != nil {
 		g.Answered(now.Sub(f.since))
 	}
 	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -86,6 +86,11 @@
 	mostViewWaits = 8
 	// freshAge is the age of the view up to which it proves that a flow is gone.
 	freshAge = 2500 * time.Millisecond
+	// earlyTime is how long a packet waits for the first view: longer than its load
+	// takes on a thin link, shorter than callers wait for an answer. mostEarly bounds
+	// them, to 0.3 MB.
+	earlyTime = 500 * time.Millisecond
+	mostEarly = 256
 	// leftAfter is how long after its removal from the view an upstream that does
 	// not answer is taken for gone: the time that a live one needs to register
 	// again after an outage, as the users' letter says.
@@ -110,10 +115,18 @@
 	wide      bucket
 	unsure    bucket
 	questions questions
+	early     []early // packets that came before the first view
 	packets   int
 	actions   []Action
 }
 
+// early is a packet that waits for the first view.
+type early struct {
+	at     time.Time
+	packet gdflow.Packet
+	raw    []byte
+}
+
 // timer is the time at which a search goes on without an answer.
 type timer struct {
 	key gdflow.Key
@@ -122,7 +135,8 @@
 
 // SetView puts a view in force. It returns what the agents are to be told whose
 // upstreams begin or cease to take new flows: another entry host may not know of the
-// change yet, and the agent is the last to check.
+// change yet, and the agent is the last to check. The first view also decides on the
+// packets that have waited for it.
 func (s *Steer) SetView(now time.Time, v *gdbelief.View) []Action {
 	s.init()
 	before := make(map[gdflow.Address]bool)
@@ -142,6 +156,12 @@
 			})
 		}
 	}
+	for _, e := range s.early {
+		if now.Sub(e.at) <= earlyTime {
+			s.fromCaller(now, e.packet, e.raw)
+		}
+	}
+	s.early = nil
 	return s.actions
 }
 
@@ -175,15 +195,24 @@
 // FromCaller decides on a caller's packet. Raw is the packet itself.
 func (s *Steer) FromCaller(now time.Time, p gdflow.Packet, raw []byte) []Action {
 	s.init()
-	if s.view == nil {
+	switch {
+	case s.view != nil:
+		s.fromCaller(now, p, raw)
+	case len(s.early) < mostEarly:
+		s.early = append(s.early, early{at: now, packet: p, raw: append([]byte(nil), raw...)})
+		s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
+	default:
 		s.add(Action{Verb: Drop, Key: p.Key(), Reason: NotReady})
-		return s.actions
 	}
+	return s.actions
+}
+
+func (s *Steer) fromCaller(now time.Time, p gdflow.Packet, raw []byte) {
 	r, ok := s.view.Route(p.Key().Service())
 	if !ok {
 		s.flows.Delete(p.Key())
 		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: NoRoute})
-		return s.actions
+		return
 	}
 	f, known := s.flows.Get(now, p.Key())
 	if !known {
@@ -195,7 +224,6 @@
 	} else {
 		s.callerSends(now, r, f, p, raw)
 	}
-	return s.actions
 }
 
 // callerOpens handles a packet that opens a flow, or a copy of one.
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -16,7 +16,7 @@
 // counters are the metrics of an entry host and the bound of its log.
 type counters struct {
 	malformed, accepted       tally.Counter
-	questions                 tally.Counter
+	questions, standings      tally.Counter
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
 	returns                   []tally.Counter
@@ -28,7 +28,7 @@
 
 func (c *counters) init(scope tally.Scope) {
 	c.malformed = scope.Counter("malformed_datagrams")
-	c.questions = scope.Counter("questions_asked")
+	c.questions, c.standings = scope.Counter("questions_asked"), scope.Counter("standings_told")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
 	c.revision, c.version = scope.Gauge("revision"), scope.Gauge("version")
@@ -54,6 +54,8 @@
 		c.resets[r].Inc(1)
 	case gdsteer.Ask:
 		c.questions.Inc(1)
+	case gdsteer.Tell:
+		c.standings.Inc(1)
 	default:
 		c.drops[r].Inc(1)
 	}
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -93,6 +93,7 @@
 	updates  net.Listener
 	callers  *net.UDPConn
 	hop      *net.UDPConn
+	views    *sender      // of what a new view brings about; used with the lock held
 	lastSeen atomic.Int64 // Unix nanoseconds of the last caller's packet
 	leaving  atomic.Bool
 	ready    atomic.Bool
@@ -128,6 +129,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	e.views = e.newSender()
 	e.core.Suspected = e.suspected
 	e.wake, e.turn = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -9,7 +10,6 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
 	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
-	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 )
 
 const (
@@ -20,9 +20,15 @@
 	answerMargin = time.Second
 	// loadTime is how long reading the whole state may take.
 	loadTime = 3 * time.Second
+	// catchUpTime is how long the watch after a load waits: it only fetches what has
+	// changed while the load came in, which takes a third of a second on a thin link.
+	catchUpTime = time.Millisecond
 	// gatherTime is the time between two watches, in which changes gather: a tenth
 	// of a second is a thirtieth of the shortest bound on a configuration.
 	gatherTime = 100 * time.Millisecond
+	// loneGatherTime is the same for a host that only watches until it hears another:
+	// after a loss of power all hosts do, and the source bears a few calls of each.
+	loneGatherTime = 200 * time.Millisecond
 	// retryTime is the time before a failed call is made again.
 	retryTime = 100 * time.Millisecond
 	// mostRetryTime is the longest such time; it doubles with each failure.
@@ -37,12 +43,13 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (gdbelief.Update, error)
 }
 
-// follow loads the state and then watches the source while it is this host's turn.
+// follow loads the state and then watches the source while it is this host's turn, or
+// while it has heard of no other that does.
 func (e *Entry) follow(ctx context.Context) {
 	relist, failures := false, 0
 	for ctx.Err() == nil {
-		loaded := e.isLoaded()
-		if loaded && !e.isReading() {
+		loaded, reading, alone := e.role()
+		if loaded && !reading && !alone {
 			select {
 			case <-ctx.Done():
 			case <-e.turn:
@@ -58,7 +65,11 @@
 				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", failures)
 			}
 			relist, failures = false, 0
-			sleep(ctx, gatherTime)
+			if reading {
+				sleep(ctx, gatherTime)
+			} else {
+				sleep(ctx, loneGatherTime)
+			}
 			continue
 		}
 		if failures == 0 {
@@ -70,16 +81,12 @@
 	}
 }
 
-func (e *Entry) isReading() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.peers.Reading()
-}
-
-func (e *Entry) isLoaded() bool {
+// role returns whether the host has a whole state, whether it reads the source for the
+// others, and whether it has heard none of them yet.
+func (e *Entry) role() (loaded, reading, alone bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.book.Loaded()
+	return e.book.Loaded(), e.peers.Reading(), e.peers.Alone()
 }
 
 func (e *Entry) revision() uint64 {
@@ -103,9 +110,12 @@
 			return err
 		}
 		e.take(asked, u, (*gdbelief.Book).Load)
-		return nil
 	}
-	u, err := e.source().Watch(ctx, e.revision(), watchTime)
+	wait := watchTime
+	if whole {
+		wait = catchUpTime
+	}
+	u, err := e.source().Watch(ctx, e.revision(), wait)
 	if err != nil {
 		return err
 	}
@@ -135,11 +145,7 @@
 	}
 	e.remember(now)
 	v := e.book.View()
-	standings := e.core.SetView(now, v)
-	if e.peers.Reading() {
-		// The readers are the first to know, and two are enough.
-		e.tell(standings)
-	}
+	e.act(now, e.core.SetView(now, v))
 	e.peers.Urge()
 	e.seen.view(v)
 	e.Log.Event(gdlog.ViewChanged, "revision", v.Revision(), "version", v.Version(), "age", u.Age.String(),
@@ -150,14 +156,18 @@
 	}
 }
 
-// tell sends agents the standings of their upstreams.
-func (e *Entry) tell(standings []gdsteer.Action) {
-	for _, a := range standings {
-		b := gdhop.AppendStanding(nil, a.Carry.Service, a.Carry.Standing)
-		if _, err := e.hop.WriteToUDPAddrPort(b, a.To.At(e.Hop.Port()).AddrPort()); err != nil {
-			e.seen.failedWrites.Inc(1)
-		}
+// act carries out what a new view has brought about. The lock is held.
+func (e *Entry) act(now time.Time, actions []gdsteer.Action) {
+	if !e.peers.Reading() {
+		// The readers are the first to know of a standing, and two are enough.
+		actions = slices.DeleteFunc(actions, func(a gdsteer.Action) bool { return a.Verb == gdsteer.Tell })
+	}
+	if len(actions) == 0 {
+		return
 	}
+	e.views.do(now, actions)
+	e.views.flush()
+	e.wakeTick()
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -91,18 +91,23 @@
 			b, from := in.At(i)
 			handle(now, b, from)
 		}
-		waits := !e.core.NextTick().IsZero()
+		e.wakeTick()
 		e.mu.Unlock()
 		out.flush()
-		if waits {
-			select {
-			case e.wake <- struct{}{}:
-			default:
-			}
-		}
 	})
 }
 
+// wakeTick has the searches looked after if any waits. The lock is held.
+func (e *Entry) wakeTick() {
+	if e.core.NextTick().IsZero() {
+		return
+	}
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
 // tick looks after the searches' time limits while there are any.
 func (e *Entry) tick(ctx context.Context) {
 	out := e.newSender()
@@ -157,6 +162,10 @@
 			if !a.Opens && a.Reason != gdsteer.ByRank {
 				continue
 			}
+		case gdsteer.Tell:
+			b := gdhop.AppendStanding(s.out.Buffer(), a.Carry.Service, a.Carry.Standing)
+			s.out.Queue(b, a.To.At(s.e.Hop.Port()).AddrPort())
+			continue
 		case gdsteer.Ask:
 			b := gdhop.AppendQuestion(s.out.Buffer(), a.Carry.Service, a.Carry.Standing, a.Keys)
 			s.out.Queue(b, a.To.At(s.e.Hop.Port()).AddrPort())
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -267,6 +267,47 @@
 	require.NoError(t, <-d.ended)
 }
 
+// lateSource changes while its state is loaded, and its watch says at once what has.
+type lateSource struct {
+	*source
+	waits chan time.Duration
+}
+
+func (s lateSource) Load(ctx context.Context) (gdbelief.Update, error) {
+	u, err := s.source.Load(ctx)
+	s.source.mu.Lock()
+	s.source.changes = append(s.source.changes, config(9, gdflow.AddressFrom([4]byte{198, 18, 0, 9}, 443)))
+	s.source.mu.Unlock()
+	return u, err
+}
+
+func (s lateSource) Watch(ctx context.Context, after uint64, wait time.Duration) (gdbelief.Update, error) {
+	select {
+	case s.waits <- wait:
+	default:
+	}
+	return s.source.Watch(ctx, after, wait)
+}
+
+// TestLoadIsCaughtUp: what changes during a load is known right after it, also to a
+// host that does not watch.
+func TestLoadIsCaughtUp(t *testing.T) {
+	s := lateSource{source: &source{added: make(chan struct{}, 1)}, waits: make(chan time.Duration, 1)}
+	s.source.changes = []gdbelief.Change{config(1, gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))}
+	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.7"), 0)
+	e := &gdentry.Entry{
+		Callers: at, Hop: at, Feed: netip.AddrPortFrom(at.Addr(), freePort(t)),
+		Codec: platform.Codec{}, Source: s, Scope: tally.NoopScope,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	require.Less(t, <-s.waits, 10*time.Millisecond, "it does not wait for more")
+	require.Eventually(t, func() bool { return e.State(time.Now()).Version == 9 }, patience, time.Millisecond)
+	stop()
+	require.NoError(t, <-ended)
+}
+
 // noSource is a store that answers nothing.
 type noSource struct{}
 
