--- a/internal/core/gdpeers/peers.go
+++ b/internal/core/gdpeers/peers.go
@@ -114,10 +114,6 @@
 // Reading reports whether this host reads the store.
 func (p *Peers) Reading() bool { return p.reading }
 
-// Alone reports whether this host has heard no reader since its start, so that nobody
-// else can tell it what changes.
-func (p *Peers) Alone() bool { return p.alone || p.enough.IsZero() }
-
 // Leave makes the host stop reading: it shuts down.
 func (p *Peers) Leave() { p.leaving, p.urgent = true, true }
 
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -26,9 +26,6 @@
 	// gatherTime is the time between two watches, in which changes gather: a tenth
 	// of a second is a thirtieth of the shortest bound on a configuration.
 	gatherTime = 100 * time.Millisecond
-	// loneGatherTime is the same for a host that only watches until it hears another:
-	// after a loss of power all hosts do, and the source bears a few calls of each.
-	loneGatherTime = 200 * time.Millisecond
 	// retryTime is the time before a failed call is made again.
 	retryTime = 100 * time.Millisecond
 	// mostRetryTime is the longest such time; it doubles with each failure.
@@ -43,13 +40,12 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) (gdbelief.Update, error)
 }
 
-// follow loads the state and then watches the source while it is this host's turn, or
-// while it has heard of no other that does.
+// follow loads the state and then watches the source while it is this host's turn.
 func (e *Entry) follow(ctx context.Context) {
 	relist, failures := false, 0
 	for ctx.Err() == nil {
-		loaded, reading, alone := e.role()
-		if loaded && !reading && !alone {
+		loaded, reading := e.role()
+		if loaded && !reading {
 			select {
 			case <-ctx.Done():
 			case <-e.turn:
@@ -65,11 +61,7 @@
 				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", failures)
 			}
 			relist, failures = false, 0
-			if reading {
-				sleep(ctx, gatherTime)
-			} else {
-				sleep(ctx, loneGatherTime)
-			}
+			sleep(ctx, gatherTime)
 			continue
 		}
 		if failures == 0 {
@@ -81,12 +73,12 @@
 	}
 }
 
-// role returns whether the host has a whole state, whether it reads the source for the
-// others, and whether it has heard none of them yet.
-func (e *Entry) role() (loaded, reading, alone bool) {
+// role returns whether the host has a whole state and whether it reads the source for
+// the others.
+func (e *Entry) role() (loaded, reading bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.book.Loaded(), e.peers.Reading(), e.peers.Alone()
+	return e.book.Loaded(), e.peers.Reading()
 }
 
 func (e *Entry) revision() uint64 {
