--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -86,10 +86,10 @@
 	mostViewWaits = 8
 	// freshAge is the age of the view up to which it proves that a flow is gone.
 	freshAge = 2500 * time.Millisecond
-	// earlyTime is how long a packet waits for the first view: longer than its load
-	// takes on a thin link, shorter than callers wait for an answer. mostEarly bounds
-	// them, to 0.3 MB.
-	earlyTime = 500 * time.Millisecond
+	// earlyTime is how long a packet waits for the first view: callers send it again after
+	// 200 ms, and after a loss of power older ones would come back in a crowd. mostEarly
+	// bounds them, to 0.3 MB.
+	earlyTime = 150 * time.Millisecond
 	mostEarly = 256
 	// leftAfter is how long after its removal from the view an upstream that does
 	// not answer is taken for gone: the time that a live one needs to register
