Have an entry host that reaches no agent say that it is not ready

Ruled out: counting the failure domain's own agents as too few: a domain that is cut off serves its callers with what it has. Change: a host that hears nothing from more than nine in ten agents is not ready, refuses first copies of opening packets at once, which no upstream can have accepted, and asks the silent agents about nothing five times a second until they answer. TestHostThatIsCutOff has the pattern. Conclusion: what is left is the second until the routers notice.

--- a/internal/core/gdsteer/answer.go
+++ b/internal/core/gdsteer/answer.go
@@ -11,7 +11,7 @@
 // Returned decides on a packet that an agent gives back.
 func (s *Steer) Returned(now time.Time, ans Answer, p gdflow.Packet, raw []byte) []Action {
 	s.init()
-	s.hosts.heard(ans.From)
+	s.heard(now, ans.From)
 	s.newest = max(s.newest, ans.Revision)
 	if s.view == nil {
 		return nil
@@ -33,6 +33,14 @@
 	return s.actions
 }
 
+// heard notes an answer of an agent's host.
+func (s *Steer) heard(now time.Time, from gdflow.Address) {
+	s.hosts.heard(from)
+	if s.cutOff {
+		s.noticeReach(now)
+	}
+}
+
 // openRefused goes on with the next upstream if the last one that was asked
 // refused the flow.
 func (s *Steer) openRefused(now time.Time, r *gdbelief.Route, ans Answer, k gdflow.Key, f *flow) {
@@ -101,7 +109,7 @@
 // a copy.
 func (s *Steer) found(now time.Time, from gdflow.Address, k gdflow.Key, least state) []Action {
 	s.init()
-	s.hosts.heard(from)
+	s.heard(now, from)
 	f, ok := s.flows.Get(now, k)
 	if !ok || s.view == nil || f.state == settled && (least == opening || f.at.IP() == from.IP()) {
 		return nil
@@ -126,13 +134,24 @@
 
 // NextTick returns when Tick is due, or the zero time.
 func (s *Steer) NextTick() time.Time {
-	next := s.questions.due
-	if len(s.timers) > 0 && (next.IsZero() || s.timers[0].at.Before(next)) {
-		next = s.timers[0].at
+	var next time.Time
+	for _, at := range []time.Time{s.questions.due, s.pingDue} {
+		next = sooner(next, at)
+	}
+	if len(s.timers) > 0 {
+		next = sooner(next, s.timers[0].at)
 	}
 	return next
 }
 
+// sooner returns the earlier time of two, of which the zero time is none.
+func sooner(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // Tick goes on with the searches whose last upstream has not answered in time.
 func (s *Steer) Tick(now time.Time) []Action {
 	s.init()
@@ -146,6 +165,9 @@
 	if !s.questions.due.IsZero() && !s.questions.due.After(now) {
 		s.askAll()
 	}
+	if !s.pingDue.IsZero() && !s.pingDue.After(now) {
+		s.ping(now)
+	}
 	return s.actions
 }
 
@@ -164,6 +186,7 @@
 			s.hosts.unanswered(now, t.at)
 		}
 	}
+	s.noticeReach(now)
 	r, ok := s.view.Route(t.key.Service())
 	if !ok {
 		s.finish(f)
--- a/internal/core/gdsteer/hosts.go
+++ b/internal/core/gdsteer/hosts.go
@@ -73,6 +73,12 @@
 	return o
 }
 
+// silent reports whether the host has stopped answering.
+func (h *hosts) silent(a gdflow.Address) bool {
+	o, ok := h.m[a.IP()]
+	return ok && o.unanswered >= suspectAfter
+}
+
 func (h *hosts) suspect(now time.Time, a gdflow.Address) bool {
 	o, ok := h.m[a.IP()]
 	return ok && now.Before(o.until)
--- a/internal/core/gdsteer/question.go
+++ b/internal/core/gdsteer/question.go
@@ -36,7 +36,7 @@
 	i := slices.IndexFunc(q.list, func(o question) bool { return o.to == at && o.carry.Service == p.Hash() })
 	if i < 0 {
 		i = len(q.list)
-		q.list = append(q.list, question{to: at, carry: gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)}})
+		q.list = append(q.list, question{to: at, carry: s.carryTo(now, p, m)})
 	}
 	q.list[i].keys = append(q.list[i].keys, k)
 	if q.due.IsZero() {
@@ -65,7 +65,7 @@
 // Said goes on with the searches for the flows about which an agent says something.
 func (s *Steer) Said(now time.Time, from gdflow.Address, revision uint64, keys []gdflow.Key, says []gdguard.Holding) []Action {
 	s.init()
-	s.hosts.heard(from)
+	s.heard(now, from)
 	s.newest = max(s.newest, revision)
 	if s.view == nil {
 		return nil
--- /dev/null
+++ b/internal/core/gdsteer/reach.go
@@ -0,0 +1,70 @@
+package gdsteer
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+)
+
+const (
+	// leastReach is the share of the agents below which a host is no use to callers. A
+	// host in a failure domain that is cut off reaches more: those of its own domain,
+	// which bear the domain's callers.
+	leastReach = 0.1
+	// pingTime is the time between two looks at silent agents by a host that reaches
+	// hardly any: the routers ask twice a second whether it is ready.
+	pingTime = 200 * time.Millisecond
+)
+
+// CutOff reports whether hardly any agent answers this host, so that callers do better
+// with another one.
+func (s *Steer) CutOff() bool { return s.cutOff }
+
+// reachesFew counts the agents that answer.
+func (s *Steer) reachesFew() bool {
+	if s.view == nil {
+		return false
+	}
+	all, silent := 0, 0
+	for _, m := range s.view.Upstreams() {
+		if _, gone := m.Gone(); gone {
+			continue
+		}
+		all++
+		if s.hosts.silent(m.Address()) {
+			silent++
+		}
+	}
+	return silent >= suspectAfter && float64(all-silent) < leastReach*float64(all)
+}
+
+// noticeReach notes whether the host is cut off, and has the silent agents looked at
+// while it is.
+func (s *Steer) noticeReach(now time.Time) {
+	s.cutOff = s.reachesFew()
+	if s.cutOff && s.pingDue.IsZero() {
+		s.pingDue = now.Add(pingTime)
+	}
+}
+
+// ping asks the silent agents about nothing, so that their answer shows that they are
+// there.
+func (s *Steer) ping(now time.Time) {
+	s.pingDue = time.Time{}
+	s.noticeReach(now)
+	if !s.cutOff {
+		return
+	}
+	for _, m := range s.view.Upstreams() {
+		p, ok := s.view.Pool(m.Upstream().Service)
+		if ok && s.hosts.silent(m.Address()) {
+			s.add(Action{Verb: Ask, To: m.Address(), Carry: s.carryTo(now, p, m), Reason: Everyone})
+		}
+	}
+}
+
+// carryTo returns what an agent is told with a question.
+func (s *Steer) carryTo(now time.Time, p *gdbelief.Pool, m *gdbelief.Member) gdguard.Carry {
+	return gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)}
+}
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -116,6 +116,8 @@
 	unsure    bucket
 	questions questions
 	early     []early // packets that came before the first view
+	cutOff    bool
+	pingDue   time.Time // the zero time unless cut off
 	packets   int
 	actions   []Action
 }
@@ -238,6 +240,12 @@
 	case opening:
 		s.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 		return
+	case 0:
+		// No upstream can have accepted the first copy, and another host can offer it.
+		if s.cutOff && p.Copy() == 0 {
+			s.add(Action{Verb: Reset, Key: p.Key(), Reason: CutOff})
+			return
+		}
 	}
 	s.begin(now, f, opening, p, raw)
 	s.nextOpen(now, r, p.Key(), f)
--- a/internal/core/gdsteer/steer_test.go
+++ b/internal/core/gdsteer/steer_test.go
@@ -395,6 +395,52 @@
 	require.Less(t, f.latestReset, goal+50*time.Millisecond)
 }
 
+// TestHostThatIsCutOff is the pattern of an entry host that reaches no agent while the
+// routers still reach it: it says so, refuses new flows at once, and is back soon after
+// the agents answer.
+func TestHostThatIsCutOff(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		silent int // of 12 agents
+		cutOff bool
+	}{
+		{"all agents are silent", 12, true},
+		{"those of the own domain answer", 10, false},
+		{"one agent is silent", 1, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFleet(t, 1, 12, 2)
+			e := f.entries[entryAt(0)]
+			for i := range tc.silent {
+				f.sides[upstreamAt(i)].down = true
+			}
+			for i := range 40 {
+				f.after(time.Duration(i)*10*time.Millisecond, func() { f.open(0, callerKey(i)) })
+			}
+			f.run(time.Second)
+			require.Equal(t, tc.cutOff, e.core.CutOff())
+			f.open(0, callerKey(100))
+			f.run(2 * hop)
+			reason, reset := f.resets[callerKey(100)]
+			require.Equal(t, tc.cutOff, reset && reason == gdsteer.CutOff)
+			copied := gdflow.NewPacket(callerKey(101), gdflow.Open)
+			copied.Ack = 1
+			f.send(0, copied)
+			f.run(2 * hop)
+			require.NotContains(t, f.resets, callerKey(101), "another host may have offered the first copy")
+
+			for i := range tc.silent {
+				f.sides[upstreamAt(i)].down = false
+			}
+			f.run(300 * time.Millisecond)
+			require.False(t, e.core.CutOff())
+			f.open(0, callerKey(102))
+			f.run(300 * time.Millisecond)
+			require.NotContains(t, f.resets, callerKey(102))
+		})
+	}
+}
+
 // TestSilentHostIsPassedOver: a host that stops answering costs a new flow one
 // answer time, and later ones nothing.
 func TestSilentHostIsPassedOver(t *testing.T) {
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -48,6 +48,8 @@
 	NotReady
 	// Waiting: an upstream is being asked already.
 	Waiting
+	// CutOff: hardly any agent answers this host.
+	CutOff
 	// Everyone: all upstreams that were not asked yet are asked at once.
 	Everyone
 
@@ -57,7 +59,7 @@
 var reasonNames = [reasons]string{
 	ByRank: "by-rank", Known: "known", LeastLoaded: "least-loaded", NoRoute: "no-route",
 	NoUpstream: "no-upstream", Overloaded: "overloaded", FlowGone: "flow-gone", NotFound: "not-found", NotReady: "not-ready",
-	Waiting: "waiting", Everyone: "everyone",
+	Waiting: "waiting", CutOff: "cut-off", Everyone: "everyone",
 }
 
 // Reasons returns the number of reasons, for arrays of counters.
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -94,6 +94,9 @@
 	HostSilent    = declare(307, Info, "host has stopped answering",
 		"If it lasts: look at the agent there. New flows go elsewhere meanwhile.")
 	HostAnswers = declare(308, Info, "host answers again", nothing)
+	HostCutOff  = declare(309, Error, "hardly any agent answers, not ready",
+		"Look at the host's links. The routers send to others, and new flows are refused at once.")
+	HostReaches = declare(310, Info, "agents answer again", nothing)
 )
 
 // Events 400 to 499: datagrams.
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -97,11 +97,13 @@
 	lastSeen atomic.Int64 // Unix nanoseconds of the last caller's packet
 	leaving  atomic.Bool
 	ready    atomic.Bool
+	cutOff   atomic.Bool
 	seen     counters
 }
 
-// Ready reports whether the routers may send packets.
-func (e *Entry) Ready() bool { return e.ready.Load() && !e.leaving.Load() }
+// Ready reports whether the routers may send packets: the host knows the deployment,
+// reaches agents, and does not shut down.
+func (e *Entry) Ready() bool { return e.ready.Load() && !e.leaving.Load() && !e.cutOff.Load() }
 
 // Reload takes over what may change while the process runs: the seeds, the source,
 // and the grace period.
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -99,6 +99,7 @@
 
 // wakeTick has the searches looked after if any waits. The lock is held.
 func (e *Entry) wakeTick() {
+	e.noticeReach()
 	if e.core.NextTick().IsZero() {
 		return
 	}
@@ -135,12 +136,26 @@
 			now := time.Now()
 			e.mu.Lock()
 			out.do(now, e.core.Tick(now))
+			e.noticeReach()
 			e.mu.Unlock()
 			out.flush()
 		}
 	}
 }
 
+// noticeReach notes whether the host reaches any agents. The lock is held.
+func (e *Entry) noticeReach() {
+	cutOff := e.core.CutOff()
+	if e.cutOff.Swap(cutOff) == cutOff {
+		return
+	}
+	ev := gdlog.HostReaches
+	if cutOff {
+		ev = gdlog.HostCutOff
+	}
+	e.Log.Event(ev, "silent", e.core.Suspects(time.Now()), "revision", e.book.Revision())
+}
+
 // sender carries out the core's actions. It belongs to one goroutine.
 type sender struct {
 	e   *Entry
--- a/internal/process/gdentry/state.go
+++ b/internal/process/gdentry/state.go
@@ -22,6 +22,8 @@
 	ReadsStore bool `json:"reads-store"`
 	Peers      int  `json:"peers"`
 	Ready      bool `json:"ready"`
+	// CutOff says that hardly any agent answers this host.
+	CutOff bool `json:"cut-off"`
 }
 
 // State returns the present state.
@@ -31,7 +33,7 @@
 	s := State{
 		Revision: e.book.Revision(), AgeMS: e.book.Age(now).Milliseconds(),
 		Flows: e.core.Flows(), Searches: e.core.Searches(), SilentHosts: e.core.Suspects(now),
-		ReadsStore: e.peers.Reading(), Peers: e.peers.Known(), Ready: e.Ready(),
+		ReadsStore: e.peers.Reading(), Peers: e.peers.Known(), Ready: e.Ready(), CutOff: e.core.CutOff(),
 	}
 	if v := e.book.View(); v != nil {
 		s.Version, s.Upstreams, s.DomainsOut = v.Version(), len(v.Upstreams()), v.DomainsOut()
