--- a/internal/core/gdsteer/question.go
+++ b/internal/core/gdsteer/question.go
@@ -14,6 +14,7 @@
 type questions struct {
 	due  time.Time // the zero time if there are none
 	list []question
+	of   map[gdflow.Address]int // where the list has an upstream
 }
 
 type question struct {
@@ -22,21 +23,21 @@
 	keys  []gdflow.Key
 }
 
-// question has the agent of the upstream at the address asked about a flow.
-func (s *Steer) question(now time.Time, r *gdbelief.Route, k gdflow.Key, at gdflow.Address) {
-	m := s.member(r, at)
-	if m == nil {
-		return
-	}
+// question has the agent of an upstream asked about a flow.
+func (s *Steer) question(now time.Time, k gdflow.Key, m *gdbelief.Member) {
 	p, ok := s.view.Pool(m.Upstream().Service)
 	if !ok {
 		return
 	}
 	q := &s.questions
-	i := slices.IndexFunc(q.list, func(o question) bool { return o.to == at && o.carry.Service == p.Hash() })
-	if i < 0 {
+	i, ok := q.of[m.Address()]
+	if !ok || q.list[i].carry.Service != p.Hash() {
+		if q.of == nil {
+			q.of = make(map[gdflow.Address]int)
+		}
 		i = len(q.list)
-		q.list = append(q.list, question{to: at, carry: s.carryTo(now, p, m)})
+		q.of[m.Address()] = i
+		q.list = append(q.list, question{to: m.Address(), carry: s.carryTo(now, p, m)})
 	}
 	q.list[i].keys = append(q.list[i].keys, k)
 	if q.due.IsZero() {
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -113,16 +113,14 @@
 
 // askOthers asks all upstreams that were not asked yet.
 func (s *Steer) askOthers(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
-	var others []gdflow.Address
+	asked := len(f.search.tries)
 	for m := range s.members(r) {
-		if f.search.of(m.Address()) == nil {
-			others = append(others, m.Address())
+		known := slices.ContainsFunc(f.search.tries[:asked], func(t try) bool { return t.at.IP() == m.Address().IP() })
+		if !known {
+			f.search.tries = append(f.search.tries, try{at: m.Address(), question: true})
+			s.question(now, k, m)
 		}
 	}
-	for _, at := range others {
-		f.search.tries = append(f.search.tries, try{at: at, question: true})
-		s.question(now, r, k, at)
-	}
 	s.await(k, f.search, now.Add(gatherTime+answerTime))
 }
 
@@ -158,8 +156,8 @@
 	s.await(k, sr, now.Add(answerTime<<sr.rounds))
 	for i := range sr.tries {
 		t := &sr.tries[i]
-		if !t.answered && t.question {
-			s.question(now, r, k, t.at)
+		if m := s.member(r, t.at); !t.answered && t.question && m != nil {
+			s.question(now, k, m)
 		} else if !t.answered && sr.packet != nil {
 			s.forward(now, r, t.at, Action{
 				Key: k, Packet: sr.packet, Tries: len(sr.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true},
--- a/internal/rig/gdhostrig/upstream.go
+++ b/internal/rig/gdhostrig/upstream.go
@@ -38,6 +38,7 @@
 	conn     *net.UDPConn
 	health   net.Listener
 	flows    map[gdflow.Key]*upstreamFlow
+	held     int // the flows that are not over
 	working  int
 	queue    []request
 	coldTill time.Time
@@ -101,7 +102,7 @@
 	if u.health, err = net.Listen("tcp4", at.String()); err != nil {
 		return err
 	}
-	u.Born, u.Draining, u.sequence, u.working, u.queue = now.UnixMilli(), false, 0, 0, nil
+	u.Born, u.Draining, u.sequence, u.held, u.working, u.queue = now.UnixMilli(), false, 0, 0, 0, nil
 	u.written = gdbelief.Upstream{}
 	u.flows = make(map[gdflow.Key]*upstreamFlow)
 	u.coldTill = time.Time{}
@@ -282,7 +283,7 @@
 func (u *Upstream) accept(now time.Time, key gdflow.Key, p platformsim.Packet, raw []byte) {
 	f := u.flows[key]
 	if f == nil {
-		if len(u.flows) >= mostFlows {
+		if u.held >= mostFlows {
 			platformsim.Return(raw)
 			u.send(raw)
 			return
@@ -290,6 +291,7 @@
 		f = &upstreamFlow{key: key, first: u.rig.rand.Uint32(), heard: now}
 		f.end = gdend.New(key.Service(), key.Caller(), f.first+1, p.Seq+1)
 		u.flows[key] = f
+		u.held++
 		u.rig.saw(Event{At: now, Kind: Took, Upstream: u.ID, Service: u.Service, Domain: u.Domain, Host: u.host.name, Flow: key})
 		u.rig.After(IdleTimeout, func(now time.Time) { u.expire(now, f) })
 	}
@@ -339,6 +341,7 @@
 func (u *Upstream) over(now time.Time, f *upstreamFlow) {
 	if !f.over {
 		f.over = true
+		u.held--
 		u.rig.saw(Event{At: now, Kind: Closed, Upstream: u.ID, Flow: f.key})
 	}
 }
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -47,7 +47,7 @@
 		{flowStays, []string{"replace", "terminate-entry"}, []edit{
 			{search, "len(f.search.tries) < serialTries", "len(f.search.tries) < 1"},
 			{search, "return s.wide.take(now, widePerSecond, wideBurst)", "return false"},
-			{search, "len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.Behind() || s.nextHolder(0, r, sr) != nil", "len(sr.tries) == 0"},
+			{search, "len(sr.tries) == 0 || now.Sub(s.confirmed) > freshAge || s.nextHolder(0, r, sr) != nil", "len(sr.tries) == 0"},
 		}},
 		{configInTime, []string{"config"}, []edit{
 			{book, "c.Kind == Configuration && (c.Gone || c.Config == nil)", "c.Kind == Configuration && known"},
@@ -70,7 +70,7 @@
 			{"internal/process/gdentry/packets.go", "\t\te.Codec.Clean(b)\n", "\t\te.Codec.Clean(b)\n\t\tb[0]++\n"},
 		}},
 		{recovers, []string{"config"}, []edit{
-			{"internal/process/gdentry/entry.go", "return e.ready.Load() && !e.leaving.Load()", "return false"},
+			{"internal/process/gdentry/entry.go", "return e.ready.Load() && !e.leaving.Load() && !e.cutOff.Load()", "return false"},
 		}},
 		{keepsRunning, []string{"garbage"}, []edit{
 			{book, "	old, known := b.records[c.Subject]", "	old, known := b.records[c.Subject]\nif c.Kind == Registration && c.Gone && !known {\npanic(\"mutant\")\n}"},
