--- a/internal/rig/gdchild/child.go
+++ b/internal/rig/gdchild/child.go
@@ -89,6 +89,9 @@
 	}
 }
 
+// Status says how the process ended. It is valid after Ended is closed.
+func (c *Child) Status() string { return c.cmd.ProcessState.String() }
+
 // Exited reports whether the process has ended, and whether the rig wanted it.
 func (c *Child) Exited() (ended, wanted bool) {
 	select {
--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -135,7 +135,7 @@
 		ended, wanted := h.child.Exited()
 		if ended && !h.removed {
 			if !wanted {
-				r.saw(Event{At: now, Kind: Exited, Host: h.name})
+				r.saw(Event{At: now, Kind: Exited, Host: h.name, Text: h.child.Status()})
 			}
 			if err := r.startProcess(now, h); err != nil {
 				r.saw(Event{At: now, Kind: Exited, Host: h.name, Text: err.Error()})
