Count a host as cut off only without news of the deployment

Cause: when all agents are away and the entry hosts are not, refusing at once costs the callers their attempts within milliseconds, and no other host does better. Change: a host whose view was confirmed within 1.3 s is not cut off. Conclusion: a little slower to notice, and true to its cause.

--- a/internal/core/gdsteer/fleet_test.go
+++ b/internal/core/gdsteer/fleet_test.go
@@ -61,7 +61,9 @@
 	work     time.Duration
 	// requestOnOpen makes each caller send a request as soon as its flow is accepted.
 	requestOnOpen bool
-	opened        map[gdflow.Key]time.Time
+	// noNews is that no entry host hears whether its view still holds.
+	noNews bool
+	opened map[gdflow.Key]time.Time
 	// slowest and latestReset are the longest times from the opening of a flow to its
 	// answer and to its reset.
 	slowest, latestReset time.Duration
@@ -162,6 +164,13 @@
 	return s
 }
 
+// confirm lets an entry host know that its view still holds.
+func (f *fleet) confirm(e *entry) {
+	if !f.noNews {
+		e.core.Confirm(f.now)
+	}
+}
+
 func (f *fleet) after(d time.Duration, do func()) {
 	f.n++
 	heap.Push(&f.queue, event{at: f.now.Add(d), seq: f.n, do: do})
@@ -193,7 +202,7 @@
 		if e == nil || e.down {
 			return
 		}
-		e.core.Confirm(f.now)
+		f.confirm(e)
 		f.steer(i, e, e.core.FromCaller(f.now, p, f.raw(p)))
 	})
 }
@@ -242,7 +251,7 @@
 		e.tick = next
 		f.after(max(next.Sub(f.now), 0), func() {
 			if !e.down {
-				e.core.Confirm(f.now)
+				f.confirm(e)
 				f.steer(i, e, e.core.Tick(f.now))
 			}
 		})
--- a/internal/core/gdsteer/reach.go
+++ b/internal/core/gdsteer/reach.go
@@ -12,18 +12,22 @@
 	// host in a failure domain that is cut off reaches more: those of its own domain,
 	// which bear the domain's callers.
 	leastReach = 0.1
+	// newsTime is the age of a view that is older than any with a reader who watches:
+	// the longest watch and a beacon's time.
+	newsTime = 1300 * time.Millisecond
 	// pingTime is the time between two looks at silent agents by a host that reaches
 	// hardly any: the routers ask twice a second whether it is ready.
 	pingTime = 200 * time.Millisecond
 )
 
-// CutOff reports whether hardly any agent answers this host, so that callers do better
-// with another one.
+// CutOff reports whether hardly any agent answers this host, and it has no news of the
+// deployment either, so that callers do better with another one. With news it is the
+// agents that are away, and no other host does better.
 func (s *Steer) CutOff() bool { return s.cutOff }
 
-// reachesFew counts the agents that answer.
-func (s *Steer) reachesFew() bool {
-	if s.view == nil {
+// reachesFew counts the agents that answer, unless there is recent news.
+func (s *Steer) reachesFew(now time.Time) bool {
+	if s.view == nil || now.Sub(s.confirmed) < newsTime {
 		return false
 	}
 	all, silent := 0, 0
@@ -42,7 +46,7 @@
 // noticeReach notes whether the host is cut off, and has the silent agents looked at
 // while it is.
 func (s *Steer) noticeReach(now time.Time) {
-	s.cutOff = s.reachesFew()
+	s.cutOff = s.reachesFew(now)
 	if s.cutOff && s.pingDue.IsZero() {
 		s.pingDue = now.Add(pingTime)
 	}
