Give hosts that catch up the whole state where changes may be missing

A host that has just loaded knows nothing of what was removed before its load. Another one at revision 26 fetched its changes, got revision 27 and no removal, and held a domain for out for good; a service had no upstream left then. The same holds for removals that were forgotten after a minute. Ruled out: the store's answers (the removal was in its events), the beacons (their first revision is that of the load). Change: a book knows from which revision on it has every change; for an earlier one it gives the whole state and says so, and the receiver takes what is absent for removed. Beacons begin there at the earliest. TestRemovalThatAPeerNeverKnew, TestForgottenRemoval.

--- a/internal/core/gdbelief/book.go
+++ b/internal/core/gdbelief/book.go
@@ -29,8 +29,11 @@
 
 // Book holds the newest state of each subject. The zero value knows nothing.
 type Book struct {
-	records   map[Subject]*record
-	revision  uint64
+	records  map[Subject]*record
+	revision uint64
+	// base is the revision from which on the book has every change. Of what was removed
+	// before, it may never have known.
+	base      uint64
 	confirmed time.Time
 	loaded    bool
 	view      *View
@@ -39,6 +42,9 @@
 // Revision returns the revision up to which the book is complete.
 func (b *Book) Revision() uint64 { return b.revision }
 
+// Base returns the revision from which on the book has every change.
+func (b *Book) Base() uint64 { return b.base }
+
 // Loaded reports whether the book has had a whole state.
 func (b *Book) Loaded() bool { return b.loaded }
 
@@ -68,7 +74,7 @@
 			u.Changes = append(u.Changes, Change{Subject: s, Revision: u.Revision, Gone: true})
 		}
 	}
-	b.loaded = true
+	b.loaded, b.base = true, max(b.base, u.Revision)
 	return b.take(now, u)
 }
 
@@ -132,17 +138,19 @@
 	for s, r := range b.records {
 		if r.change.Gone && now.Sub(r.since) > memory {
 			delete(b.records, s)
+			b.base = max(b.base, r.change.Revision)
 			dropped = true
 		}
 	}
 	return dropped
 }
 
-// Since returns what has changed after the revision, oldest first.
+// Since returns what has changed after the revision, oldest first, or the whole state
+// if the book does not have all changes from there on.
 func (b *Book) Since(now time.Time, revision uint64) Update {
-	u := Update{Revision: b.revision, Age: b.Age(now)}
+	u := Update{Revision: b.revision, Age: b.Age(now), Whole: revision < b.base}
 	for _, r := range b.records {
-		if r.change.Revision > revision {
+		if u.Whole || r.change.Revision > revision {
 			u.Changes = append(u.Changes, r.change)
 		}
 	}
--- a/internal/core/gdbelief/book_test.go
+++ b/internal/core/gdbelief/book_test.go
@@ -225,6 +225,39 @@
 }
 
 // TestSharesFollowWeights: the choice is the same for a flow on all hosts.
+// TestRemovalThatAPeerNeverKnew is the pattern of soak seed 14: a host starts after a
+// domain came back, so that it knows nothing of its having been out, and a host that
+// missed the change catches up with it.
+func TestRemovalThatAPeerNeverKnew(t *testing.T) {
+	now := start
+	old := loaded(t, config(1, 1), upstream(2, "u1", nil), out(3, "a", false))
+	require.Equal(t, 1, old.View().DomainsOut())
+	var fresh gdbelief.Book // the domain came back at revision 14
+	require.True(t, fresh.Load(now, gdbelief.Update{Revision: 15, Changes: []gdbelief.Change{config(1, 1), upstream(2, "u1", nil)}}))
+	u := fresh.Since(now, old.Revision())
+	require.True(t, u.Whole, "it does not know what was removed before its load")
+	require.True(t, old.Load(now, u))
+	require.Equal(t, 0, old.View().DomainsOut())
+	require.False(t, old.Since(now, 15).Whole)
+	require.True(t, old.Since(now, 14).Whole, "the same holds for a host that has caught up so")
+}
+
+// TestForgottenRemoval: a host that was away for longer than removals are remembered
+// gets the whole state.
+func TestForgottenRemoval(t *testing.T) {
+	b := loaded(t, config(1, 1), upstream(2, "u1", nil), upstream(3, "u2", nil))
+	away := loaded(t, config(1, 1), upstream(2, "u1", nil), upstream(3, "u2", nil))
+	b.Apply(start, gdbelief.Update{Revision: 11, Changes: []gdbelief.Change{gone(11, "u2")}})
+	require.False(t, b.Since(start, away.Revision()).Whole)
+	later := start.Add(2 * time.Minute)
+	b.Apply(later, gdbelief.Update{Revision: 12, Changes: []gdbelief.Change{upstream(12, "u3", nil)}})
+	u := b.Since(later, away.Revision())
+	require.True(t, u.Whole)
+	require.True(t, away.Load(later, u))
+	require.Len(t, u.Changes, 3, "the one that was removed is not among them")
+	require.Len(t, b.View().Upstreams(), len(away.View().Upstreams()))
+}
+
 func TestSharesFollowWeights(t *testing.T) {
 	b := loaded(t, config(5, 7))
 	r, ok := b.View().Route(service)
--- a/internal/core/gdbelief/change.go
+++ b/internal/core/gdbelief/change.go
@@ -51,6 +51,9 @@
 	Revision uint64
 	// Age is how long ago the source held this for true, at least.
 	Age time.Duration
+	// Whole says that the changes are the whole state, so that what they do not have
+	// was removed.
+	Whole bool
 }
 
 // Config is what operators have configured.
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -90,7 +90,7 @@
 	reads := e.peers.Reading()
 	b := gdfeed.Beacon{Beacon: e.peers.Beacon(now, e.book.Revision(), age)}
 	if reads && len(e.history) > 0 && len(to) > 0 {
-		b.After = e.history[0].revision
+		b.After = max(e.history[0].revision, e.book.Base())
 		b.Update = e.book.Since(now, b.After)
 	}
 	known, revision := e.peers.Known(), e.book.Revision()
@@ -215,8 +215,7 @@
 			u.Age += now.Sub(asked)
 			e.mu.Lock()
 			f := (*gdbelief.Book).Apply
-			if !e.book.Loaded() {
-				// All changes from the first on are the whole state.
+			if u.Whole {
 				f = (*gdbelief.Book).Load
 			}
 			e.takeLocked(now, u, f, host.String())
--- a/internal/wire/gdfeed/feed.go
+++ b/internal/wire/gdfeed/feed.go
@@ -72,6 +72,7 @@
 	Revision uint64       `cbor:"1,keyasint"`
 	AgeMS    uint32       `cbor:"2,keyasint"`
 	Changes  []wireChange `cbor:"3,keyasint"`
+	Whole    bool         `cbor:"4,keyasint,omitempty"`
 }
 
 type wireChange struct {
@@ -227,7 +228,7 @@
 		return errors.Wrap(err, "write update")
 	}
 	if err := cbor.NewEncoder(z).Encode(wireUpdate{
-		Revision: u.Revision, AgeMS: toMS(u.Age), Changes: toChanges(u.Changes),
+		Revision: u.Revision, AgeMS: toMS(u.Age), Changes: toChanges(u.Changes), Whole: u.Whole,
 	}); err != nil {
 		return errors.Wrap(err, "write update")
 	}
@@ -248,7 +249,7 @@
 		return gdbelief.Update{}, errors.Wrap(err, "read update")
 	}
 	changes, err := fromChanges(w.Changes)
-	return gdbelief.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS)}, err
+	return gdbelief.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS), Whole: w.Whole}, err
 }
 
 func checkVersion(b []byte) error {
--- a/internal/wire/gdfeed/feed_test.go
+++ b/internal/wire/gdfeed/feed_test.go
@@ -108,7 +108,7 @@
 }
 
 func TestUpdateRoundTrips(t *testing.T) {
-	want := gdbelief.Update{Revision: 500, Age: time.Second, Changes: []gdbelief.Change{config(600), registration(1), gone(3)}}
+	want := gdbelief.Update{Revision: 500, Age: time.Second, Whole: true, Changes: []gdbelief.Change{config(600), registration(1), gone(3)}}
 	var buf bytes.Buffer
 	require.NoError(t, gdfeed.WriteUpdate(&buf, want))
 	require.Less(t, buf.Len(), 24<<10, "600 routes on a link of 10 Mbit/s in 20 ms")
