Bound what an upstream gets after a start that nobody told of

An upstream started again, cold, while its agent was told its old standing, by entry hosts that could not know yet: 97 flows came within a second where 20 are allowed. Only the agent is there to see it. Ruled out: taking every upstream for cold after an agent's own start, which would slow each recovery where upstreams were not away. Change: the agent notes a start when its upstream speaks again after its port was closed or after silence, or returns a packet of a request at work, and holds the bound for the service's cold time unless a standing is of the new process. An agent that starts again looks at its upstream's port. Entry hosts tell agents of a new start as soon as the store has it. Standings carry the cold time.

--- a/cmd/gdrig/soak.go
+++ b/cmd/gdrig/soak.go
@@ -32,6 +32,7 @@
    gdrig soak --seeds 50 --jobs 5
    gdrig soak --seed 7
    gdrig soak --minutes 5 --jobs 5
+   gdrig soak --regressions --jobs 5
    gdrig soak --mutants
    gdrig soak --seed 1 --entries 40 --upstreams 220`
 
@@ -51,6 +52,7 @@
 			&cli.IntFlag{Name: "jobs", Usage: "how many seeds at a time", Value: 1},
 			&cli.IntFlag{Name: "trouble", Usage: "seconds in which faults begin", Value: defaultTroubleSeconds},
 			&cli.StringSliceFlag{Name: "only", Usage: "play these faults only, or the mutants of these promises: " + gdsoak.FaultNames()},
+			&cli.BoolFlag{Name: "regressions", Usage: "play the seeds that once broke a promise"},
 			&cli.BoolFlag{Name: "mutants", Usage: "instead, break the product on purpose for each promise and see it noticed; in the source folder"},
 			&cli.IntFlag{Name: "entries", Usage: "entry hosts in each failure domain", Value: 2},
 			&cli.IntFlag{Name: "upstreams", Usage: "upstreams of both services", Value: 7},
@@ -126,6 +128,17 @@
 
 // soakSeeds returns the source of the seeds that the flags ask for.
 func soakSeeds(cmd *cli.Command) func() (uint64, bool) {
+	if cmd.Bool("regressions") {
+		rest := gdsoak.Regressions()
+		return func() (uint64, bool) {
+			if len(rest) == 0 {
+				return 0, false
+			}
+			r := rest[0]
+			rest = rest[1:]
+			return r.Seed, true
+		}
+	}
 	seed, left := cmd.Uint64("seed"), cmd.Int("seeds")
 	if m := cmd.Int("minutes"); m > 0 {
 		end := time.Now().Add(time.Duration(m) * time.Minute)
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -125,6 +125,7 @@
 	started  time.Time
 	standing Standing
 	coldTill time.Time
+	restart  restart
 	flows    gdrecent.Map[gdflow.Key, *flow]
 	work     workload
 	cold     budget
@@ -132,9 +133,13 @@
 	answers  answers
 	leaving  bool
 	ended    bool
-	heard    time.Time // the last packet of the upstream
-	doubted  time.Time
-	actions  []Action
+	// endedAt is when the upstream's process was found to be gone, endedBorn when it had
+	// been born.
+	endedAt   time.Time
+	endedBorn int64
+	heard     time.Time // the last packet of the upstream
+	doubted   time.Time
+	actions   []Action
 }
 
 func (g *Guard) init(now time.Time) {
@@ -180,10 +185,42 @@
 		g.coldTill = now.Add(s.ColdLeft)
 	}
 	g.standing = s
+	if g.restart.told(s.Born) {
+		g.restart = restart{}
+	}
 	g.Fresh = g.Fresh || g.startedWith(s.Born)
 	return changed
 }
 
+// restart is a start of the upstream that the agent has seen and was not told of. The
+// zero value is none.
+type restart struct {
+	at    time.Time // when the agent saw it
+	after time.Time // when the process before it was still there, or was away
+	born  int64     // when the process before it was born, or 0
+}
+
+// told reports whether a standing of an upstream that was born at the time, in Unix
+// milliseconds, is that of the new process.
+func (r restart) told(born int64) bool {
+	if r.born != 0 {
+		return born != r.born
+	}
+	return born >= r.after.Add(-sameStart).UnixMilli()
+}
+
+// restarted notes that the upstream may have started again after a time: nobody may
+// know of it yet, and it is cold for a while.
+func (g *Guard) restarted(now, after time.Time) {
+	r := restart{at: now, after: after, born: g.standing.Born}
+	if g.ended {
+		r.born = g.endedBorn
+	}
+	if g.restart.at.IsZero() && !r.told(g.standing.Born) {
+		g.restart = r
+	}
+}
+
 // startedWith reports whether the upstream, which was born at the Unix millisecond, has
 // started together with the agent. Both times are from one host's clock. A clock that
 // jumps between the two starts makes them look far apart, but for one jump in hundreds.
@@ -280,10 +317,14 @@
 	return 1
 }
 
-// isCold reports whether the cold bound holds. After a start of its own the agent
-// takes the upstream for cold until it is told otherwise.
+// isCold reports whether the cold bound holds: as the agent was told, or since it has
+// seen a start that it was not told of.
 func (g *Guard) isCold(now time.Time) bool {
-	return g.standing.ColdPerSecond > 0 && now.Before(g.coldTill)
+	till := g.coldTill
+	if r := g.restart; !r.at.IsZero() && r.at.Add(g.standing.ColdFor).After(till) {
+		till = r.at.Add(g.standing.ColdFor)
+	}
+	return g.standing.ColdPerSecond > 0 && now.Before(till)
 }
 
 // carry decides on a packet in the middle of a flow.
@@ -361,10 +402,19 @@
 	g.init(now)
 	g.work.expire(now)
 	g.settleTried(now)
+	switch {
+	case g.ended:
+		g.restarted(now, g.endedAt)
+	case g.answers.silent(now):
+		g.restarted(now, g.answers.since)
+	}
 	g.ended, g.heard = false, now
 	g.answers.received()
 	f, known := g.flows.Get(now, p.Key())
 	if p.Returned {
+		if f != nil && f.state == open && f.working {
+			g.restarted(now, f.since) // it has lost a flow that it was at work for
+		}
 		g.returned(now, f, p)
 		return g.actions
 	}
@@ -390,14 +440,19 @@
 			g.add(Action{Verb: Held, Key: p.Key(), Entry: f.entry})
 		}
 	}
-	if p.Size > 0 && f.working && !f.offered && g.Answered != nil {
-		g.Answered(now.Sub(f.since))
-	}
+	g.timeAnswer(now, f, p)
 	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
 		g.work.end(f)
 	}
 }
 
+// timeAnswer tells how long a request took until the first bytes of its answer.
+func (g *Guard) timeAnswer(now time.Time, f *flow, p gdflow.Packet) {
+	if g.Answered != nil && p.Size > 0 && f.working && !f.offered {
+		g.Answered(now.Sub(f.since))
+	}
+}
+
 // returned handles a packet that the upstream did not accept.
 func (g *Guard) returned(now time.Time, f *flow, p gdflow.Packet) {
 	if f == nil {
@@ -437,6 +492,7 @@
 		return nil
 	}
 	g.ended, g.Fresh = true, true
+	g.endedAt, g.endedBorn = now, g.standing.Born
 	g.flows.Each(func(k gdflow.Key, f *flow) bool {
 		if f.state == open || f.state == half {
 			g.add(Action{Verb: End, Key: k, Seq: f.expected})
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -59,8 +59,9 @@
 	// ColdPerSecond is how many new flows a cold upstream bears in a second; 0 for
 	// no bound.
 	ColdPerSecond uint16
-	// ColdLeft is how long the upstream stays cold.
-	ColdLeft time.Duration
+	// ColdLeft is how long the upstream stays cold, and ColdFor how long it does after a
+	// start.
+	ColdLeft, ColdFor time.Duration
 	// Born is the upstream's own time of its start, in Unix milliseconds, or 0.
 	Born int64
 }
@@ -72,6 +73,7 @@
 // Holding is what an agent says about a flow without a packet of it.
 type Holding uint8
 
+// What an agent says.
 const (
 	// Unsure: only a packet of the flow can show whether the upstream holds it.
 	Unsure Holding = iota
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -155,17 +155,26 @@
 	sr.rounds++
 	s.await(k, sr, now.Add(answerTime<<sr.rounds))
 	for i := range sr.tries {
-		t := &sr.tries[i]
-		if m := s.member(r, t.at); !t.answered && t.question && m != nil {
-			s.question(now, k, m)
-		} else if !t.answered && sr.packet != nil {
-			s.forward(now, r, t.at, Action{
-				Key: k, Packet: sr.packet, Tries: len(sr.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true},
-			})
+		if t := &sr.tries[i]; !t.answered {
+			s.repeat(now, r, k, sr, t)
 		}
 	}
 }
 
+// repeat asks an upstream again that has not answered.
+func (s *Steer) repeat(now time.Time, r *gdbelief.Route, k gdflow.Key, sr *search, t *try) {
+	m := s.member(r, t.at)
+	switch {
+	case m == nil:
+	case t.question:
+		s.question(now, k, m)
+	case sr.packet != nil:
+		s.forwardTo(now, m, Action{
+			Key: k, Packet: sr.packet, Tries: len(sr.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true},
+		})
+	}
+}
+
 // await sets the time at which the search goes on without an answer.
 func (s *Steer) await(k gdflow.Key, sr *search, at time.Time) {
 	if sr.deadline.Equal(at) {
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -122,6 +122,16 @@
 	actions   []Action
 }
 
+// told is what an agent must hear at once when it changes.
+type told struct {
+	takesNew bool
+	born     int64
+}
+
+func toldOf(now time.Time, m *gdbelief.Member) told {
+	return told{takesNew: m.TakesNew(now), born: m.Upstream().Born}
+}
+
 // early is a packet that waits for the first view.
 type early struct {
 	at     time.Time
@@ -136,22 +146,22 @@
 }
 
 // SetView puts a view in force. It returns what the agents are to be told whose
-// upstreams begin or cease to take new flows: another entry host may not know of the
-// change yet, and the agent is the last to check. The first view also decides on the
+// upstreams begin or cease to take new flows, or have started again: another entry host
+// may not know of the change yet, and the agent is the last to check. The first view also decides on the
 // packets that have waited for it.
 func (s *Steer) SetView(now time.Time, v *gdbelief.View) []Action {
 	s.init()
-	before := make(map[gdflow.Address]bool)
+	before := make(map[gdflow.Address]told)
 	if s.view != nil {
 		for _, m := range s.view.Upstreams() {
-			before[m.Address()] = m.TakesNew(now)
+			before[m.Address()] = toldOf(now, m)
 		}
 	}
 	s.view = v
 	for _, m := range v.Upstreams() {
 		was, known := before[m.Address()]
 		p, ok := v.Pool(m.Upstream().Service)
-		if ok && known && was != m.TakesNew(now) {
+		if ok && known && was != toldOf(now, m) {
 			s.add(Action{
 				Verb: Tell, To: m.Address(),
 				Carry: gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)},
@@ -389,6 +399,7 @@
 		Slots:         uint8(min(max(m.Upstream().Slots, 1), most)),
 		ColdPerSecond: uint16(min(max(p.Service().ColdPerSecond, 0), 1<<16-1)),
 		ColdLeft:      m.ColdLeft(now),
+		ColdFor:       p.Service().ColdFor,
 		Born:          m.Upstream().Born,
 	}
 }
--- a/internal/process/gdside/side.go
+++ b/internal/process/gdside/side.go
@@ -106,6 +106,9 @@
 	}
 	s.Guard.Answered = s.seen.answerTime.RecordDuration
 	s.doubt = make(chan struct{}, 1)
+	if !s.Guard.Fresh {
+		s.lookAtUpstream() // it may be away while the agent starts again
+	}
 	s.serving.Store(true)
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
 	g, work := errgroup.WithContext(work)
--- a/internal/wire/gdhop/hop.go
+++ b/internal/wire/gdhop/hop.go
@@ -35,7 +35,7 @@
 
 const (
 	carrySize    = 8
-	standingSize = 24
+	standingSize = 28
 	answerSize   = 13
 	noteSize     = 4 + gdflow.KeySize
 	questionSize = 8 + standingSize
@@ -132,7 +132,8 @@
 	b = append(b, flags, s.Slots)
 	b = binary.BigEndian.AppendUint16(b, s.ColdPerSecond)
 	b = binary.BigEndian.AppendUint32(b, uint32(max(s.ColdLeft, 0)/time.Millisecond))
-	return binary.BigEndian.AppendUint64(b, uint64(s.Born))
+	b = binary.BigEndian.AppendUint64(b, uint64(s.Born))
+	return binary.BigEndian.AppendUint32(b, uint32(max(s.ColdFor, 0)/time.Millisecond))
 }
 
 // AppendReturn appends the part of Return before the packet.
@@ -229,6 +230,7 @@
 		ColdPerSecond: binary.BigEndian.Uint16(b[10:]),
 		ColdLeft:      time.Duration(binary.BigEndian.Uint32(b[12:])) * time.Millisecond,
 		Born:          int64(binary.BigEndian.Uint64(b[16:])),
+		ColdFor:       time.Duration(binary.BigEndian.Uint32(b[24:])) * time.Millisecond,
 	}
 }
 
