--- a/cmd/gdrig/soak.go
+++ b/cmd/gdrig/soak.go
@@ -34,7 +34,7 @@
    gdrig soak --minutes 5 --jobs 5
    gdrig soak --regressions --jobs 5
    gdrig soak --mutants
-   gdrig soak --seed 1 --entries 40 --upstreams 220`
+   gdrig soak --seed 1 --entries 40 --upstreams 220 --load 0.05`
 
 const defaultTroubleSeconds = 12
 
@@ -55,6 +55,7 @@
 			&cli.BoolFlag{Name: "regressions", Usage: "play the seeds that once broke a promise"},
 			&cli.BoolFlag{Name: "mutants", Usage: "instead, break the product on purpose for each promise and see it noticed; in the source folder"},
 			&cli.IntFlag{Name: "entries", Usage: "entry hosts in each failure domain", Value: 2},
+			&cli.FloatFlag{Name: "load", Usage: "share of the load, which grows with the upstreams", Value: 1},
 			&cli.IntFlag{Name: "upstreams", Usage: "upstreams of both services", Value: 7},
 		},
 		Action: soak,
@@ -68,7 +69,7 @@
 	bookings := (cmd.Int("upstreams")*2 + 2) / 3
 	s := &gdsoak.Series{
 		Binary: cmd.String("gdhost"), Dir: cmd.String("out"), Jobs: cmd.Int("jobs"), Only: cmd.StringSlice("only"),
-		Shape:    gdhostrig.Sized(cmd.Int("entries"), bookings, cmd.Int("upstreams")-bookings),
+		Shape:    gdhostrig.Sized(cmd.Int("entries"), bookings, cmd.Int("upstreams")-bookings).Scaled(cmd.Float("load")),
 		Trouble:  time.Duration(cmd.Int("trouble")) * time.Second,
 		Progress: soakProgress,
 	}
--- a/internal/core/gdsteer/reach.go
+++ b/internal/core/gdsteer/reach.go
@@ -12,6 +12,8 @@
 	// host in a failure domain that is cut off reaches more: those of its own domain,
 	// which bear the domain's callers.
 	leastReach = 0.1
+	// leastSilent is how many agents must be silent: one alone may be away.
+	leastSilent = 2
 	// newsTime is the age of a view that is older than any with a reader who watches:
 	// the longest watch and a beacon's time.
 	newsTime = 1300 * time.Millisecond
@@ -25,7 +27,7 @@
 // agents that are away, and no other host does better.
 func (s *Steer) CutOff() bool { return s.cutOff }
 
-// reachesFew counts the agents that answer, unless there is recent news.
+// reachesFew reports whether hardly any agent answers, and there is no recent news.
 func (s *Steer) reachesFew(now time.Time) bool {
 	if s.view == nil || now.Sub(s.confirmed) < newsTime {
 		return false
@@ -40,7 +42,7 @@
 			silent++
 		}
 	}
-	return silent >= suspectAfter && float64(all-silent) < leastReach*float64(all)
+	return silent >= leastSilent && float64(all-silent) < leastReach*float64(all)
 }
 
 // noticeReach notes whether the host is cut off, and has the silent agents looked at
--- a/internal/core/gdsteer/types.go
+++ b/internal/core/gdsteer/types.go
@@ -76,7 +76,7 @@
 type Action struct {
 	// Packet is the packet to forward. It is valid until the next call.
 	Packet []byte
-	// To is the address of the upstream, for Forward.
+	// To is the address of the upstream, for Forward, Tell and Ask.
 	To gdflow.Address
 	// Key is the flow, and Keys are the flows of Ask.
 	Key  gdflow.Key
--- a/internal/rig/gdhostrig/shape.go
+++ b/internal/rig/gdhostrig/shape.go
@@ -58,6 +58,20 @@
 // a developer's machine idle.
 func Small() Shape { return Sized(2, 4, 3) }
 
+// Scaled returns the deployment with a share of its load.
+func (s Shape) Scaled(load float64) Shape {
+	classes := make([]Class, 0, len(s.Classes))
+	for _, c := range s.Classes {
+		c.PerSecond *= load
+		if c.Flows > 0 {
+			c.Flows = max(1, int(float64(c.Flows)*load))
+		}
+		classes = append(classes, c)
+	}
+	s.Classes = classes
+	return s
+}
+
 // Sized returns a deployment in two failure domains with the numbers of entry hosts in
 // each and of upstreams of its two services. The load grows with the upstreams.
 func Sized(entries, bookings, galleries int) Shape {
