Wait for the rig's loop before a soak closes its files

Stop ended the loop's context and did not wait for what it was in the middle of. Ruled out: the processes under test, which have the detector too and did not end. Change: Stop waits for the loop; a failed start leaves no process behind. Conclusion: a fault of the rig.

--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -121,11 +121,13 @@
 }
 
 func (r *Rig) startProcess(now time.Time, h *Host) error {
-	var err error
-	h.child, err = gdchild.Start(h.name, filepath.Join(r.Dir, h.name+".log"), r.Binary, h.role, "--settings", r.settingsFile(h))
-	h.paused = false
+	c, err := gdchild.Start(h.name, filepath.Join(r.Dir, h.name+".log"), r.Binary, h.role, "--settings", r.settingsFile(h))
+	if err != nil {
+		return err
+	}
+	h.child, h.paused = c, false
 	r.saw(Event{At: now, Kind: Planned, Host: h.name, Text: "start"})
-	return err
+	return nil
 }
 
 // watchHosts starts processes again that have ended and probes entry hosts, for as
--- a/internal/rig/gdhostrig/loop.go
+++ b/internal/rig/gdhostrig/loop.go
@@ -12,10 +12,11 @@
 type loop struct {
 	ctx  context.Context
 	work chan func(time.Time)
+	over chan struct{} // closed when run has returned
 }
 
 func newLoop(ctx context.Context) *loop {
-	return &loop{ctx: ctx, work: make(chan func(time.Time), loopQueue)}
+	return &loop{ctx: ctx, work: make(chan func(time.Time), loopQueue), over: make(chan struct{})}
 }
 
 // post brings a function to the loop.
@@ -31,6 +32,7 @@
 
 // run runs what is brought until the context ends.
 func (l *loop) run() {
+	defer close(l.over)
 	for {
 		select {
 		case <-l.ctx.Done():
--- a/internal/rig/gdhostrig/rig.go
+++ b/internal/rig/gdhostrig/rig.go
@@ -78,8 +78,22 @@
 	stopping  bool
 }
 
-// Start starts the deployment and, a little later, its load.
+// Start starts the deployment and, a little later, its load. After an error nothing of
+// it runs.
 func (r *Rig) Start(ctx context.Context) error {
+	err := r.start(ctx)
+	if err != nil {
+		r.stop()
+		for _, h := range r.hosts {
+			if h.child != nil {
+				h.end()
+			}
+		}
+	}
+	return err
+}
+
+func (r *Rig) start(ctx context.Context) error {
 	ctx, r.stop = context.WithCancel(ctx)
 	r.loop = newLoop(ctx)
 	r.rand = rand.New(rand.NewPCG(r.Seed, 1))
@@ -173,6 +187,7 @@
 		}
 	})
 	r.stop()
+	<-r.over // nothing is observed any more
 	_, _, _ = r.relay.Close(), r.claim.Close(), r.callers.close()
 }
 
