--- a/cmd/gdrig/soak.go
+++ b/cmd/gdrig/soak.go
@@ -68,10 +68,12 @@
 	}
 	bookings := (cmd.Int("upstreams")*2 + 2) / 3
 	s := &gdsoak.Series{
-		Binary: cmd.String("gdhost"), Dir: cmd.String("out"), Jobs: cmd.Int("jobs"), Only: cmd.StringSlice("only"),
-		Shape:    gdhostrig.Sized(cmd.Int("entries"), bookings, cmd.Int("upstreams")-bookings).Scaled(cmd.Float("load")),
-		Trouble:  time.Duration(cmd.Int("trouble")) * time.Second,
-		Progress: soakProgress,
+		Soak: gdsoak.Soak{
+			Binary: cmd.String("gdhost"), Dir: cmd.String("out"), Only: cmd.StringSlice("only"),
+			Shape:   gdhostrig.Sized(cmd.Int("entries"), bookings, cmd.Int("upstreams")-bookings).Scaled(cmd.Float("load")),
+			Trouble: time.Duration(cmd.Int("trouble")) * time.Second,
+		},
+		Jobs: cmd.Int("jobs"), Progress: soakProgress,
 	}
 	sum, err := s.Run(ctx, soakSeeds(cmd))
 	if err != nil {
--- a/internal/core/gdbelief/view.go
+++ b/internal/core/gdbelief/view.go
@@ -54,10 +54,6 @@
 // Address returns the upstream's address, which is on the host of its agent.
 func (m *Member) Address() gdflow.Address { return m.upstream.Address }
 
-// Seed returns the number by which the upstream is ranked for a flow. It follows
-// from the address alone, so that an upstream that starts again keeps its rank.
-func (m *Member) Seed() uint64 { return m.seed }
-
 // TakesNew reports whether new flows may go to the upstream.
 func (m *Member) TakesNew(now time.Time) bool {
 	if m.domainOut || m.upstream.Draining {
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -18,6 +18,7 @@
 package gdguard
 
 import (
+	"slices"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
@@ -372,11 +373,7 @@
 			g.add(Action{Verb: Held, Key: t.key, Entry: t.f.entry})
 		}
 	}
-	if i > 0 {
-		n := copy(g.tried, g.tried[i:])
-		clear(g.tried[n:])
-		g.tried = g.tried[:n]
-	}
+	g.tried = slices.Delete(g.tried, 0, i)
 }
 
 // takes reports whether the upstream holds the flow of the packet, or may hold it.
--- a/internal/core/gdguard/limits.go
+++ b/internal/core/gdguard/limits.go
@@ -95,9 +95,7 @@
 	i := 0
 	for ; i < len(b.spent) && now.Sub(b.spent[i]) > time.Second; i++ {
 	}
-	if i > 0 {
-		b.spent = b.spent[:copy(b.spent, b.spent[i:])]
-	}
+	b.spent = slices.Delete(b.spent, 0, i)
 }
 
 func (b *budget) allows(now time.Time, perSecond int) bool {
--- a/internal/core/gdsteer/answer.go
+++ b/internal/core/gdsteer/answer.go
@@ -1,6 +1,7 @@
 package gdsteer
 
 import (
+	"slices"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
@@ -20,11 +21,7 @@
 	if !ok {
 		return nil
 	}
-	f, known := s.flows.Get(now, p.Key())
-	if !known {
-		f = &flow{}
-		s.flows.Put(now, p.Key(), f)
-	}
+	f := s.flow(now, p.Key())
 	if p.Opens() {
 		s.openRefused(now, r, ans, p.Key(), f)
 	} else {
@@ -134,10 +131,7 @@
 
 // NextTick returns when Tick is due, or the zero time.
 func (s *Steer) NextTick() time.Time {
-	var next time.Time
-	for _, at := range []time.Time{s.questions.due, s.pingDue} {
-		next = sooner(next, at)
-	}
+	next := sooner(s.questions.due, s.pingDue)
 	if len(s.timers) > 0 {
 		next = sooner(next, s.timers[0].at)
 	}
@@ -159,9 +153,7 @@
 	for ; i < len(s.timers) && !s.timers[i].at.After(now); i++ {
 		s.expire(now, s.timers[i])
 	}
-	if i > 0 {
-		s.timers = s.timers[:copy(s.timers, s.timers[i:])]
-	}
+	s.timers = slices.Delete(s.timers, 0, i)
 	if !s.questions.due.IsZero() && !s.questions.due.After(now) {
 		s.askAll()
 	}
--- a/internal/core/gdsteer/hosts.go
+++ b/internal/core/gdsteer/hosts.go
@@ -29,6 +29,9 @@
 	until      time.Time
 }
 
+// silent reports whether the host has stopped answering.
+func (o *host) silent() bool { return o.unanswered >= suspectAfter }
+
 // heard notes an answer.
 func (h *hosts) heard(at gdflow.Address) {
 	o, ok := h.m[at.IP()]
@@ -41,7 +44,7 @@
 
 // tell reports a change of a host that became suspect.
 func (h *hosts) tell(at gdflow.Address, o *host, suspect bool) {
-	if h.changed != nil && o.unanswered >= suspectAfter {
+	if h.changed != nil && o.silent() {
 		h.changed(at, suspect)
 	}
 }
@@ -50,7 +53,7 @@
 func (h *hosts) unanswered(now time.Time, at gdflow.Address) {
 	o := h.at(at)
 	o.unanswered++
-	if o.unanswered >= suspectAfter {
+	if o.silent() {
 		o.until = now.Add(suspectTime)
 	}
 	if o.unanswered == suspectAfter {
@@ -76,7 +79,7 @@
 // silent reports whether the host has stopped answering.
 func (h *hosts) silent(a gdflow.Address) bool {
 	o, ok := h.m[a.IP()]
-	return ok && o.unanswered >= suspectAfter
+	return ok && o.silent()
 }
 
 func (h *hosts) suspect(now time.Time, a gdflow.Address) bool {
--- a/internal/core/gdsteer/question.go
+++ b/internal/core/gdsteer/question.go
@@ -101,9 +101,7 @@
 	default:
 		t.question = false
 		s.await(k, sr, now.Add(answerTime))
-		s.forward(now, r, t.at, Action{
-			Key: k, Packet: sr.packet, Tries: len(sr.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true},
-		})
+		s.forward(now, r, t.at, sr.show(k))
 	}
 	if sr.allAnswered() {
 		s.nextLook(now, r, k, f)
--- a/internal/core/gdsteer/reach.go
+++ b/internal/core/gdsteer/reach.go
@@ -1,11 +1,6 @@
 package gdsteer
 
-import (
-	"time"
-
-	"godwitdrift.example/godwitdrift/internal/core/gdbelief"
-	"godwitdrift.example/godwitdrift/internal/core/gdguard"
-)
+import "time"
 
 const (
 	// leastReach is the share of the agents below which a host is no use to callers. A
@@ -69,8 +64,3 @@
 		}
 	}
 }
-
-// carryTo returns what an agent is told with a question.
-func (s *Steer) carryTo(now time.Time, p *gdbelief.Pool, m *gdbelief.Member) gdguard.Carry {
-	return gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)}
-}
--- a/internal/core/gdsteer/search.go
+++ b/internal/core/gdsteer/search.go
@@ -54,14 +54,21 @@
 	if sr.allAnswered() && !sr.silent {
 		// Each upstream has refused, so the request has not run. One that said nothing
 		// may have accepted the flow.
-		s.finish(f)
-		f.state = 0
-		s.add(Action{Verb: Reset, Key: k, Reason: NoUpstream, Tries: len(sr.tries)})
+		s.refuse(k, f, NoUpstream)
 		return
 	}
 	s.lose(now, k, f)
 }
 
+// refuse ends the search for an upstream that takes the flow, and the flow at its
+// caller. No upstream has accepted it.
+func (s *Steer) refuse(k gdflow.Key, f *flow, why Reason) {
+	tries := len(f.search.tries)
+	s.finish(f)
+	f.state = 0
+	s.add(Action{Verb: Reset, Key: k, Reason: why, Tries: tries})
+}
+
 // hold lets a flow wait that all upstreams have too much work for, or refuses it when
 // it has waited for its goal.
 func (s *Steer) hold(now time.Time, r *gdbelief.Route, k gdflow.Key, f *flow) {
@@ -71,9 +78,7 @@
 			s.lose(now, k, f)
 			return
 		}
-		s.finish(f)
-		f.state = 0
-		s.add(Action{Verb: Reset, Key: k, Reason: Overloaded, Tries: len(sr.tries)})
+		s.refuse(k, f, Overloaded)
 		return
 	}
 	sr.holding = true
@@ -169,9 +174,7 @@
 	case t.question:
 		s.question(now, k, m)
 	case sr.packet != nil:
-		s.forwardTo(now, m, Action{
-			Key: k, Packet: sr.packet, Tries: len(sr.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true},
-		})
+		s.forwardTo(now, m, sr.show(k))
 	}
 }
 
@@ -272,6 +275,11 @@
 	s.add(Action{Verb: Drop, Key: k, Reason: NotFound, Tries: tries})
 }
 
+// show returns the action that shows an upstream the packet of the search.
+func (s *search) show(k gdflow.Key) Action {
+	return Action{Key: k, Packet: s.packet, Tries: len(s.tries), Reason: Everyone, Carry: gdguard.Carry{Confirm: true}}
+}
+
 // wait keeps a packet until the search ends.
 func (s *search) wait(raw []byte) {
 	if s.packet != nil && len(s.later) < mostLater {
--- a/internal/core/gdsteer/steer.go
+++ b/internal/core/gdsteer/steer.go
@@ -147,8 +147,8 @@
 
 // SetView puts a view in force. It returns what the agents are to be told whose
 // upstreams begin or cease to take new flows, or have started again: another entry host
-// may not know of the change yet, and the agent is the last to check. The first view also decides on the
-// packets that have waited for it.
+// may not know of the change yet, and the agent is the last to check. The first view
+// also decides on the packets that have waited for it.
 func (s *Steer) SetView(now time.Time, v *gdbelief.View) []Action {
 	s.init()
 	before := make(map[gdflow.Address]told)
@@ -162,10 +162,7 @@
 		was, known := before[m.Address()]
 		p, ok := v.Pool(m.Upstream().Service)
 		if ok && known && was != toldOf(now, m) {
-			s.add(Action{
-				Verb: Tell, To: m.Address(),
-				Carry: gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)},
-			})
+			s.add(Action{Verb: Tell, To: m.Address(), Carry: s.carryTo(now, p, m)})
 		}
 	}
 	for _, e := range s.early {
@@ -180,9 +177,6 @@
 // Confirm notes that the view held at the time.
 func (s *Steer) Confirm(at time.Time) { s.confirmed = at }
 
-// Behind reports whether an agent has shown a higher revision than the view's.
-func (s *Steer) Behind() bool { return s.view != nil && s.newest > s.view.Revision() }
-
 // Flows returns the number of flows that are remembered.
 func (s *Steer) Flows() int { return s.flows.Len() }
 
@@ -226,11 +220,7 @@
 		s.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: NoRoute})
 		return
 	}
-	f, known := s.flows.Get(now, p.Key())
-	if !known {
-		f = &flow{}
-		s.flows.Put(now, p.Key(), f)
-	}
+	f := s.flow(now, p.Key())
 	if p.Opens() {
 		s.callerOpens(now, r, f, p, raw)
 	} else {
@@ -238,6 +228,16 @@
 	}
 }
 
+// flow returns what is remembered of a flow, from now on at least.
+func (s *Steer) flow(now time.Time, k gdflow.Key) *flow {
+	f, known := s.flows.Get(now, k)
+	if !known {
+		f = &flow{}
+		s.flows.Put(now, k, f)
+	}
+	return f
+}
+
 // callerOpens handles a packet that opens a flow, or a copy of one.
 func (s *Steer) callerOpens(now time.Time, r *gdbelief.Route, f *flow, p gdflow.Packet, raw []byte) {
 	const secondCopy = 2
@@ -390,6 +390,11 @@
 	return nil
 }
 
+// carryTo returns what an agent is told without a packet.
+func (s *Steer) carryTo(now time.Time, p *gdbelief.Pool, m *gdbelief.Member) gdguard.Carry {
+	return gdguard.Carry{Service: p.Hash(), Standing: s.standing(now, p, m)}
+}
+
 // standing returns what an agent is told of its upstream.
 func (s *Steer) standing(now time.Time, p *gdbelief.Pool, m *gdbelief.Member) gdguard.Standing {
 	const most = 1<<8 - 1
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -18,7 +18,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"sync"
@@ -34,6 +33,8 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdpeers"
 	"godwitdrift.example/godwitdrift/internal/core/gdsteer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdleave"
+	"godwitdrift.example/godwitdrift/internal/process/gdpump"
 )
 
 const (
@@ -42,8 +43,6 @@
 	noticeTime = 1500 * time.Millisecond
 	// quietTime is how long no packet comes before a leaving host ends.
 	quietTime = 500 * time.Millisecond
-	// graceMargin is what is left of the grace period when the host ends anyway.
-	graceMargin = 500 * time.Millisecond
 	// tickTime is the shortest time between two looks at the searches.
 	tickTime = 5 * time.Millisecond
 )
@@ -151,21 +150,21 @@
 	g.Go(func() error {
 		defer stop()
 		e.leave(ctx, work)
-		return errors.Wrap(e.close(), "close sockets")
+		return gdpump.Close(e.callers, e.hop, e.feed, e.updates)
 	})
 	return g.Wait()
 }
 
 func (e *Entry) listen() error {
 	var err error
-	if e.callers, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Callers)); err != nil {
-		return errors.Wrapf(err, "listen for callers at %s", e.Callers)
+	if e.callers, err = gdpump.Listen("callers", e.Callers); err != nil {
+		return err
 	}
-	if e.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Hop)); err != nil {
-		return errors.Wrapf(err, "listen for agents at %s", e.Hop)
+	if e.hop, err = gdpump.Listen("agents", e.Hop); err != nil {
+		return err
 	}
-	if e.feed, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(e.Feed)); err != nil {
-		return errors.Wrapf(err, "listen for entry hosts at %s", e.Feed)
+	if e.feed, err = gdpump.Listen("entry hosts", e.Feed); err != nil {
+		return err
 	}
 	if e.updates, err = net.Listen("tcp4", e.Feed.String()); err != nil {
 		return errors.Wrapf(err, "listen for entry hosts at %s", e.Feed)
@@ -173,40 +172,29 @@
 	return nil
 }
 
-func (e *Entry) close() error {
-	var first error
-	for _, c := range []io.Closer{e.callers, e.hop, e.feed, e.updates} {
-		if err := c.Close(); first == nil && !errors.Is(err, net.ErrClosed) {
-			first = err
-		}
-	}
-	return first
-}
-
 // leave waits for the end of the context, and then until no more packets come or
 // the grace period is nearly over.
 func (e *Entry) leave(ctx, work context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-work.Done():
-		return
+	var quiet time.Duration
+	passed, ok := gdleave.Leave{
+		Grace: e.grace, Every: quietTime / 5, Begin: e.beginLeaving,
+		Over: func(now time.Time, passed time.Duration) bool {
+			quiet = now.Sub(time.Unix(0, e.lastSeen.Load()))
+			return passed > noticeTime && quiet > quietTime
+		},
+	}.Wait(ctx, work)
+	if ok {
+		e.Log.Event(gdlog.DrainEnded, "after", passed.String(), "quiet", quiet.String())
 	}
+}
+
+func (e *Entry) beginLeaving() {
 	e.leaving.Store(true)
 	e.mu.Lock()
 	e.peers.Leave()
+	flows := e.core.Flows()
 	e.mu.Unlock()
-	began := time.Now()
-	e.Log.Event(gdlog.DrainStarted, "flows", e.flows())
-	t := time.NewTicker(quietTime / 5)
-	defer t.Stop()
-	for now := range t.C {
-		passed := now.Sub(began)
-		quiet := now.Sub(time.Unix(0, e.lastSeen.Load()))
-		if passed > e.grace()-graceMargin || passed > noticeTime && quiet > quietTime {
-			e.Log.Event(gdlog.DrainEnded, "after", passed.String(), "quiet", quiet.String())
-			return
-		}
-	}
+	e.Log.Event(gdlog.DrainStarted, "flows", flows)
 }
 
 // suspected notes that an agent's host has stopped answering, or answers again. The
@@ -218,9 +206,3 @@
 	}
 	e.seen.event(time.Now(), e.Log, ev, "host", host, "revision", e.book.Revision())
 }
-
-func (e *Entry) flows() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.core.Flows()
-}
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -15,6 +15,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdpeers"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdpump"
 	"godwitdrift.example/godwitdrift/internal/wire/gdfeed"
 )
 
@@ -130,7 +131,7 @@
 
 // hearPeers takes in the beacons of other entry hosts.
 func (e *Entry) hearPeers(ctx context.Context) error {
-	buf := make([]byte, maxDatagram)
+	buf := make([]byte, gdpump.MaxDatagram)
 	for {
 		n, from, err := e.feed.ReadFromUDPAddrPort(buf)
 		if err != nil {
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -13,12 +13,9 @@
 	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 )
 
-// maxDatagram is longer than any packet with what is put before it, in bytes.
-const maxDatagram = 1500
-
 // readCallers forwards the callers' packets.
 func (e *Entry) readCallers(ctx context.Context) error {
-	in := gdbatch.NewReader(e.callers, maxDatagram)
+	in := gdbatch.NewReader(e.callers, gdpump.MaxDatagram)
 	out := e.newSender()
 	return e.read(ctx, in, func(now time.Time, b []byte, _ netip.AddrPort) {
 		p, err := e.Codec.FromCaller(b)
@@ -34,15 +31,10 @@
 
 // readAgents takes in the agents' messages.
 func (e *Entry) readAgents(ctx context.Context) error {
-	in := gdbatch.NewReader(e.hop, maxDatagram)
+	in := gdbatch.NewReader(e.hop, gdpump.MaxDatagram)
 	out := e.newSender()
 	return e.read(ctx, in, func(now time.Time, b []byte, from netip.AddrPort) {
-		host, ok := gdflow.AddressOf(from)
-		if !ok || from.Port() != e.Hop.Port() {
-			e.seen.malformed.Inc(1)
-			return
-		}
-		m, err := gdhop.Parse(b)
+		host, m, err := gdhop.Receive(b, from, e.Hop.Port())
 		if err != nil {
 			e.seen.malformed.Inc(1)
 			return
@@ -85,16 +77,11 @@
 func (e *Entry) read(ctx context.Context, in *gdbatch.Reader,
 	handle func(time.Time, []byte, netip.AddrPort), out *sender,
 ) error {
-	return gdpump.Run(ctx, in, func() { e.seen.failedReads.Inc(1) }, func(now time.Time, n int) {
-		e.mu.Lock()
-		for i := range n {
-			b, from := in.At(i)
-			handle(now, b, from)
-		}
-		e.wakeTick()
-		e.mu.Unlock()
-		out.flush()
-	})
+	p := &gdpump.Pump{
+		In: in, Lock: &e.mu, Handle: handle, Batch: func(time.Time) { e.wakeTick() }, Flush: out.flush,
+		Failed: func() { e.seen.failedReads.Inc(1) },
+	}
+	return p.Run(ctx)
 }
 
 // wakeTick has the searches looked after if any waits. The lock is held.
@@ -163,7 +150,7 @@
 }
 
 func (e *Entry) newSender() *sender {
-	return &sender{e: e, out: gdbatch.NewWriter(e.hop, maxDatagram+gdhop.MaxOverhead)}
+	return &sender{e: e, out: gdbatch.NewWriter(e.hop, gdpump.MaxDatagram+gdhop.MaxOverhead)}
 }
 
 func (s *sender) do(now time.Time, actions []gdsteer.Action) {
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -19,6 +19,7 @@
 	"godwitdrift.example/godwitdrift/internal/process/gdentry"
 	"godwitdrift.example/godwitdrift/internal/process/gdside"
 	"godwitdrift.example/godwitdrift/platform"
+	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
 
 // patience is how long a test waits for what happens within milliseconds.
@@ -168,22 +169,12 @@
 }
 
 // packet returns a packet between the flow's ends as the platform has it.
-func (d *deployment) packet(toService bool, flags byte, seq, ack uint32, data string) []byte {
-	b := make([]byte, platform.HeaderSize, platform.HeaderSize+len(data))
-	from, to := d.key.Caller(), d.key.Service()
+func (d *deployment) packet(toService bool, flags platformsim.Flags, seq, ack uint32, data string) []byte {
+	p := platformsim.Packet{From: d.key.Caller(), To: d.key.Service(), Seq: seq, Ack: ack, Flags: flags, Data: []byte(data)}
 	if !toService {
-		from, to = to, from
+		p.From, p.To = p.To, p.From
 	}
-	binary.BigEndian.PutUint32(b, seq)
-	binary.BigEndian.PutUint32(b[4:], ack)
-	binary.BigEndian.PutUint16(b[8:], from.Port())
-	src, dst := from.IP(), to.IP()
-	copy(b[10:], src[:])
-	copy(b[14:], dst[:])
-	binary.BigEndian.PutUint16(b[18:], to.Port())
-	binary.BigEndian.PutUint16(b[24:], uint16(len(data)))
-	b[30] = flags
-	return append(b, data...)
+	return p.Append(nil)
 }
 
 func (d *deployment) read(c *net.UDPConn) []byte {
--- a/internal/process/gdpump/pump.go
+++ b/internal/process/gdpump/pump.go
@@ -1,15 +1,21 @@
-// Package gdpump reads a socket until it is closed.
+// Package gdpump opens sockets, reads them until they are closed, and closes them.
 //
 // # Usage
 //
-//	err := gdpump.Run(ctx, gdbatch.NewReader(conn, size), failed, func(now time.Time, n int) {
-//		...
-//	})
+//	conn, err := gdpump.Listen("agents", at)
+//	p := &gdpump.Pump{
+//		In: gdbatch.NewReader(conn, gdpump.MaxDatagram), Lock: &mu,
+//		Handle: handle, Batch: batch, Flush: out.flush, Failed: failed,
+//	}
+//	err = p.Run(ctx)
 package gdpump
 
 import (
 	"context"
+	"io"
 	"net"
+	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -17,19 +23,62 @@
 	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
 )
 
-// Run hands each batch of n datagrams to handle, with the time at which it came. It
-// returns when the socket is closed or the context has ended; other errors of a read
-// are counted by failed, since the next read may succeed.
-func Run(ctx context.Context, in *gdbatch.Reader, failed func(), handle func(now time.Time, n int)) error {
+// MaxDatagram is longer than any packet with what is put before it, in bytes.
+const MaxDatagram = 1500
+
+// Listen opens a socket at which others send.
+func Listen(others string, at netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	return c, errors.Wrapf(err, "listen for %s at %s", others, at)
+}
+
+// Close closes all, and returns the first error. One that is closed already is fine.
+func Close(all ...io.Closer) error {
+	var first error
+	for _, c := range all {
+		if err := c.Close(); first == nil && !errors.Is(err, net.ErrClosed) {
+			first = err
+		}
+	}
+	return errors.Wrap(first, "close sockets")
+}
+
+// Pump reads a socket. Its fields are set before Run.
+type Pump struct {
+	In   *gdbatch.Reader
+	Lock sync.Locker
+	// Handle takes a datagram, and Batch is called after those of a read; both with the
+	// lock held.
+	Handle func(now time.Time, b []byte, from netip.AddrPort)
+	Batch  func(now time.Time)
+	// Flush sends what the batch has brought about.
+	Flush func()
+	// Failed counts errors of a read, after which the next one may succeed.
+	Failed func()
+}
+
+// Run returns when the socket is closed or the context has ended.
+func (p *Pump) Run(ctx context.Context) error {
 	for {
-		n, err := in.Read()
+		n, err := p.In.Read()
 		if err == nil {
-			handle(time.Now(), n)
+			p.take(time.Now(), n)
 			continue
 		}
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
-		failed()
+		p.Failed()
+	}
+}
+
+func (p *Pump) take(now time.Time, n int) {
+	p.Lock.Lock()
+	for i := range n {
+		b, from := p.In.At(i)
+		p.Handle(now, b, from)
 	}
+	p.Batch(now)
+	p.Lock.Unlock()
+	p.Flush()
 }
--- a/internal/process/gdside/packets.go
+++ b/internal/process/gdside/packets.go
@@ -17,17 +17,13 @@
 	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 )
 
-// maxDatagram is longer than any packet with what is put before it, in bytes.
-const maxDatagram = 1500
-
 // readEntries lets in what entry hosts send.
 func (s *Side) readEntries(ctx context.Context) error {
-	in := gdbatch.NewReader(s.hop, maxDatagram)
+	in := gdbatch.NewReader(s.hop, gdpump.MaxDatagram)
 	out := s.newSender()
 	return s.read(ctx, in, out, func(now time.Time, b []byte, from netip.AddrPort) {
-		entry, ok := gdflow.AddressOf(from)
-		m, err := gdhop.Parse(b)
-		if err != nil || !ok || from.Port() != s.Hop.Port() {
+		entry, m, err := gdhop.Receive(b, from, s.Hop.Port())
+		if err != nil {
 			s.seen.malformed.Inc(1)
 			return
 		}
@@ -61,7 +57,7 @@
 
 // readUpstream sends on what the upstream sends.
 func (s *Side) readUpstream(ctx context.Context) error {
-	in := gdbatch.NewReader(s.from, maxDatagram)
+	in := gdbatch.NewReader(s.from, gdpump.MaxDatagram)
 	out := s.newSender()
 	return s.read(ctx, in, out, func(now time.Time, b []byte, from netip.AddrPort) {
 		if from.Addr() != s.Upstream.Addr() && !from.Addr().IsLoopback() {
@@ -137,19 +133,16 @@
 func (s *Side) read(ctx context.Context, in *gdbatch.Reader, out *sender,
 	handle func(time.Time, []byte, netip.AddrPort),
 ) error {
-	return gdpump.Run(ctx, in, func() { s.seen.failedReads.Inc(1) }, func(now time.Time, n int) {
-		s.mu.Lock()
-		for i := range n {
-			b, from := in.At(i)
-			handle(now, b, from)
-		}
-		doubt := s.Guard.Doubt(now)
-		s.mu.Unlock()
-		out.flush()
-		if doubt {
-			s.lookAtUpstream()
-		}
-	})
+	p := &gdpump.Pump{
+		In: in, Lock: &s.mu, Handle: handle, Flush: out.flush,
+		Batch: func(now time.Time) {
+			if s.Guard.Doubt(now) {
+				s.lookAtUpstream()
+			}
+		},
+		Failed: func() { s.seen.failedReads.Inc(1) },
+	}
+	return p.Run(ctx)
 }
 
 // lookAtUpstream has the upstream's port probed, if that is not being done already.
@@ -167,7 +160,7 @@
 }
 
 func (s *Side) newSender() *sender {
-	return &sender{s: s, out: gdbatch.NewWriter(s.hop, maxDatagram+gdhop.MaxOverhead)}
+	return &sender{s: s, out: gdbatch.NewWriter(s.hop, gdpump.MaxDatagram+gdhop.MaxOverhead)}
 }
 
 // do carries out what was decided on the packet.
--- a/internal/process/gdside/side.go
+++ b/internal/process/gdside/side.go
@@ -29,14 +29,14 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+	"godwitdrift.example/godwitdrift/internal/process/gdleave"
+	"godwitdrift.example/godwitdrift/internal/process/gdpump"
 )
 
 const (
 	// idleCheck is how often a leaving agent looks whether the upstream works on
 	// nothing.
 	idleCheck = 20 * time.Millisecond
-	// graceMargin is what is left of the grace period when the agent ends anyway.
-	graceMargin = 500 * time.Millisecond
 	// probeTime bounds a look at the upstream's port, which is on the same host.
 	probeTime = 200 * time.Millisecond
 )
@@ -119,18 +119,18 @@
 	g.Go(func() error {
 		defer stop()
 		s.leave(ctx, work)
-		return errors.Wrap(s.close(), "close sockets")
+		return gdpump.Close(s.hop, s.from, s.to)
 	})
 	return g.Wait()
 }
 
 func (s *Side) listen() error {
 	var err error
-	if s.hop, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.Hop)); err != nil {
-		return errors.Wrapf(err, "listen for entry hosts at %s", s.Hop)
+	if s.hop, err = gdpump.Listen("entry hosts", s.Hop); err != nil {
+		return err
 	}
-	if s.from, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.FromUpstream)); err != nil {
-		return errors.Wrapf(err, "listen for the upstream at %s", s.FromUpstream)
+	if s.from, err = gdpump.Listen("the upstream", s.FromUpstream); err != nil {
+		return err
 	}
 	// A connected socket learns when nothing listens at the upstream's port.
 	if s.to, err = net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(s.Upstream)); err != nil {
@@ -139,44 +139,25 @@
 	return nil
 }
 
-func (s *Side) close() error {
-	var first error
-	for _, c := range []*net.UDPConn{s.hop, s.from, s.to} {
-		if err := c.Close(); first == nil {
-			first = err
-		}
-	}
-	return first
-}
-
 // leave waits for the end of the context, and then until the upstream works on
 // nothing or the grace period is nearly over.
 func (s *Side) leave(ctx, work context.Context) {
-	select {
-	case <-ctx.Done():
-	case <-work.Done():
-		return
+	passed, ok := gdleave.Leave{
+		Grace: s.grace, Every: idleCheck, Begin: s.beginLeaving,
+		Over: func(time.Time, time.Duration) bool { return s.load() == 0 },
+	}.Wait(ctx, work)
+	if ok {
+		s.Log.Event(gdlog.DrainEnded, "after", passed.String(), "working", s.load())
 	}
+}
+
+func (s *Side) beginLeaving() {
 	s.leaving.Store(true)
-	began := time.Now()
 	s.mu.Lock()
 	s.Guard.Leave()
+	flows := s.Guard.Flows()
 	s.mu.Unlock()
-	s.Log.Event(gdlog.DrainStarted, "flows", s.flows())
-	t := time.NewTicker(idleCheck)
-	defer t.Stop()
-	for now := range t.C {
-		if passed := now.Sub(began); passed > s.grace()-graceMargin || s.load() == 0 {
-			s.Log.Event(gdlog.DrainEnded, "after", passed.String(), "working", s.load())
-			return
-		}
-	}
-}
-
-func (s *Side) flows() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.Guard.Flows()
+	s.Log.Event(gdlog.DrainStarted, "flows", flows)
 }
 
 func (s *Side) load() int {
--- a/internal/rig/gdhostrig/caller.go
+++ b/internal/rig/gdhostrig/caller.go
@@ -69,7 +69,7 @@
 	if c.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.at, callersPort))); err != nil {
 		return errors.Wrap(err, "open the callers' socket")
 	}
-	go c.read()
+	go r.readPackets(c.conn, c.take)
 	return nil
 }
 
@@ -117,7 +117,7 @@
 	pause := time.Duration(c.rig.rand.ExpFloat64() / class.PerSecond * float64(time.Second))
 	c.rig.After(pause, func(now time.Time) { c.arrive(now, class) })
 	op := c.operation(now, class, c.domain())
-	c.attempt(now, op, c.open(now, class.Name, c.routeOf(class.Name), op.domain, nil))
+	c.attempt(now, op, c.open(c.routeOf(class.Name), op.domain, nil))
 }
 
 // useFlow sends a user's next request, on the flow that it holds if there is one.
@@ -128,7 +128,7 @@
 	op := c.operation(now, u.class, u.domain)
 	op.user = u
 	if u.flow == nil || !u.flow.usable() {
-		u.flow = c.open(now, u.class.Name, c.routeOf(u.class.Name), u.domain, nil)
+		u.flow = c.open(c.routeOf(u.class.Name), u.domain, nil)
 		u.flow.user = u
 	}
 	c.attempt(now, op, u.flow)
@@ -147,7 +147,7 @@
 		}
 		op := c.operation(now, c.classes[probeClass], h.domain)
 		op.tries = mostRetries // it is not tried again
-		c.attempt(now, op, c.open(now, probeClass, c.rig.probeRoute(), h.domain, h))
+		c.attempt(now, op, c.open(c.rig.probeRoute(), h.domain, h))
 	}
 }
 
@@ -195,7 +195,7 @@
 		return
 	}
 	op.tries++
-	f := c.open(now, op.class.Name, c.routeOf(op.class.Name), op.domain, nil)
+	f := c.open(c.routeOf(op.class.Name), op.domain, nil)
 	if op.user != nil {
 		op.user.flow, f.user = f, op.user
 	}
@@ -218,22 +218,7 @@
 	return r.Shares[0].Service
 }
 
-// read brings what callers are sent to the loop.
-func (c *callers) read() {
-	b := make([]byte, maxDatagram)
-	for {
-		n, from, err := c.conn.ReadFromUDPAddrPort(b)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // an earlier packet found no entry host
-		}
-		raw := append([]byte(nil), b[:n]...)
-		c.rig.post(func(now time.Time) { c.take(now, raw, from) })
-	}
-}
-
+// take takes in what a host sends to a caller.
 func (c *callers) take(now time.Time, raw []byte, from netip.AddrPort) {
 	p, err := platformsim.Decode(raw)
 	key := gdflow.KeyOf(p.To, p.From)
--- a/internal/rig/gdhostrig/flow.go
+++ b/internal/rig/gdhostrig/flow.go
@@ -35,13 +35,12 @@
 	request requestHead
 	first   uint32
 	end     *gdend.End // nil until the flow is open
-	accept  uint32     // the number of the acceptance
 	in      []byte
 	over    bool
 }
 
 // open begins a flow.
-func (c *callers) open(now time.Time, class string, route gdbelief.Route, domain string, via *Host) *callerFlow {
+func (c *callers) open(route gdbelief.Route, domain string, via *Host) *callerFlow {
 	c.port++
 	if c.port == lastCallerPort {
 		c.port = firstPort
@@ -51,9 +50,9 @@
 		c: c, key: gdflow.KeyOf(caller, route.Address), route: route, domain: domain, via: via, first: c.rig.rand.Uint32(),
 	}
 	c.flows[f.key] = f
-	f.sendOpen(now, 0)
+	f.sendOpen(0)
 	for i, d := range copyTimes {
-		c.rig.After(d, func(now time.Time) { f.sendOpen(now, uint32(i+1)) })
+		c.rig.After(d, func(time.Time) { f.sendOpen(uint32(i + 1)) })
 	}
 	c.rig.After(openWait, func(now time.Time) {
 		if f.end == nil {
@@ -68,7 +67,8 @@
 	return !f.over && f.end != nil && !f.end.Finished() && (f.op == nil || f.op.done)
 }
 
-func (f *callerFlow) sendOpen(_ time.Time, n uint32) {
+// sendOpen sends a copy of the opening packet.
+func (f *callerFlow) sendOpen(n uint32) {
 	if f.end == nil && !f.over {
 		f.send(platformsim.Packet{From: f.key.Caller(), To: f.key.Service(), Seq: f.first, Ack: n, Flags: platformsim.Open})
 	}
@@ -82,10 +82,7 @@
 }
 
 func (f *callerFlow) hostName() string {
-	if h := f.host(); h != nil {
-		return h.name
-	}
-	return ""
+	return f.host().nameOr("")
 }
 
 // send sends a packet by way of the routers. It is lost when no host takes it.
@@ -103,7 +100,6 @@
 	case f.over && f.end == nil:
 	case p.Has(platformsim.Open | platformsim.Ack):
 		if f.end == nil {
-			f.accept = p.Seq
 			f.end = gdend.New(f.key.Caller(), f.key.Service(), f.first+1, p.Seq+1)
 			f.sendRequest(now)
 		}
@@ -203,11 +199,9 @@
 		f.drop(now)
 		return
 	}
-	if next := f.end.Next(); !next.IsZero() {
-		f.c.rig.After(next.Sub(now), func(now time.Time) {
-			if n := f.end.Next(); !f.over && !n.IsZero() && !n.After(now) {
-				f.poll(now)
-			}
-		})
-	}
+	f.c.rig.pollAgain(now, f.end, func(now time.Time) {
+		if !f.over {
+			f.poll(now)
+		}
+	})
 }
--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -14,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdchild"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/internal/rig/gdrelay"
 	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
@@ -49,12 +49,6 @@
 	removed            bool
 }
 
-// Name returns the host's name.
-func (h *Host) Name() string { return h.name }
-
-// Upstream returns the upstream beside an agent.
-func (h *Host) Upstream() *Upstream { return h.upstream }
-
 func (h *Host) hop() netip.AddrPort { return netip.AddrPortFrom(h.at, hopPort) }
 
 // Link returns the relay of the host's connections to the store.
@@ -70,16 +64,16 @@
 		name: "entry-" + strconv.Itoa(int(n)), role: RoleEntry, domain: domain,
 		at: r.addr(entryNet, n), seen: r.addr(entrySeenNet, n),
 	}
-	l, err := net.Listen("tcp4", netip.AddrPortFrom(r.addr(storeNet, n), 0).String())
-	if err != nil {
+	store := &gdlisten.HTTP{Host: r.addr(storeNet, n).String()}
+	if err := store.Listen(); err != nil {
 		return nil, errors.Wrap(err, "open the store")
 	}
 	go func() {
-		if err := r.store.Serve(r.ctx, l, h.name); err != nil {
+		if err := store.Serve(r.ctx, r.store.Handler(h.name)); err != nil {
 			r.post(func(at time.Time) { r.saw(Event{At: at, Kind: Trouble, Text: err.Error()}) })
 		}
 	}()
-	h.link.To = l.Addr().(*net.TCPAddr).AddrPort()
+	h.link.To = store.Addr()
 	if err := h.link.Listen(netip.AddrPortFrom(r.addr(storeNet, n), 0)); err != nil {
 		return nil, err
 	}
@@ -202,7 +196,7 @@
 
 // Kill ends a host's process at once; it is started again soon.
 func (r *Rig) Kill(now time.Time, h *Host) {
-	r.Troubled(now, h, "kill", restartTime+probeInterval)
+	r.Troubled(now, h, "kill", restartTime+probeInterval, nil)
 	h.child.Kill()
 }
 
@@ -222,9 +216,8 @@
 	}
 	h.paused = true
 	child := h.child
-	r.Troubled(now, h, "pause", d)
 	r.signal(now, h, child, syscall.SIGSTOP)
-	r.After(d, func(now time.Time) {
+	r.Troubled(now, h, "pause", d, func(now time.Time) {
 		r.signal(now, h, child, syscall.SIGCONT)
 		if child == h.child {
 			h.paused = false
@@ -244,10 +237,25 @@
 	}
 }
 
-// Troubled tells of trouble at a host, and of its end.
-func (r *Rig) Troubled(now time.Time, h *Host, what string, d time.Duration) {
-	r.saw(Event{At: now, Kind: Trouble, Host: h.name, Text: what})
-	r.After(d, func(now time.Time) { r.saw(Event{At: now, Kind: Calm, Host: h.name, Text: what}) })
+// Troubled tells of trouble at a host, or, with nil, at the store. Some time after, heal
+// is called, unless it is nil, and the trouble is over.
+func (r *Rig) Troubled(now time.Time, h *Host, what string, d time.Duration, heal func(now time.Time)) {
+	name := h.nameOr("")
+	r.saw(Event{At: now, Kind: Trouble, Host: name, Text: what})
+	r.After(d, func(now time.Time) {
+		if heal != nil {
+			heal(now)
+		}
+		r.saw(Event{At: now, Kind: Calm, Host: name, Text: what})
+	})
+}
+
+// nameOr returns the host's name, or another text for no host.
+func (h *Host) nameOr(none string) string {
+	if h == nil {
+		return none
+	}
+	return h.name
 }
 
 // removeHost takes a host away when its process has ended in order.
@@ -270,6 +278,9 @@
 func (h *Host) end() {
 	h.removed = true
 	h.child.Kill()
+	if h.upstream != nil {
+		h.upstream.close()
+	}
 	if h.link.To.IsValid() {
 		_ = h.link.Close() // the run is over
 	}
--- a/internal/rig/gdhostrig/loop.go
+++ b/internal/rig/gdhostrig/loop.go
@@ -2,11 +2,20 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"net/netip"
 	"time"
+
+	"godwitdrift.example/godwitdrift/internal/rig/gdend"
 )
 
-// loopQueue is how many functions wait for the loop before those who bring one wait.
-const loopQueue = 4096
+const (
+	// loopQueue is how many functions wait for the loop before those who bring one wait.
+	loopQueue = 4096
+	// maxDatagram is longer than any packet, in bytes.
+	maxDatagram = 2048
+)
 
 // loop runs functions one after the other.
 type loop struct {
@@ -30,6 +39,35 @@
 // After runs a function in the loop some time from now.
 func (l *loop) After(d time.Duration, f func(time.Time)) { time.AfterFunc(d, func() { l.post(f) }) }
 
+// readPackets brings the datagrams of a socket to the loop until it is closed.
+func (l *loop) readPackets(c *net.UDPConn, take func(now time.Time, raw []byte, from netip.AddrPort)) {
+	b := make([]byte, maxDatagram)
+	for {
+		n, from, err := c.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an earlier packet found nobody
+		}
+		raw := append([]byte(nil), b[:n]...)
+		l.post(func(now time.Time) { take(now, raw, from) })
+	}
+}
+
+// pollAgain polls a flow's end when a packet is to be sent again.
+func (l *loop) pollAgain(now time.Time, end *gdend.End, poll func(time.Time)) {
+	next := end.Next()
+	if next.IsZero() {
+		return
+	}
+	l.After(next.Sub(now), func(now time.Time) {
+		if next := end.Next(); !next.IsZero() && !next.After(now) {
+			poll(now)
+		}
+	})
+}
+
 // run runs what is brought until the context ends.
 func (l *loop) run() {
 	defer close(l.over)
--- a/internal/rig/gdhostrig/operator.go
+++ b/internal/rig/gdhostrig/operator.go
@@ -134,16 +134,9 @@
 // StoreFaults sets what is wrong with the store for a time, for one host or, with nil,
 // for all.
 func (r *Rig) StoreFaults(now time.Time, h *Host, what string, f platformsim.Faults, d time.Duration) {
-	name := ""
-	if h != nil {
-		name = h.name
-	}
-	r.saw(Event{At: now, Kind: Trouble, Host: name, Text: what})
+	name := h.nameOr("")
 	r.store.SetFaults(name, f)
-	r.After(d, func(now time.Time) {
-		r.store.SetFaults(name, platformsim.Faults{})
-		r.saw(Event{At: now, Kind: Calm, Host: name, Text: what})
-	})
+	r.Troubled(now, h, what, d, func(time.Time) { r.store.SetFaults(name, platformsim.Faults{}) })
 }
 
 // ForgetHistory makes the store forget its history.
--- a/internal/rig/gdhostrig/rig.go
+++ b/internal/rig/gdhostrig/rig.go
@@ -61,21 +61,20 @@
 	Observer Observer
 
 	*loop
-	rand      *rand.Rand
-	stop      context.CancelFunc
-	claim     net.Listener
-	slot      byte
-	store     *platformsim.Store
-	relay     gdrelay.Datagrams
-	hosts     []*Host
-	names     map[netip.Addr]string
-	upstreams map[string]*Upstream
-	callers   callers
-	config    gdbelief.Config
-	routes    int // how many routes there have been
-	numbers   map[byte]byte
-	first     bool // the whole deployment starts
-	stopping  bool
+	rand     *rand.Rand
+	stop     context.CancelFunc
+	claim    net.Listener
+	slot     byte
+	store    *platformsim.Store
+	relay    gdrelay.Datagrams
+	hosts    []*Host
+	names    map[netip.Addr]string
+	callers  callers
+	config   gdbelief.Config
+	routes   int // how many routes there have been
+	numbers  map[byte]byte
+	first    bool // the whole deployment starts
+	stopping bool
 }
 
 // Start starts the deployment and, a little later, its load. After an error nothing of
@@ -99,7 +98,7 @@
 	r.rand = rand.New(rand.NewPCG(r.Seed, 1))
 	r.relay.Rand = rand.New(rand.NewPCG(r.Seed, 2))
 	r.store = platformsim.NewStore(history)
-	r.names, r.upstreams, r.numbers = make(map[netip.Addr]string), make(map[string]*Upstream), make(map[byte]byte)
+	r.names, r.numbers = make(map[netip.Addr]string), make(map[byte]byte)
 	if err := r.claimSlot(); err != nil {
 		return err
 	}
@@ -182,9 +181,6 @@
 		for _, h := range r.hosts {
 			h.end()
 		}
-		for _, u := range r.upstreams {
-			u.close()
-		}
 	})
 	r.stop()
 	<-r.over // nothing is observed any more
--- a/internal/rig/gdhostrig/upstream.go
+++ b/internal/rig/gdhostrig/upstream.go
@@ -1,7 +1,6 @@
 package gdhostrig
 
 import (
-	"errors"
 	"net"
 	"net/netip"
 	"time"
@@ -27,7 +26,6 @@
 	mostFlows = 2000
 	// longestAnswer is how far a confirmation may be from the acceptance that it answers.
 	longestAnswer = 1 << 20
-	maxDatagram   = 2048
 )
 
 // Upstream is a stand-in of an upstream, beside an agent.
@@ -109,9 +107,12 @@
 	if cold {
 		u.coldTill = now.Add(ColdTime)
 	}
-	u.rig.upstreams[u.ID] = u
 	conn, health := u.conn, u.health
-	go u.read(conn)
+	go u.rig.readPackets(conn, func(now time.Time, raw []byte, _ netip.AddrPort) {
+		if u.conn == conn {
+			u.take(now, raw)
+		}
+	})
 	go func() {
 		for {
 			c, err := health.Accept()
@@ -178,7 +179,7 @@
 	if !u.running() || u.Draining {
 		return
 	}
-	u.rig.Troubled(now, u.host, "crash", away)
+	u.rig.Troubled(now, u.host, "crash", away, nil)
 	u.close()
 	u.left(now)
 	if away > mostBeats*beatInterval {
@@ -204,10 +205,8 @@
 	if !u.running() || u.Draining {
 		return
 	}
-	u.rig.saw(Event{At: now, Kind: Trouble, Text: "lapse " + u.ID})
 	u.rig.store.RemoveUpstream(now, u.ID)
-	u.rig.After(d, func(now time.Time) {
-		u.rig.saw(Event{At: now, Kind: Calm, Text: "lapse " + u.ID})
+	u.rig.Troubled(now, nil, "lapse "+u.ID, d, func(now time.Time) {
 		if u.running() {
 			u.written = gdbelief.Upstream{}
 			u.register(now)
@@ -227,26 +226,6 @@
 	u.conn = nil
 }
 
-// read brings what the agent delivers to the loop.
-func (u *Upstream) read(c *net.UDPConn) {
-	b := make([]byte, maxDatagram)
-	for {
-		n, _, err := c.ReadFromUDPAddrPort(b)
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err != nil {
-			continue // an earlier packet found no agent
-		}
-		raw := append([]byte(nil), b[:n]...)
-		u.rig.post(func(now time.Time) {
-			if u.conn == c {
-				u.take(now, raw)
-			}
-		})
-	}
-}
-
 // send gives a packet to the agent. It is lost while there is no agent.
 func (u *Upstream) send(raw []byte) {
 	_, _ = u.conn.WriteToUDPAddrPort(raw, netip.AddrPortFrom(u.host.at, outboundPort))
@@ -357,13 +336,11 @@
 		return
 	}
 	of := u.conn
-	if next := f.end.Next(); !next.IsZero() {
-		u.rig.After(next.Sub(now), func(now time.Time) {
-			if u.conn == of && !f.end.Next().IsZero() && !f.end.Next().After(now) {
-				u.poll(now, f)
-			}
-		})
-	}
+	u.rig.pollAgain(now, f.end, func(now time.Time) {
+		if u.conn == of {
+			u.poll(now, f)
+		}
+	})
 }
 
 func (u *Upstream) sendPackets(packets []platformsim.Packet) {
--- a/internal/rig/gdsoak/faults.go
+++ b/internal/rig/gdsoak/faults.go
@@ -77,7 +77,7 @@
 	{"lapse", false, func(p *player, now time.Time) { p.leave(func(u *gdhostrig.Upstream) { u.Lapse(now, p.while()) }) }},
 	{"stream-reset", false, func(p *player, now time.Time) {
 		h := p.entry()
-		p.Troubled(now, h, "stream-reset", 0)
+		p.Troubled(now, h, "stream-reset", 0, nil)
 		h.Link().Reset()
 	}},
 	{"stream-delay", false, func(p *player, now time.Time) {
@@ -147,16 +147,14 @@
 
 func (p *player) datagrams(now time.Time, f gdrelay.DatagramFaults) {
 	h, d := pick(p, append(p.Hosts(gdhostrig.RoleEntry), p.Hosts(gdhostrig.RoleAgent)...)), p.while()
-	p.Troubled(now, h, "datagrams", d)
 	p.SetDatagrams(h, f)
-	p.After(d, func(time.Time) { p.SetDatagrams(h, gdrelay.DatagramFaults{}) })
+	p.Troubled(now, h, "datagrams", d, func(time.Time) { p.SetDatagrams(h, gdrelay.DatagramFaults{}) })
 }
 
 func (p *player) stream(now time.Time, f gdrelay.StreamFaults) {
 	h, d := p.entry(), p.while()
-	p.Troubled(now, h, "streams", d)
 	h.Link().Set(f)
-	p.After(d, func(time.Time) { h.Link().Set(gdrelay.StreamFaults{}) })
+	p.Troubled(now, h, "streams", d, func(time.Time) { h.Link().Set(gdrelay.StreamFaults{}) })
 }
 
 func (p *player) store(now time.Time, h *gdhostrig.Host, f platformsim.Faults) {
--- a/internal/rig/gdsoak/series.go
+++ b/internal/rig/gdsoak/series.go
@@ -5,19 +5,14 @@
 	"path/filepath"
 	"strconv"
 	"sync"
-	"time"
 
 	"golang.org/x/sync/errgroup"
-
-	"godwitdrift.example/godwitdrift/internal/rig/gdhostrig"
 )
 
 // Series is many soaks. Its exported fields are set before Run.
 type Series struct {
-	Binary, Dir string
-	Shape       gdhostrig.Shape
-	Trouble     time.Duration
-	Only        []string
+	// Soak is what all have in common. Each has a seed, and a folder in its Dir.
+	Soak
 	// Jobs is how many run at a time.
 	Jobs int
 	// Progress, if set, is told of each report, one at a time.
@@ -50,10 +45,8 @@
 				if !ok {
 					return nil
 				}
-				soak := &Soak{
-					Binary: s.Binary, Dir: filepath.Join(s.Dir, "seed-"+strconv.FormatUint(seed, 10)), Seed: seed,
-					Shape: s.Shape, Trouble: s.Trouble, Only: s.Only,
-				}
+				soak := s.Soak
+				soak.Seed, soak.Dir = seed, filepath.Join(s.Dir, "seed-"+strconv.FormatUint(seed, 10))
 				r, err := soak.Run(ctx)
 				if err != nil {
 					return err
--- a/internal/rig/gdsoak/soak.go
+++ b/internal/rig/gdsoak/soak.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -97,14 +99,7 @@
 	return steps
 }
 
-func (s *Soak) allows(name string) bool {
-	for _, n := range s.Only {
-		if n == name {
-			return true
-		}
-	}
-	return len(s.Only) == 0
-}
+func (s *Soak) allows(name string) bool { return len(s.Only) == 0 || slices.Contains(s.Only, name) }
 
 // journal writes what happens to a file and hands it to the ledger.
 type journal struct {
@@ -165,24 +160,15 @@
 		return r, err
 	}
 	if played != nil || j.err != nil || len(r.Breaches) > 0 {
-		return r, firstOf(played, errors.WithStack(j.err))
+		return r, cmp.Or(played, errors.WithStack(j.err))
 	}
 	return r, errors.WithStack(os.RemoveAll(s.Dir))
 }
 
-func firstOf(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // play plays the plan and waits for its end.
 func (s *Soak) play(ctx context.Context, rig *gdhostrig.Rig, j *journal, counts map[string]int) error {
 	var failed error
-	p := &player{Rig: rig, failed: func(err error) { failed = firstOf(failed, err) }}
+	p := &player{Rig: rig, failed: func(err error) { failed = cmp.Or(failed, err) }}
 	for _, st := range s.plan() {
 		p.After(st.at, func(now time.Time) {
 			counts[st.name]++
--- a/internal/rig/gdsoak/soak_test.go
+++ b/internal/rig/gdsoak/soak_test.go
@@ -55,7 +55,8 @@
 	t.Setenv("GORACE", "halt_on_error=1")
 	seeds := []uint64{3, 4}
 	s := &Series{
-		Binary: binary, Dir: filepath.Join(root, "soak-out"), Shape: gdhostrig.Small(), Trouble: 4 * time.Second, Jobs: len(seeds),
+		Soak: Soak{Binary: binary, Dir: filepath.Join(root, "soak-out"), Shape: gdhostrig.Small(), Trouble: 4 * time.Second},
+		Jobs: len(seeds),
 	}
 	left := seeds
 	sum, err := s.Run(t.Context(), func() (uint64, bool) {
--- a/internal/wire/gdhop/hop.go
+++ b/internal/wire/gdhop/hop.go
@@ -19,6 +19,7 @@
 
 import (
 	"encoding/binary"
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -175,6 +176,17 @@
 
 func clamp(n int) uint16 { return uint16(min(max(n, 0), 1<<16-1)) }
 
+// Receive decodes a message that came from a host, whose messages come from the port
+// at which it takes them.
+func Receive(b []byte, from netip.AddrPort, port uint16) (gdflow.Address, Message, error) {
+	host, ok := gdflow.AddressOf(from)
+	if !ok || from.Port() != port {
+		return host, Message{}, errors.Errorf("message from %s, want port %d of an IPv4 address", from, port)
+	}
+	m, err := Parse(b)
+	return host, m, err
+}
+
 // Parse decodes a message.
 func Parse(b []byte) (Message, error) {
 	if len(b) < 2 {
