Count no request for a packet that the caller sends again after the answer

An agent counts a request from a caller's data until the answer begins; a data packet that arrived once more after that began another request, which nothing answered and which expired after 2 s. Change: an agent remembers the end of what each flow's caller has sent; only data beyond it begins a request. TestRetransmissionAfterAnswerIsNoLoad fails without the change.

--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -107,6 +107,8 @@
 	requestAt   time.Time // when the current request was delivered
 	acceptSeq   uint32    // the sequence number of the upstream's acceptance
 	expectedSeq uint32    // the next sequence number that the caller expects
+	callerEnd   uint32    // the sequence number after the last byte that the caller has sent
+	hasData     bool      // the caller has sent data, so that callerEnd is set
 }
 
 // probedFlow is an unknown flow of which a packet was delivered to the upstream.
@@ -357,12 +359,24 @@
 	if h.Confirm {
 		g.reportHolding(now, p.Key(), f)
 	}
-	if p.Size > 0 {
+	if f.extends(p) {
 		g.work.begin(now, f)
 	}
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
 
+// extends reports whether the caller's packet has data beyond all that was delivered
+// before, and records its end. A retransmission that arrives after the answer is no
+// request.
+func (f *flow) extends(p gdflow.Packet) bool {
+	end := p.Seq + uint32(p.Size)
+	if p.Size == 0 || f.hasData && int32(end-f.callerEnd) <= 0 {
+		return false
+	}
+	f.callerEnd, f.hasData = end, true
+	return true
+}
+
 // reportHolding reports to the entry host that the upstream holds the flow: at once if
 // the guard knows it, otherwise when the upstream has sent a packet of the flow or has
 // not returned the delivered one in time.
