Send no change twice as long as a deployment is quiet

Cause: a reader's beacons carry the changes of the last 0.7 s; what was older was dropped only when the next change came. Ruled out: heartbeats in the store (a change that only counts on is not sent); hellos. Change: gddiscovery.History gives the base of a beacon at the time it is sent.

--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -86,7 +86,7 @@
 	dispatcher   gddispatch.Dispatcher
 	state        gddiscovery.State
 	election     gdreaders.Election
-	history      []revisionAt
+	history      gddiscovery.History // for the changes in beacons
 	wake         chan struct{}
 	becameReader chan struct{}
 	behind       chan gdflow.Address
@@ -137,6 +137,7 @@
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
 	e.initElection()
+	e.history.Window = historyAge
 	e.metrics.init(e.Scope)
 	e.dispatcher.OnResolved = e.metrics.lookupTime.RecordDuration
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -36,12 +36,6 @@
 	afterParam  = "after"
 )
 
-// revisionAt is the time at which the state reached a revision.
-type revisionAt struct {
-	at       time.Time
-	revision uint64
-}
-
 // initElection initialises the reader election.
 func (e *EntryHost) initElection() {
 	e.mu.Lock() // settings may be reloaded during the start
@@ -60,14 +54,6 @@
 	return out
 }
 
-// recordRevision records the revision of the state, for the changes in beacons.
-func (e *EntryHost) recordRevision(now time.Time) {
-	i := 0
-	for ; i < len(e.history)-1 && now.Sub(e.history[i+1].at) > historyAge; i++ {
-	}
-	e.history = append(e.history[i:], revisionAt{at: now, revision: e.state.Revision()})
-}
-
 // runBeacons sends beacons when they are due, and earlier when the view has changed.
 func (e *EntryHost) runBeacons(ctx context.Context) {
 	t := time.NewTicker(beaconCheckInterval)
@@ -90,8 +76,8 @@
 	to := append([]gdflow.Address(nil), e.election.Tick(now, age)...)
 	reads := e.election.Reading()
 	b := gdfeed.Beacon{Beacon: e.election.Beacon(now, e.state.Revision(), age)}
-	if reads && len(e.history) > 0 && len(to) > 0 {
-		b.BaseRevision = max(e.history[0].revision, e.state.CompleteSince())
+	if base, ok := e.history.Base(now); reads && ok && len(to) > 0 {
+		b.BaseRevision = max(base, e.state.CompleteSince())
 		b.Update = e.state.ChangesSince(now, b.BaseRevision)
 	}
 	known, revision := e.election.KnownHosts(), e.state.Revision()
