Send a configuration as its differences, and each change in two beacons

Ruled out: compressing beacons (they are small); a longer interval between beacons (the bound of a configuration). Change: State.ChangesSince gives a configuration's differences from those that it retains, with a checksum; a host to which they don't apply fetches the full state. A change is in two beacons of each reader. The feed's version is 2: hosts of version 1 and 2 don't hear each other and read the store themselves. Conclusion: no connection is opened for a change; the beacons to each host remain.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -37,8 +37,9 @@
 	Revision uint64
 	// Removed reports that the subject was removed, or that its state is unusable.
 	Removed bool
-	// Config is set for a configuration.
+	// Config or Delta is set for a configuration. The full state has no deltas.
 	Config *Config
+	Delta  *ConfigDelta
 	// Upstream is set for a registration. For a removed one it is the last known
 	// value.
 	Upstream *Upstream
--- a/internal/core/gddiscovery/history.go
+++ b/internal/core/gddiscovery/history.go
@@ -1,42 +1,29 @@
 package gddiscovery
 
-import "time"
-
-// History records when a state reached its revisions. From it a host selects the changes
-// that are recent enough to be sent once more.
+// History selects the changes that a host sends to all others: each change is sent
+// several times, in case a message is lost.
 type History struct {
-	// Window is how far back changes count as recent.
-	Window time.Duration
-
-	entries []reached
-}
+	// Repeats is in how many messages each change is sent.
+	Repeats int
 
-// reached is the time at which the state reached a revision.
-type reached struct {
-	at       time.Time
-	revision uint64
+	sent []uint64 // the revisions of the last messages
 }
 
-// Record records the state's current revision.
-func (h *History) Record(now time.Time, revision uint64) {
-	h.trim(now)
-	h.entries = append(h.entries, reached{at: now, revision: revision})
-}
-
-// Base returns the revision after which all changes are recent. It reports false before
-// the first Record.
-func (h *History) Base(now time.Time) (uint64, bool) {
-	h.trim(now)
-	if len(h.entries) == 0 {
+// Base returns the revision after which all changes are sent with the next message. It
+// reports false before the first message: the receivers then have all changes already or
+// need more than the recent ones.
+func (h *History) Base() (uint64, bool) {
+	if len(h.sent) == 0 {
 		return 0, false
 	}
-	return h.entries[0].revision, true
+	return h.sent[0], true
 }
 
-// trim removes the entries before the newest one that is older than the window.
-func (h *History) trim(now time.Time) {
-	i := 0
-	for ; i+1 < len(h.entries) && now.Sub(h.entries[i+1].at) > h.Window; i++ {
-	}
-	h.entries = h.entries[i:]
+// Sent records that a message with the changes up to the revision was sent to all.
+func (h *History) Sent(revision uint64) {
+	h.sent = append(h.sent, revision)
+	h.sent = h.sent[max(len(h.sent)-h.Repeats, 0):]
 }
+
+// Reset forgets the messages, because the host has not sent all changes.
+func (h *History) Reset() { h.sent = nil }
--- a/internal/core/gddiscovery/history_test.go
+++ b/internal/core/gddiscovery/history_test.go
@@ -2,38 +2,42 @@
 
 import (
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 )
 
-// TestQuietDeploymentHasNoRecentChanges plays a start with many changes, a quiet day and
-// one more change. While nothing changed, each beacon of a reader repeated the last
-// changes to every entry host, most of a reader's traffic at 300 hosts.
-func TestQuietDeploymentHasNoRecentChanges(t *testing.T) {
-	now := time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
-	h := gddiscovery.History{Window: 700 * time.Millisecond}
-	_, ok := h.Base(now)
+// TestEachChangeIsSentTwice plays the patterns that once made a reader's traffic grow: a
+// quiet day after a start with many changes, in which each message repeated the last
+// changes, and a storm of registrations after an outage of the store, in which each
+// change was in seven messages or more.
+func TestEachChangeIsSentTwice(t *testing.T) {
+	h := gddiscovery.History{Repeats: 2}
+	_, ok := h.Base()
 	require.False(t, ok)
-	h.Record(now, 10)
-	h.Record(now.Add(100*time.Millisecond), 52)
-	for _, tt := range []struct {
-		after time.Duration
-		want  uint64
-	}{
-		{300 * time.Millisecond, 10},
-		{750 * time.Millisecond, 10},
-		{801 * time.Millisecond, 52},
-		{30 * time.Second, 52},
-	} {
-		base, ok := h.Base(now.Add(tt.after))
-		require.True(t, ok)
-		require.Equal(t, tt.want, base, "after %s", tt.after)
+	sent := make(map[uint64]int)
+	send := func(revision uint64) {
+		if base, ok := h.Base(); ok {
+			for r := base + 1; r <= revision; r++ {
+				sent[r]++
+			}
+		}
+		h.Sent(revision)
 	}
-	now = now.Add(40 * time.Second)
-	h.Record(now, 53)
-	base, _ := h.Base(now)
-	require.EqualValues(t, 52, base, "the new change is recent, those of the start are not")
+	send(100)
+	for range 50 { // quiet
+		send(100)
+	}
+	require.Empty(t, sent)
+	for r := uint64(104); r <= 300; r += 4 { // a storm
+		send(r)
+	}
+	send(300)
+	for r := uint64(101); r <= 300; r++ {
+		require.Equal(t, 2, sent[r], "change %d", r)
+	}
+	h.Reset()
+	_, ok = h.Base()
+	require.False(t, ok)
 }
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -34,6 +34,7 @@
 	// completeSince is the revision from which on all changes are retained. Removals
 	// before it may be unknown.
 	completeSince uint64
+	configs       []configAt // the latest configurations, oldest first
 	confirmed     time.Time
 	loaded        bool
 	view          *View
@@ -80,14 +81,36 @@
 }
 
 // Apply applies an update. It reports whether the view has changed. An update is
-// ignored before the first full one.
+// ignored before the first full one, and as a whole if it has the delta of a
+// configuration that does not apply to the one known.
 func (s *State) Apply(now time.Time, u Update) bool {
-	if !s.loaded {
+	if !s.loaded || !s.resolveDeltas(u.Changes) {
 		return false
 	}
 	return s.merge(now, u)
 }
 
+// resolveDeltas replaces the deltas of newer configurations by the configurations. It
+// reports false if one does not apply.
+func (s *State) resolveDeltas(changes []Change) bool {
+	r, known := s.records[Subject{Kind: Configuration}]
+	for i := range changes {
+		c := &changes[i]
+		if c.Delta == nil || known && c.Revision <= r.change.Revision {
+			continue
+		}
+		if !known || r.change.Revision < c.Delta.Since {
+			return false
+		}
+		cfg, ok := c.Delta.Apply(r.change.Config)
+		if !ok {
+			return false
+		}
+		c.Config, c.Delta = cfg, nil
+	}
+	return true
+}
+
 func (s *State) merge(now time.Time, u Update) bool {
 	if s.records == nil {
 		s.records = make(map[Subject]*record)
@@ -130,6 +153,9 @@
 		}
 	}
 	s.records[c.Subject] = r
+	if c.Config != nil {
+		s.retainConfig(c.Revision, c.Config)
+	}
 	return true
 }
 
@@ -148,12 +174,17 @@
 }
 
 // ChangesSince returns the changes after the revision, oldest first, or a full update
-// if not all changes from there on are retained.
+// if not all changes from there on are retained. A configuration is described by its
+// differences where that is shorter.
 func (s *State) ChangesSince(now time.Time, revision uint64) Update {
 	u := Update{Revision: s.revision, Age: s.Age(now), Full: revision < s.completeSince}
-	for _, r := range s.records {
+	for subject, r := range s.records {
 		if u.Full || r.change.Revision > revision {
-			u.Changes = append(u.Changes, r.change)
+			c := r.change
+			if !u.Full && subject.Kind == Configuration {
+				c = s.compact(c, revision)
+			}
+			u.Changes = append(u.Changes, c)
 		}
 	}
 	sort.Slice(u.Changes, func(i, j int) bool { return u.Changes[i].Revision < u.Changes[j].Revision })
--- a/internal/core/gdreaders/election.go
+++ b/internal/core/gdreaders/election.go
@@ -281,6 +281,10 @@
 	return e.out
 }
 
+// SentToAll reports whether the Tick at the time returned all known hosts, and not just
+// new ones.
+func (e *Election) SentToAll(now time.Time) bool { return e.lastSent.Equal(now) }
+
 // due reports whether the next beacon is due.
 func (e *Election) due(now time.Time) bool {
 	interval := helloInterval
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -137,7 +137,7 @@
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
 	e.initElection()
-	e.history.Window = historyAge
+	e.history.Repeats = changeRepeats
 	e.metrics.init(e.Scope)
 	e.dispatcher.OnResolved = e.metrics.lookupTime.RecordDuration
 	work, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -23,9 +23,9 @@
 	// beaconCheckInterval is the interval at which the host checks whether a beacon is
 	// due: half the beacon interval of a reader.
 	beaconCheckInterval = gdreaders.BeaconInterval / 2
-	// historyAge is how far back the changes in a beacon reach, so that a host that
-	// missed two beacons does not need to fetch an update.
-	historyAge = 2*gdreaders.BeaconInterval + 100*time.Millisecond
+	// changeRepeats is in how many beacons a reader sends each change. A host that missed
+	// the beacons of both readers fetches an update.
+	changeRepeats = 2
 	// fetchTimeout is the timeout for fetching an update from another entry host.
 	fetchTimeout = time.Second
 	// fetchInterval is the delay between two fetches, so that a series of configurations
@@ -76,10 +76,16 @@
 	to := append([]gdflow.Address(nil), e.election.Tick(now, age)...)
 	reads := e.election.Reading()
 	b := gdfeed.Beacon{Beacon: e.election.Beacon(now, e.state.Revision(), age)}
-	if base, ok := e.history.Base(now); reads && ok && len(to) > 0 {
+	if base, ok := e.history.Base(); reads && ok && len(to) > 0 {
 		b.BaseRevision = max(base, e.state.CompleteSince())
 		b.Update = e.state.ChangesSince(now, b.BaseRevision)
 	}
+	switch {
+	case !reads:
+		e.history.Reset()
+	case e.election.SentToAll(now):
+		e.history.Sent(b.Revision)
+	}
 	known, revision := e.election.KnownHosts(), e.state.Revision()
 	e.mu.Unlock()
 	if wasReader != reads {
@@ -195,25 +201,44 @@
 			return
 		case host = <-e.behind:
 		}
-		requested := time.Now()
-		u, err := fetch(ctx, client, host, e.revision())
+		err := e.fetchUpdate(ctx, client, host, e.revision())
+		if errors.Is(err, errNotApplicable) {
+			err = e.fetchUpdate(ctx, client, host, 0)
+		}
 		if err != nil {
 			e.Log.Failure(gdlog.PeerUnreachable, err, "peer", host.String())
-		} else {
-			now := time.Now()
-			u.Age += now.Sub(requested)
-			e.mu.Lock()
-			f := (*gddiscovery.State).Apply
-			if u.Full {
-				f = (*gddiscovery.State).Load
-			}
-			e.applyLocked(now, u, f, host.String())
-			e.mu.Unlock()
 		}
 		sleep(ctx, fetchInterval)
 	}
 }
 
+// errNotApplicable means that an update does not apply to this host's state. The full
+// state does.
+var errNotApplicable = errors.New("update does not apply to the known configuration")
+
+// fetchUpdate fetches and applies the changes after the revision, or the full state if
+// that is 0.
+func (e *EntryHost) fetchUpdate(ctx context.Context, client *http.Client, host gdflow.Address, after uint64) error {
+	requested := time.Now()
+	u, err := fetch(ctx, client, host, after)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	u.Age += now.Sub(requested)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f := (*gddiscovery.State).Apply
+	if u.Full {
+		f = (*gddiscovery.State).Load
+	}
+	e.applyLocked(now, u, f, host.String())
+	if e.state.Revision() < u.Revision {
+		return errors.Wrapf(errNotApplicable, "apply update of revision %d from %s", u.Revision, host)
+	}
+	return nil
+}
+
 // fetch fetches the changes after the revision from another entry host.
 func fetch(ctx context.Context, c *http.Client, host gdflow.Address, after uint64) (gddiscovery.Update, error) {
 	u := url.URL{
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -135,7 +135,6 @@
 	if !changed {
 		return
 	}
-	e.history.Record(now, e.state.Revision())
 	v := e.state.View()
 	e.execute(now, e.dispatcher.SetView(now, v))
 	e.election.TriggerBeacon()
--- a/internal/wire/gdfeed/change.go
+++ b/internal/wire/gdfeed/change.go
@@ -13,6 +13,12 @@
 		if c.Config != nil {
 			w.Config = toConfig(c.Config)
 		}
+		if d := c.Delta; d != nil {
+			w.Delta = &wireDelta{
+				Since: d.Since, Config: *toConfig(&d.Config), RemovedRoutes: d.RemovedRoutes,
+				RemovedServices: d.RemovedServices, Sum: d.Sum,
+			}
+		}
 		if u := c.Upstream; u != nil {
 			w.Upstream = &wireUpstream{
 				ID: u.ID, Service: u.Service, Domain: u.Domain, Address: toAddress(u.Address), Slots: u.Slots,
@@ -51,6 +57,12 @@
 		switch {
 		case c.Kind == gddiscovery.Configuration && w.Config != nil:
 			c.Config = w.Config.config()
+		case c.Kind == gddiscovery.Configuration && w.Delta != nil:
+			d := w.Delta
+			c.Delta = &gddiscovery.ConfigDelta{
+				Since: d.Since, Config: *d.Config.config(), RemovedRoutes: d.RemovedRoutes,
+				RemovedServices: d.RemovedServices, Sum: d.Sum,
+			}
 		case c.Kind == gddiscovery.Registration && (w.Upstream != nil || w.Removed):
 			c.Upstream = w.Upstream.upstream()
 		case c.Kind == gddiscovery.Evacuation:
--- a/internal/wire/gdfeed/feed.go
+++ b/internal/wire/gdfeed/feed.go
@@ -29,7 +29,7 @@
 
 const (
 	// Version is the version of the format.
-	Version = 1
+	Version = 2
 	// MaxBeaconSize is the maximum size of a beacon in bytes. A datagram of this size is
 	// not fragmented on common links.
 	MaxBeaconSize = 1400
@@ -37,6 +37,8 @@
 	// the largest value in the users' store, for the configuration and all
 	// registrations.
 	maxUpdateSize = 4 << 20
+	// maxNestedLevels is the depth of a share of a route in the delta of a beacon.
+	maxNestedLevels = 9
 )
 
 // Beacon is a beacon with the latest changes, if they fit.
@@ -84,6 +86,7 @@
 	Removed  bool          `cbor:"4,keyasint,omitempty"`
 	Config   *wireConfig   `cbor:"5,keyasint,omitempty"`
 	Upstream *wireUpstream `cbor:"6,keyasint,omitempty"`
+	Delta    *wireDelta    `cbor:"7,keyasint,omitempty"`
 }
 
 type wireConfig struct {
@@ -93,6 +96,15 @@
 	IdleMS   uint32        `cbor:"4,keyasint"`
 }
 
+// wireDelta is a gddiscovery.ConfigDelta. Config has the new and the different parts.
+type wireDelta struct {
+	Since           uint64     `cbor:"1,keyasint"`
+	Config          wireConfig `cbor:"2,keyasint"`
+	RemovedRoutes   []string   `cbor:"3,keyasint,omitempty"`
+	RemovedServices []string   `cbor:"4,keyasint,omitempty"`
+	Sum             uint64     `cbor:"5,keyasint"`
+}
+
 type wireRoute struct {
 	_                  struct{} `cbor:",toarray"`
 	Name               string
@@ -133,7 +145,7 @@
 // decMode limits the size of decoded data, so that a message can't cause unbounded
 // allocation.
 var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: 8}.DecMode()
+	m, err := cbor.DecOptions{MaxArrayElements: 1 << 16, MaxMapPairs: 64, MaxNestedLevels: maxNestedLevels}.DecMode()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/wire/gdfeed/feed_test.go
+++ b/internal/wire/gdfeed/feed_test.go
@@ -124,8 +124,8 @@
 	_, err := gdfeed.DecodeBeacon(nil)
 	require.ErrorContains(t, err, "message is empty")
 	_, err = gdfeed.DecodeBeacon([]byte{9, 0})
-	require.ErrorContains(t, err, "version 9, want 1")
-	_, err = gdfeed.ReadUpdate(bytes.NewReader([]byte{1, 2, 3}))
+	require.ErrorContains(t, err, "version 9, want 2")
+	_, err = gdfeed.ReadUpdate(bytes.NewReader([]byte{2, 2, 3}))
 	require.ErrorContains(t, err, "read update")
 	incomplete := registration(1)
 	incomplete.Upstream = nil
@@ -160,3 +160,30 @@
 		_, _ = gdfeed.ReadUpdate(bytes.NewReader(b))
 	})
 }
+
+// TestChangedRouteFitsIntoABeacon changes one of 600 routes. Followers get it with the
+// beacon; fetching the whole configuration from one host, they would saturate its link.
+func TestChangedRouteFitsIntoABeacon(t *testing.T) {
+	first, next := config(600), config(600)
+	next.Revision = 500
+	next.Config.Version++
+	next.Config.Routes[7].Timeout = 2 * time.Second
+	now := time.Unix(1000, 0)
+	var reader, follower gddiscovery.State
+	for _, s := range []*gddiscovery.State{&reader, &follower} {
+		require.True(t, s.Load(now, gddiscovery.Update{Changes: []gddiscovery.Change{first}, Revision: 90}))
+	}
+	require.True(t, reader.Apply(now, gddiscovery.Update{Changes: []gddiscovery.Change{next}, Revision: 500}))
+	b := beacon()
+	b.BaseRevision, b.Update = 90, reader.ChangesSince(now, 90)
+	data, err := gdfeed.EncodeBeacons(b)
+	require.NoError(t, err)
+	require.Len(t, data, 1)
+	require.Less(t, len(data[0]), 300)
+	got, err := gdfeed.DecodeBeacon(data[0])
+	require.NoError(t, err)
+	require.True(t, follower.Apply(now, got.Update))
+	require.Equal(t, reader.View().Version(), follower.View().Version())
+	r, _ := follower.View().Route(next.Config.Routes[7].Address)
+	require.Equal(t, 2*time.Second, r.Timeout)
+}
