--- a/cmd/gdhost/host.go
+++ b/cmd/gdhost/host.go
@@ -110,7 +110,7 @@
 func (p *process) serveState(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(p.state(time.Now())); err != nil {
-		p.log.Failure(gdlog.PeerUnreachable, err, "asked", statePath)
+		p.log.Failure(gdlog.ResponseFailed, err, "path", statePath)
 	}
 }
 
--- a/cmd/gdrig/main.go
+++ b/cmd/gdrig/main.go
@@ -19,7 +19,7 @@
 	root := &cli.Command{
 		Name:     "gdrig",
 		Usage:    "run godwitdrift on one machine against simulators",
-		Commands: []*cli.Command{upCommand(), demoCommand(), loadCommand(), benchCommand(), capacityCommand(), replayCommand(), soakCommand()},
+		Commands: []*cli.Command{upCommand(), demoCommand(), loadCommand(), benchCommand(), replayCommand(), soakCommand()},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "gdrig:", err)
--- a/cmd/godwitdrift/explain.go
+++ b/cmd/godwitdrift/explain.go
@@ -23,9 +23,8 @@
 		Name:      "explain",
 		Usage:     "show why a flow or a request was forwarded or refused",
 		ArgsUsage: "SUBJECT",
-		Description: help(`SUBJECT is a flow (its token in hexadecimal, or its addresses) or the identifier
-of a request, as in a decision record or in the response to the caller. The
-records of all processes are sorted by time. Processes keep only the newest
+		Description: help(`SUBJECT is a flow (the address and port of its caller) or the identifier of a
+request, as in a decision record or in the response to the caller. The records of all processes are sorted by time. Processes keep only the newest
 records, and their clocks may differ. The exit code is 1 if there is no record.`, `
    godwitdrift explain --platform http://192.0.2.2:8080 r-7f3a
    godwitdrift explain --process 192.0.2.11:7002 --last 20 198.51.100.7:51002`),
--- a/cmd/godwitdrift/main_test.go
+++ b/cmd/godwitdrift/main_test.go
@@ -102,7 +102,7 @@
 		"$ENTRY2": serve(t, fakeProcess{Status: gdoperator.Status{
 			Name: "entry-2", Role: "balancer", Domain: "getxo", Ready: true,
 			Version: "11-00000000000000ab", Revision: 11, Since: started.Add(-time.Hour),
-			Rejected: &gdoperator.Rejection{Version: s.Version, Reason: "services.booking.id: 0 is not allowed"},
+			Rejected: &gdoperator.Rejection{Revision: d.Revision, Reason: "services.booking.id: 0 is not allowed"},
 		}}),
 		"$GONE": "127.0.0.1:1", // nothing listens there
 	}
--- a/cmd/godwitdrift/status_view.go
+++ b/cmd/godwitdrift/status_view.go
@@ -215,7 +215,11 @@
 		if len(reason) > maxReasonBytes {
 			reason = strings.ToValidUTF8(reason[:maxReasonBytes], "") + " ..."
 		}
-		out = append(out, fmt.Sprintf("rejected %s: %s", cmp.Or(p.Rejected.Version, "unreadable version"), reason))
+		rejected := "rejected a configuration without a revision"
+		if p.Rejected.Revision != 0 {
+			rejected = fmt.Sprintf("rejected revision %d", p.Rejected.Revision)
+		}
+		out = append(out, rejected+": "+reason)
 	}
 	return strings.Join(out, ", ")
 }
--- a/internal/core/gdadmit/model_test.go
+++ b/internal/core/gdadmit/model_test.go
@@ -180,12 +180,22 @@
 func (m *model) place(now time.Time) *node {
 	for {
 		n := m.nodes[m.rand.IntN(len(m.nodes))]
-		if m.rand.Float64() < gdselector.RampWeight(now, n.back, modelRamp) {
+		if m.rand.Float64() < rampWeight(now, n.back) {
 			return n
 		}
 	}
 }
 
+// rampWeight returns the share of its flows that a node gets that came back: 5 % at first,
+// all of them after modelRamp.
+func rampWeight(now, back time.Time) float64 {
+	if back.IsZero() {
+		return 1
+	}
+	const minWeight = 0.05
+	return min(max(float64(now.Sub(back))/float64(modelRamp), minWeight), 1)
+}
+
 // exchange reports the loads to the peers with a delay of 5 ms, and reports a healthy
 // probe whatever the state of the upstream.
 func (m *model) exchange(now time.Time) {
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -195,6 +195,9 @@
 // those whose agent reported that its upstream is unavailable.
 func (d *Dispatcher) Suspects(now time.Time) int { return d.hosts.suspects(now) }
 
+// SilentHosts returns the number of hosts that have stopped responding.
+func (d *Dispatcher) SilentHosts() int { return d.hosts.silentHosts() }
+
 func (d *Dispatcher) init() {
 	if d.flows.MinTTL == 0 {
 		d.flows = gdcache.Cache[gdflow.Key, *flow]{MinTTL: flowTTL, MaxPerGeneration: maxFlows, OnEvict: d.evicted}
--- a/internal/core/gddispatch/dispatcher_test.go
+++ b/internal/core/gddispatch/dispatcher_test.go
@@ -280,6 +280,20 @@
 
 // TestNewFlowsAvoidUpstreamsThatAcceptNone: no new flow is sent to an upstream that
 // accepts none.
+// TestUnavailableUpstreamIsNoSilentHost: a host whose agent reports that its upstream is
+// gone gets no new flows, but it does respond.
+func TestUnavailableUpstreamIsNoSilentHost(t *testing.T) {
+	var d gddispatch.Dispatcher
+	var state gddiscovery.State
+	require.True(t, state.Load(start, update(3, 3, nil)))
+	d.SetView(start, state.View())
+	d.HandleCallerPacket(start, gdflow.NewPacket(callerKey(1), gdflow.Open), []byte{1})
+	info := gddispatch.ReturnInfo{From: upstreamAt(0), Reason: gdguard.Exited}
+	d.HandleReturned(start, info, gdflow.NewPacket(callerKey(1), gdflow.Open), []byte{1})
+	require.Equal(t, 1, d.Suspects(start))
+	require.Zero(t, d.SilentHosts())
+}
+
 func TestNewFlowsAvoidUpstreamsThatAcceptNone(t *testing.T) {
 	out := gddiscovery.Change{Subject: gddiscovery.Subject{Kind: gddiscovery.Evacuation, Name: "out"}, Revision: 60}
 	u := update(8, 3, func(i int, u *gddiscovery.Upstream) {
--- a/internal/core/gddispatch/hosts.go
+++ b/internal/core/gddispatch/hosts.go
@@ -91,6 +91,16 @@
 	return ok && now.Before(o.suspectUntil)
 }
 
+func (h *hosts) silentHosts() int {
+	n := 0
+	for _, o := range h.m {
+		if o.silent() {
+			n++
+		}
+	}
+	return n
+}
+
 func (h *hosts) suspects(now time.Time) int {
 	n := 0
 	for _, o := range h.m {
--- a/internal/core/gdfixture/layers_test.go
+++ b/internal/core/gdfixture/layers_test.go
@@ -1,6 +1,7 @@
 package gdfixture_test
 
 import (
+	"go/ast"
 	"go/parser"
 	"go/token"
 	"io/fs"
@@ -18,8 +19,11 @@
 // import, because they do I/O or give access to system clocks.
 var forbidden = []string{"net", "net/http", "os", "io/fs", "log", "log/slog", "syscall", "crypto/tls"}
 
-// TestCoresImportNoAdapter checks the imports of each core and of package
-// config.
+// clocks are the functions of package time that read the clock or wait.
+var clocks = []string{"Now", "Since", "Until", "Sleep", "After", "AfterFunc", "Tick", "NewTimer", "NewTicker"}
+
+// TestCoresImportNoAdapter checks the imports of each core and of package config, and that
+// they get the time as an argument.
 func TestCoresImportNoAdapter(t *testing.T) {
 	files := 0
 	walk := func(path string, d fs.DirEntry, err error) error {
@@ -27,8 +31,9 @@
 			return err
 		}
 		files++
-		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
 		require.NoError(t, err)
+		requireNoClock(t, path, f)
 		for _, spec := range f.Imports {
 			name, err := strconv.Unquote(spec.Path.Value)
 			require.NoError(t, err)
@@ -44,6 +49,19 @@
 	require.Greater(t, files, 30)
 }
 
+// requireNoClock checks that no function of package time that depends on the clock is used.
+func requireNoClock(t *testing.T, path string, f *ast.File) {
+	t.Helper()
+	ast.Inspect(f, func(n ast.Node) bool {
+		if s, ok := n.(*ast.SelectorExpr); ok {
+			if x, ok := s.X.(*ast.Ident); ok && x.Name == "time" {
+				require.NotContains(t, clocks, s.Sel.Name, path)
+			}
+		}
+		return true
+	})
+}
+
 func allowed(own string) bool {
 	return own == "config" || strings.HasPrefix(own, "internal/core/") || strings.HasPrefix(own, "internal/text/")
 }
--- a/internal/core/gdroute/packet.go
+++ b/internal/core/gdroute/packet.go
@@ -116,7 +116,12 @@
 
 var verdictNames = [...]string{Drop: "drop", Forward: "forward", Accept: "accept", Reset: "reset"}
 
-func (v Verdict) String() string { return verdictNames[v] }
+func (v Verdict) String() string {
+	if int(v) >= len(verdictNames) {
+		return "unknown"
+	}
+	return verdictNames[v]
+}
 
 // Reason says why a packet was dropped, or how its destination was chosen.
 type Reason uint8
@@ -151,7 +156,7 @@
 	OldIncarnation
 	// NotReady: there is no view yet, or it is not confirmed after a pause.
 	NotReady
-	// Full is not used by any decision.
+	// Full: the agent holds the maximum number of flows, and no other one accepts the flow.
 	Full
 
 	numReasons
--- a/internal/core/gdroute/packet_filter.go
+++ b/internal/core/gdroute/packet_filter.go
@@ -144,7 +144,13 @@
 		return f.forwardByKey(s, p, domainInService)
 	}
 	if f.prefersPeer(now, self, p) {
-		if next := f.forwardByKey(s, p, (*gdconf.Upstream).AcceptsNewFlows); next.verdict == Forward || !f.acceptsNew(now, self) {
+		next := f.forwardByKey(s, p, (*gdconf.Upstream).AcceptsNewFlows)
+		switch {
+		case next.verdict == Forward:
+			return next
+		case f.holdsMaximum(now):
+			return drop(Full)
+		case !f.acceptsNew(now, self):
 			return next
 		}
 	}
@@ -158,9 +164,12 @@
 }
 
 func (f *PacketFilter) acceptsNew(now time.Time, self *gdconf.Upstream) bool {
-	return self.AcceptsNewFlows() && !f.stopping && !f.full && !f.table().full(now)
+	return self.AcceptsNewFlows() && !f.stopping && !f.holdsMaximum(now)
 }
 
+// holdsMaximum reports whether the agent can hold no further flow.
+func (f *PacketFilter) holdsMaximum(now time.Time) bool { return f.full || f.table().full(now) }
+
 // forwardByKey forwards the packet to another upstream that may hold or accept its
 // flow.
 func (f *PacketFilter) forwardByKey(s *gdconf.Service, p Packet, allowed func(*gdconf.Upstream) bool) Decision {
--- a/internal/core/gdroute/route_test.go
+++ b/internal/core/gdroute/route_test.go
@@ -315,3 +315,19 @@
 		core.Route(start, gdroute.NewPacket(1, key).Opening())
 	}
 }
+
+// TestFullAgentDropsWithReason: an agent that can't hold another flow forwards it, and drops
+// it if no other agent accepts it. The reason then says what is missing.
+func TestFullAgentDropsWithReason(t *testing.T) {
+	for upstreams, want := range map[int]gdroute.Reason{1: gdroute.Full, 3: gdroute.PassedOn} {
+		filter := gdroute.PacketFilter{Self: 101, MaxFlows: 10, IdleTimeout: time.Minute}
+		filter.SetView(gdfixture.View(gdfixture.Deployment(1, upstreams)))
+		filter.SetFull(true)
+		require.Equal(t, want, filter.Check(start, gdroute.NewPacket(1, 7).Opening()).Reason(), "%d upstreams", upstreams)
+	}
+}
+
+func TestUnknownValuesHaveAText(t *testing.T) {
+	require.Equal(t, "unknown", gdroute.Verdict(200).String())
+	require.Equal(t, "unknown", gdroute.Reason(200).String())
+}
--- a/internal/core/gdselector/selector_test.go
+++ b/internal/core/gdselector/selector_test.go
@@ -105,21 +105,6 @@
 	require.InDelta(t, 10, relayed, 1)
 }
 
-func TestRampWeight(t *testing.T) {
-	const ramp = 20 * time.Second
-	require.Equal(t, 1.0, gdselector.RampWeight(start, time.Time{}, ramp))
-	require.Equal(t, 1.0, gdselector.RampWeight(start, start, 0))
-	require.Equal(t, 0.5, gdselector.RampWeight(start.Add(ramp/2), start, ramp))
-	require.Equal(t, 1.0, gdselector.RampWeight(start.Add(2*ramp), start, ramp))
-	last := 0.0
-	for d := -ramp; d < ramp; d += ramp / 100 {
-		w := gdselector.RampWeight(start.Add(d), start, ramp)
-		require.Positive(t, w)
-		require.GreaterOrEqual(t, w, last)
-		last = w
-	}
-}
-
 // TestReleasedSlotIsAvailable moves requests one after the other to a peer with little
 // headroom between two of its reports.
 func TestReleasedSlotIsAvailable(t *testing.T) {
--- a/internal/core/gdsync/action.go
+++ b/internal/core/gdsync/action.go
@@ -73,7 +73,9 @@
 
 // Status describes the state of a core.
 type Status struct {
-	Version          gdconf.Version
+	Version gdconf.Version
+	// Seen is the highest version that is known to exist.
+	Seen             gdconf.Version
 	ActiveSince      time.Time
 	PlatformContact  time.Time
 	PlatformError    string
--- a/internal/core/gdsync/core.go
+++ b/internal/core/gdsync/core.go
@@ -242,6 +242,9 @@
 	s := c.status
 	s.MemberCount = c.members.size()
 	s.Version = c.state.Version()
+	if s.Seen.Compare(s.Version) < 0 {
+		s.Seen = s.Version
+	}
 	s.Confirming = c.state != nil && !c.MayDecide(now)
 	return s
 }
--- a/internal/core/gdsync/core_test.go
+++ b/internal/core/gdsync/core_test.go
@@ -312,6 +312,9 @@
 	older, newer := n.cores[9], n.cores[0]
 	require.Equal(t, []Action{Pull{From: n.hosts[0], Have: older.State().Version()}},
 		older.VersionReceived(n.now, n.hosts[0].Name(), newer.State().Version()))
+	st := older.Status(n.now)
+	require.Equal(t, older.State().Version(), st.Version)
+	require.Equal(t, newer.State().Version(), st.Seen, "known, and not fetched yet")
 	acts := newer.VersionReceived(n.now, n.hosts[9].Name(), older.State().Version())
 	require.Len(t, acts, 1)
 	push := acts[0].(Push)
--- a/internal/core/gdsync/peer.go
+++ b/internal/core/gdsync/peer.go
@@ -111,6 +111,9 @@
 		return nil
 	}
 	c.pulling = pendingPull{version: v, retryAt: now.Add(c.pullRetryDelay())}
+	if c.status.Seen.Compare(v) < 0 {
+		c.status.Seen = v
+	}
 	if m, ok := c.members.find(from); ok {
 		return []Action{Pull{From: m, Have: c.state.Version()}}
 	}
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -34,6 +34,12 @@
 
 const nothing = "Nothing."
 
+// reserved are the numbers of former kinds of events.
+var reserved = []int{104, 201, 203, 204, 304, 504, 505, 506, 604, 605, 802}
+
+// Reserved returns the numbers of former kinds of events, which stay unused.
+func Reserved() []int { return append([]int(nil), reserved...) }
+
 // Events 100 to 199: the process itself.
 var (
 	ProcessStarted = declare(100, Info, "process started", nothing)
@@ -42,8 +48,6 @@
 		"Read the error; the host restarts the process.")
 	ProcessResumed = declare(103, Info, "process resumed after a pause",
 		"Nothing if it is rare. If frequent, look for an overloaded or suspended host.")
-	ProcessFenced = declare(104, Error, "process could not confirm its version in time after a pause",
-		"Check that its peers and the platform are reachable from this host.")
 )
 
 // ServiceListenFailed reports a service address that a balancer can't listen on. Event 105.
@@ -60,16 +64,14 @@
 		"Fix the settings file; the error names the line.")
 )
 
+// ResponseFailed reports a response to an operator that could not be sent. Event 109.
+var ResponseFailed = declare(109, Info, "response to an operator not sent", nothing)
+
 // Events 200 to 299: the configuration.
 var (
 	ConfigurationInForce = declare(200, Info, "configuration in force", nothing)
-	ConfigurationSeen    = declare(201, Debug, "newer configuration observed", nothing)
 	ConfigurationInvalid = declare(202, Error, "configuration rejected",
 		"Run `godwitdrift config check` on the published configuration and publish a valid one.")
-	ConfigurationStale = declare(203, Info, "older configuration ignored",
-		"Nothing: the version in force stays. If frequent, the platform serves stale reads.")
-	ConfigurationMissing = declare(204, Error, "no configuration yet",
-		"Check the platform's URL and that the index is published.")
 )
 
 // ViewChanged reports a new view of the discovered state. Event 205.
@@ -88,7 +90,6 @@
 		"The peer failed to prove that it holds the fleet key: compare the key files.")
 	PeerUnreachable = declare(303, Info, "peer unreachable",
 		"Nothing if the peer was replaced. Otherwise check the network between the two.")
-	PeerReachable    = declare(304, Info, "peer reachable again", nothing)
 	BecameReader     = declare(305, Info, "host became a reader of the platform's store", nothing)
 	BecameFollower   = declare(306, Info, "host became a follower, receives updates from peers", nothing)
 	HostUnresponsive = declare(307, Info, "host is unresponsive",
@@ -117,10 +118,6 @@
 		"Nothing: the failure domain was taken out of service.")
 	FlowSilent = declare(503, Info, "silent flow closed",
 		"Something between the caller and the agent lost the flow. If there are many, check the fabric.")
-	FlowRefused = declare(504, Info, "flow refused",
-		"Nothing if it is rare. If frequent, the service needs more upstreams.")
-	FlowPathChanged       = declare(505, Debug, "return path of the flow changed", nothing)
-	RequestRefused        = declare(506, Debug, "request refused, it did not run", nothing)
 	RequestOutcomeUnknown = declare(507, Error, "outcome unknown of a request that must not run twice",
 		"Look up in the service's own records, by the key in the event, whether it ran.")
 )
@@ -147,10 +144,6 @@
 	UpstreamUnreachable = declare(602, Error, "upstream unreachable",
 		"Check the upstream; new requests go to its peers.")
 	UpstreamReachable = declare(603, Info, "upstream reachable again", nothing)
-	UpstreamSheds     = declare(604, Info, "upstream sheds load",
-		"Nothing if it is brief. Otherwise the upstream has too many slots configured.")
-	HealthMismatch = declare(605, Info, "health endpoint contradicts the observed outcomes",
-		"Nothing: the outcomes count. Fix the endpoint.")
 )
 
 // UpstreamStatusChanged reports a new status of an agent's upstream. Event 606.
@@ -175,5 +168,4 @@
 	CertificateReloaded     = declare(800, Info, "certificate reloaded", nothing)
 	CertificateReloadFailed = declare(801, Error, "certificate not reloaded, the previous one stays in use",
 		"Fix the certificate and key files; the previous certificate is used until it expires.")
-	TokenKeysChanged = declare(802, Info, "token keys changed", nothing)
 )
--- a/internal/operate/gdlog/gdlog_test.go
+++ b/internal/operate/gdlog/gdlog_test.go
@@ -11,7 +11,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
-	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -41,14 +41,23 @@
 	require.Equal(t, rows.String(), inPage.String())
 }
 
-// TestEachEventIsWrittenOrListed checks that each event is either written by some code
-// or listed on the page as not written yet.
-func TestEachEventIsWrittenOrListed(t *testing.T) {
+// TestEachEventIsWritten checks that each event is written by some code, and that the page
+// lists the numbers that stay unused.
+func TestEachEventIsWritten(t *testing.T) {
 	page, err := os.ReadFile("../../../docs/EVENTS.md")
 	require.NoError(t, err)
-	_, rest, _ := strings.Cut(string(page), "## Not written yet\n")
+	_, rest, _ := strings.Cut(string(page), "## Reserved\n")
 	list, _, _ := strings.Cut(rest, "## ")
-	listed := regexp.MustCompile(`\d+`).FindAllString(list, -1)
+	var listed []int
+	for _, digits := range regexp.MustCompile(`\d+`).FindAllString(list, -1) {
+		n, err := strconv.Atoi(digits)
+		require.NoError(t, err)
+		listed = append(listed, n)
+	}
+	require.Equal(t, gdlog.Reserved(), listed)
+	for _, e := range gdlog.Catalogue() {
+		require.NotContains(t, listed, e.Number())
+	}
 	var code strings.Builder
 	for _, root := range []string{"../..", "../../../cmd"} {
 		err := filepath.WalkDir(root, func(path string, _ fs.DirEntry, err error) error {
@@ -66,7 +75,7 @@
 	require.NoError(t, err)
 	for _, m := range regexp.MustCompile(`(\w+) += declare\((\d+),`).FindAllStringSubmatch(string(declared), -1) {
 		written := regexp.MustCompile(`gdlog\.` + m[1] + `\b`).MatchString(code.String())
-		require.True(t, written || slices.Contains(listed, m[2]), "event %s (%s) is never written", m[2], m[1])
+		require.True(t, written, "event %s (%s) is never written", m[2], m[1])
 	}
 }
 
--- a/internal/operate/gdoperator/types.go
+++ b/internal/operate/gdoperator/types.go
@@ -20,7 +20,8 @@
 	Revision uint64 `json:"revision"`
 	// Since is the time at which Version became active in this process.
 	Since time.Time `json:"since"`
-	// Seen is the highest accepted version that the process has observed.
+	// Seen is the highest accepted version that the process knows to exist. It is above
+	// Version while the process fetches it.
 	Seen string `json:"seen"`
 	// Rejected is the last version that was rejected after Since, if any.
 	Rejected *Rejection `json:"rejected,omitempty"`
@@ -28,8 +29,9 @@
 
 // Rejection is a version that did not become active, with the reason.
 type Rejection struct {
-	// Version is the revision of the rejected configuration, in decimal.
-	Version string `json:"version"`
+	// Revision is the operator's revision number of the rejected configuration, or 0 if it
+	// could not be read.
+	Revision uint64 `json:"revision"`
 	// Reason is the error, which contains all problems.
 	Reason string `json:"reason"`
 }
--- a/internal/process/gdagent/conn.go
+++ b/internal/process/gdagent/conn.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"os"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -39,7 +38,7 @@
 	ring     chan inboundDatagram
 	closed   chan struct{}
 	once     sync.Once
-	deadline atomic.Int64
+	deadline deadline
 
 	mu     sync.Mutex
 	sealer *gdenvelope.Sealer
@@ -96,18 +95,12 @@
 
 // ReadFrom returns the next accepted datagram.
 func (c *callerConn) ReadFrom(p []byte) (int, net.Addr, error) {
-	var expired <-chan time.Time
-	if d := c.deadline.Load(); d != 0 {
-		t := time.NewTimer(time.Until(time.Unix(0, d)))
-		defer t.Stop()
-		expired = t.C
-	}
 	select {
 	case d := <-c.ring:
 		n := copy(p, d.data)
 		gdnode.PutBuffer(d.buf)
 		return n, d.caller, nil
-	case <-expired:
+	case <-c.deadline.wait():
 		return 0, nil, os.ErrDeadlineExceeded
 	case <-c.closed:
 		return 0, nil, net.ErrClosed
@@ -205,17 +198,9 @@
 // SetWriteDeadline does nothing, because sends do not block.
 func (c *callerConn) SetWriteDeadline(time.Time) error { return nil }
 
-// SetReadDeadline sets the deadline of the next ReadFrom. A deadline in the past also
-// unblocks a ReadFrom that is waiting.
+// SetReadDeadline sets the deadline of ReadFrom, also of one that is waiting.
 func (c *callerConn) SetReadDeadline(t time.Time) error {
-	if t.IsZero() {
-		c.deadline.Store(0)
-		return nil
-	}
-	c.deadline.Store(t.UnixNano())
-	if !time.Now().Before(t) {
-		return c.Close()
-	}
+	c.deadline.set(time.Now(), t)
 	return nil
 }
 
--- a/internal/process/gdconfsync/status.go
+++ b/internal/process/gdconfsync/status.go
@@ -10,6 +10,7 @@
 type Status struct {
 	Version          string    `json:"version"`
 	Revision         uint64    `json:"revision"`
+	Seen             string    `json:"seen"`
 	Since            time.Time `json:"since"`
 	PlatformContact  time.Time `json:"platform-contact"`
 	PlatformError    string    `json:"platform-error,omitempty"`
@@ -31,7 +32,7 @@
 		c = p.status
 	}
 	st := Status{
-		Version: c.Version.String(), Revision: c.Version.Revision(), Since: c.ActiveSince,
+		Version: c.Version.String(), Revision: c.Version.Revision(), Seen: c.Seen.String(), Since: c.ActiveSince,
 		PlatformContact: c.PlatformContact, PlatformError: c.PlatformError,
 		RejectedRevision: c.RejectedRevision, RejectedReason: c.RejectedReason, RejectedAt: c.RejectedAt,
 		Members: c.MemberCount, Confirming: c.Confirming,
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -141,7 +141,7 @@
 	if cutOff {
 		ev = gdlog.AgentsUnreachable
 	}
-	e.Log.Event(ev, "silent", e.dispatcher.Suspects(time.Now()), "revision", e.state.Revision())
+	e.Log.Event(ev, "silent", e.dispatcher.SilentHosts(), "revision", e.state.Revision())
 }
 
 // sender executes the dispatcher's actions. It is not safe for concurrent use.
--- a/internal/process/gdentry/state.go
+++ b/internal/process/gdentry/state.go
@@ -12,11 +12,13 @@
 	// Upstreams counts those in the view, DomainsOut the failure domains that are out.
 	Upstreams  int `json:"upstreams"`
 	DomainsOut int `json:"domains-out"`
-	// Flows counts the cached flows, Lookups the lookups and offers in progress, and
-	// SilentHosts the agents' hosts that are suspect.
-	Flows       int `json:"flows"`
-	Lookups     int `json:"searches"`
-	SilentHosts int `json:"silent-hosts"`
+	// Flows counts the cached flows, and Lookups the lookups and offers in progress.
+	Flows   int `json:"flows"`
+	Lookups int `json:"searches"`
+	// SilentHosts counts the agents' hosts that don't respond, SuspectHosts those that get
+	// no new flows: most silent ones, and those whose upstream is unavailable.
+	SilentHosts  int `json:"silent-hosts"`
+	SuspectHosts int `json:"suspect-hosts"`
 	// ReadsStore reports whether this host is a reader; Peers counts the entry hosts
 	// that it knows.
 	ReadsStore bool `json:"reads-store"`
@@ -32,7 +34,8 @@
 	defer e.mu.Unlock()
 	s := State{
 		Revision: e.state.Revision(), AgeMS: e.state.Age(now).Milliseconds(),
-		Flows: e.dispatcher.Flows(), Lookups: e.dispatcher.Lookups(), SilentHosts: e.dispatcher.Suspects(now),
+		Flows: e.dispatcher.Flows(), Lookups: e.dispatcher.Lookups(),
+		SilentHosts: e.dispatcher.SilentHosts(), SuspectHosts: e.dispatcher.Suspects(now),
 		ReadsStore: e.election.Reading(), Peers: e.election.KnownHosts(), Ready: e.Ready(), CutOff: e.dispatcher.CutOff(),
 	}
 	if v := e.state.View(); v != nil {
--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -164,11 +163,11 @@
 	}
 	if p.config.View() != nil {
 		st.Version = c.Version
-		st.Seen = c.Version
+		st.Seen = c.Seen
 		st.Revision = c.Revision
 	}
 	if c.RejectedReason != "" {
-		st.Rejected = &gdoperator.Rejection{Version: strconv.FormatUint(c.RejectedRevision, 10), Reason: c.RejectedReason}
+		st.Rejected = &gdoperator.Rejection{Revision: c.RejectedRevision, Reason: c.RejectedReason}
 	}
 	return st
 }
--- a/internal/process/gdserve/watch.go
+++ b/internal/process/gdserve/watch.go
@@ -72,17 +72,17 @@
 	}
 }
 
-// logCounter logs the growth of a counter of datagrams, unless it counts delivered
-// ones.
+// logCounter logs the growth of a counter of datagrams since it was last logged, unless
+// it counts delivered ones.
 func (l *eventLogger) logCounter(now time.Time, c gdnode.Count) {
 	growth := c.Value - l.counts[c.Name]
-	l.counts[c.Name] = c.Value
 	if growth == 0 || isDelivered(c.Name) {
 		return
 	}
 	if _, due := l.drops.Add(now, c.Name); !due {
 		return
 	}
+	l.counts[c.Name] = c.Value
 	event := gdlog.DatagramsDropped
 	switch c.Name {
 	case gdroute.WrongService.String():
--- a/internal/rig/gddemo/demo.go
+++ b/internal/rig/gddemo/demo.go
@@ -65,7 +65,11 @@
 	d.selectDrained()
 	if d.SettleTime > 0 {
 		d.progress("waiting until the agents can grant stamped keys")
-		time.Sleep(d.SettleTime)
+		select {
+		case <-ctx.Done():
+			return gdload.Result{}, ctx.Err()
+		case <-time.After(d.SettleTime):
+		}
 	}
 	d.load = &gdload.Load{Targets: d.targets(), Roots: roots, Record: d.Rig.Record, Seed: d.Seed}
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/rig/gdfabric/delay_line.go
+++ b/internal/rig/gdfabric/delay_line.go
@@ -93,8 +93,12 @@
 		case <-ctx.Done():
 			return
 		case p := <-ln.queue:
-			if wait := time.Until(p.due); wait > 0 {
-				time.Sleep(wait)
+			t := time.NewTimer(time.Until(p.due))
+			select {
+			case <-ctx.Done():
+				t.Stop()
+				return
+			case <-t.C:
 			}
 			p.send()
 		}
--- a/internal/rig/gdhostrig/caller.go
+++ b/internal/rig/gdhostrig/caller.go
@@ -73,7 +73,12 @@
 	return nil
 }
 
-func (c *callers) close() error { return errors.WithStack(c.conn.Close()) }
+func (c *callers) close() error {
+	if c.conn == nil {
+		return nil
+	}
+	return errors.WithStack(c.conn.Close())
+}
 
 // serviceTime returns how long a slot takes for a request of the class.
 func (c *callers) serviceTime(class string) time.Duration {
--- a/internal/rig/gdhostrig/event.go
+++ b/internal/rig/gdhostrig/event.go
@@ -67,6 +67,8 @@
 	PlannedWork  Kind = "planned"
 	FaultStarted Kind = "trouble"
 	FaultEnded   Kind = "calm"
+	// RigError: the rig itself failed to do something, so that the run shows nothing.
+	RigError Kind = "rig-error"
 	// ProcessExited: a process exited although the rig had not stopped it, or could not be
 	// started.
 	ProcessExited Kind = "exited"
--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -74,7 +74,7 @@
 	}
 	go func() {
 		if err := store.Serve(r.ctx, r.store.Handler(h.name)); err != nil {
-			r.post(func(at time.Time) { r.observe(Event{At: at, Kind: FaultStarted, Text: err.Error()}) })
+			r.post(func(at time.Time) { r.observe(Event{At: at, Kind: RigError, Text: err.Error()}) })
 		}
 	}()
 	h.storeProxy.Target = store.Addr()
@@ -237,8 +237,8 @@
 	if exited, _ := c.Exited(); exited {
 		return
 	}
-	if err := c.Signal(s); err != nil {
-		r.observe(Event{At: now, Kind: FaultEnded, Host: h.name, Text: err.Error()})
+	if err := c.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		r.observe(Event{At: now, Kind: RigError, Host: h.name, Text: err.Error()})
 	}
 }
 
@@ -274,7 +274,7 @@
 		child.WaitOrKill(GracePeriod)
 		r.post(func(time.Time) {
 			if err := r.datagramProxy.Remove(h.internalAddr()); err != nil {
-				r.observe(Event{Kind: FaultEnded, Host: h.name, Text: err.Error()})
+				r.observe(Event{Kind: RigError, Host: h.name, Text: err.Error()})
 			}
 		})
 	}()
@@ -283,7 +283,9 @@
 // stop kills the host's process and closes its upstream and proxy, at the end of the run.
 func (h *Host) stop() {
 	h.removed = true
-	h.child.Kill()
+	if h.child != nil {
+		h.child.Kill()
+	}
 	if h.upstream != nil {
 		h.upstream.close()
 	}
--- a/internal/rig/gdhostrig/message.go
+++ b/internal/rig/gdhostrig/message.go
@@ -56,8 +56,8 @@
 		if !ok {
 			return all
 		}
-		if n, err := fmt.Sscanf(string(line), "%s %s %d %d", &h.id, &h.class, &h.requestSize, &h.answerSize); err != nil || n < 4 {
-			h.id = "unreadable: " + string(line)
+		if n, err := fmt.Sscanf(string(line), "%s %s %d %d", &h.id, &h.class, &h.requestSize, &h.answerSize); err != nil || n < 4 || h.requestSize < 0 || h.answerSize < 0 {
+			h = requestHead{id: "unreadable: " + string(line)}
 		}
 		if len(rest) < h.requestSize {
 			return all
--- a/internal/rig/gdhostrig/message_test.go
+++ b/internal/rig/gdhostrig/message_test.go
@@ -18,6 +18,8 @@
 	require.Equal(t, []requestHead{first, second}, got)
 	got = p.parse([]byte("no request\n"))
 	require.Equal(t, "unreadable: no request", got[0].id)
+	got = p.parse([]byte("a/1 order -5 600\n"))
+	require.Equal(t, []requestHead{{id: "unreadable: a/1 order -5 600"}}, got, "a negative size")
 }
 
 // TestParseAnswer checks that only the answer to the request is correct, and only when it is
--- a/internal/rig/gdhostrig/rig.go
+++ b/internal/rig/gdhostrig/rig.go
@@ -80,20 +80,27 @@
 }
 
 // Start starts the deployment and, after settleDelay, its load. If it returns an error, no
-// process of the deployment is left running.
+// process of the deployment is left running and no socket is left open.
 func (r *Rig) Start(ctx context.Context) error {
 	err := r.start(ctx)
 	if err != nil {
-		r.stop()
 		for _, h := range r.hosts {
-			if h.child != nil {
-				h.stop()
-			}
+			h.stop()
 		}
+		r.stop()
+		r.closeSockets()
 	}
 	return err
 }
 
+// closeSockets closes the sockets that do not belong to a host.
+func (r *Rig) closeSockets() {
+	_, _ = r.datagramProxy.Close(), r.callers.close() // an error doesn't matter at the end of the run
+	if r.networkListener != nil {
+		_ = r.networkListener.Close()
+	}
+}
+
 func (r *Rig) start(ctx context.Context) error {
 	ctx, r.stop = context.WithCancel(ctx)
 	r.loop = newLoop(ctx)
@@ -136,7 +143,7 @@
 	r.firstStart = false
 	for _, h := range r.hosts {
 		if err := r.writeSettings(h); err != nil {
-			r.observe(Event{Kind: FaultStarted, Host: h.name, Text: err.Error()})
+			r.observe(Event{Kind: RigError, Host: h.name, Text: err.Error()})
 		}
 	}
 }
@@ -186,7 +193,7 @@
 	})
 	r.stop()
 	<-r.stopped // after this the observer is not called
-	_, _, _ = r.datagramProxy.Close(), r.networkListener.Close(), r.callers.close()
+	r.closeSockets()
 }
 
 // StoreReads returns the number of calls to the store.
--- a/internal/rig/gdload/tally.go
+++ b/internal/rig/gdload/tally.go
@@ -65,7 +65,7 @@
 	return notes
 }
 
-// maxErrors is the maximum number of messages that recordError records.
+// maxErrors is the maximum number of messages in a Result.
 const maxErrors = 20
 
 // tally counts outcomes. Its zero value is ready for use.
@@ -110,12 +110,17 @@
 func (t *tally) recordError(msg string, count func(r *Result)) {
 	t.update(func(r *Result) {
 		count(r)
-		if len(r.Errors) < maxErrors {
-			r.Errors = append(r.Errors, msg)
-		}
+		r.addError(msg)
 	})
 }
 
+// addError adds the message of one of the first errors.
+func (r *Result) addError(msg string) {
+	if len(r.Errors) < maxErrors {
+		r.Errors = append(r.Errors, msg)
+	}
+}
+
 func (t *tally) countAnswered(service, upstream string, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -189,7 +194,7 @@
 	for _, id := range t.notRun {
 		if rec.StartsOfRequest(id) > 0 {
 			r.Wrong++
-			r.Errors = append(r.Errors, "request "+id+": refused with the outcome not-run, but it ran")
+			r.addError("request " + id + ": refused with the outcome not-run, but it ran")
 		}
 	}
 	return r
--- a/internal/rig/gdrigup/control.go
+++ b/internal/rig/gdrigup/control.go
@@ -48,7 +48,9 @@
 // AddBalancer starts another balancer on a host of its own, adds it to the fabric
 // and returns its name.
 func (r *Rig) AddBalancer() (string, error) {
+	r.mu.Lock()
 	n := r.balancersStarted
+	r.mu.Unlock()
 	if err := r.startBalancer(n); err != nil {
 		return "", err
 	}
--- a/internal/rig/gdsoak/soak.go
+++ b/internal/rig/gdsoak/soak.go
@@ -113,6 +113,9 @@
 
 // Observe implements gdhostrig.Observer.
 func (l *eventLog) Observe(ev gdhostrig.Event) {
+	if ev.Kind == gdhostrig.RigError {
+		l.err = cmp.Or(l.err, errors.Errorf("rig failed at host %q: %s", ev.Host, ev.Text))
+	}
 	before := len(l.breaches)
 	l.Checker.Observe(ev)
 	if ev.Kind == gdhostrig.PacketDelivered {
--- a/internal/wire/gdpeer/dialer.go
+++ b/internal/wire/gdpeer/dialer.go
@@ -42,7 +42,7 @@
 	// Timeout is the timeout of one call. Zero means DefaultTimeout.
 	Timeout time.Duration
 	// MaxPeers is the number of peers whose connections are reused for further calls.
-	// Zero means DefaultMaxPeers.
+	// Values below 1 mean DefaultMaxPeers.
 	MaxPeers int
 
 	once    sync.Once
@@ -55,7 +55,7 @@
 		if d.Timeout == 0 {
 			d.Timeout = DefaultTimeout
 		}
-		if d.MaxPeers == 0 {
+		if d.MaxPeers <= 0 {
 			d.MaxPeers = DefaultMaxPeers
 		}
 		retire := func(_ string, c *client) { c.retire() }
--- a/internal/wire/gdpeer/peer_test.go
+++ b/internal/wire/gdpeer/peer_test.go
@@ -193,3 +193,10 @@
 	}
 	require.Equal(t, kept, gdpeer.OpenConnections(d))
 }
+
+// TestNegativeMaxPeersMeansDefault: a size below 1 made the first call panic.
+func TestNegativeMaxPeersMeansDefault(t *testing.T) {
+	d := &gdpeer.Dialer{MaxPeers: -1}
+	d.Close()
+	require.Equal(t, gdpeer.DefaultMaxPeers, d.MaxPeers)
+}
