Reset flows of repeatable requests at hosts that can't be reached

Cause: when a failure domain loses power or packets pass one way only, callers of open flows there waited for their deadlines: an entry host can't tell a dead host from an agent that restarts, and at 195 hosts it offers one agent a flow only every few seconds. Ruled out: counting a silent host as a no (docs/design/platform.md: no gain, weaker proof); resets of requests that may not run twice (they may have run, and a late answer counts). Change: a caller's retransmission on an open flow, and two unanswered messages, make an entry host probe the agent's host by TCP, a responding host beside it. A refusal is a response. If only the control responds, packets with data on flows of idempotent routes there are answered by a reset for 1 s, new flows avoid the host, and a search counts it as absent. Conclusion: who loses an upstream for good comes back within one retransmission, or at once where the entry host knows.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -109,6 +109,8 @@
 	// OnSuspect, if set, is called when a host has stopped responding and when it
 	// responds again.
 	OnSuspect func(host gdflow.Address, suspect bool)
+	// OnUnreachable, if set, is called when a host was found to be unreachable.
+	OnUnreachable func(host gdflow.Address)
 	// OnResolved, if set, is called when the upstream of a flow is found, with the
 	// duration of the lookup or of the offers.
 	OnResolved func(took time.Duration)
@@ -285,6 +287,13 @@
 			d.queryNext(now, r, p.Key(), f)
 			return
 		}
+		if d.noteRetransmission(now, f, p) && d.givesUp(now, r, f.upstream) {
+			// A request that can't be delivered has no answer. The caller's
+			// acknowledgements of an answer are forwarded as before.
+			f.state = gone
+			d.add(Action{Verb: Reset, Key: p.Key(), To: f.upstream, Seq: p.Ack, Reason: Unreachable})
+			return
+		}
 		d.forwardTo(now, m, Action{Key: p.Key(), Packet: raw, Reason: Known})
 	case opening:
 		if f.lookup.deferred {
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -32,7 +32,7 @@
 
 // noteAnswer records an answer of an agent's host.
 func (d *Dispatcher) noteAnswer(now time.Time, from gdflow.Address) {
-	d.hosts.answered(from)
+	d.hosts.answered(now, from)
 	if d.cutOff {
 		d.updateCutOff(now)
 	}
@@ -177,6 +177,9 @@
 		if t := &f.lookup.attempts[i]; !t.answered {
 			f.lookup.unanswered = true
 			d.hosts.timedOut(now, t.address)
+			if d.hosts.silent(t.address) {
+				d.probeHost(now, t.address)
+			}
 		}
 	}
 	d.updateCutOff(now)
--- a/internal/core/gddispatch/hosts.go
+++ b/internal/core/gddispatch/hosts.go
@@ -23,18 +23,37 @@
 	// onChange, if set, is called when a host has stopped responding and when it
 	// responds again.
 	onChange func(at gdflow.Address, suspect bool)
+	// recent are the hosts that have answered last, the latest first.
+	recent [2]answer
+}
+
+// answer is the last answer of a host.
+type answer struct {
+	from gdflow.Address
+	at   time.Time
 }
 
 type host struct {
-	unanswered   int
-	suspectUntil time.Time
+	unanswered    int
+	suspectUntil  time.Time
+	probedAt      time.Time // the last probe was started
+	unreachableAt time.Time // the last probe has failed, or the zero time
+}
+
+// unreachable reports whether the last probe of the host has failed recently.
+func (o *host) unreachable(now time.Time) bool {
+	return !o.unreachableAt.IsZero() && now.Sub(o.unreachableAt) < unreachableTTL
 }
 
 // silent reports whether the host has stopped responding.
 func (o *host) silent() bool { return o.unanswered >= suspectAfter }
 
 // answered records an answer of a host.
-func (h *hosts) answered(at gdflow.Address) {
+func (h *hosts) answered(now time.Time, at gdflow.Address) {
+	if h.recent[0].from.IP() != at.IP() {
+		h.recent[1] = h.recent[0]
+	}
+	h.recent[0] = answer{from: at, at: now}
 	o, ok := h.m[at.IP()]
 	if !ok {
 		return
@@ -43,6 +62,22 @@
 	h.notify(at, o, false)
 }
 
+// control returns another host that has answered recently.
+func (h *hosts) control(now time.Time, at gdflow.Address) (gdflow.Address, bool) {
+	for _, a := range h.recent {
+		if !a.at.IsZero() && now.Sub(a.at) < controlTTL && a.from.IP() != at.IP() {
+			return a.from, true
+		}
+	}
+	return gdflow.Address{}, false
+}
+
+// unreachable reports whether the last probe of the host has failed recently.
+func (h *hosts) unreachable(now time.Time, a gdflow.Address) bool {
+	o, ok := h.m[a.IP()]
+	return ok && o.unreachable(now)
+}
+
 // notify reports that a host has stopped responding, or responds again. It does not
 // report a host that is suspect only because its upstream is unavailable.
 func (h *hosts) notify(at gdflow.Address, o *host, suspect bool) {
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -138,7 +138,7 @@
 		return false
 	}
 	for m := range d.members(r) {
-		if d.hosts.suspect(now, m.Address()) && !removedLongAgo(now, m) {
+		if d.hosts.suspect(now, m.Address()) && !removedLongAgo(now, m) && !d.givesUp(now, r, m.Address()) {
 			return false
 		}
 	}
@@ -236,7 +236,7 @@
 		return false
 	}
 	for _, t := range l.attempts {
-		if m := d.memberAt(r, t.address); (!t.answered || t.unsure) && m != nil && !removedLongAgo(now, m) {
+		if m := d.memberAt(r, t.address); (!t.answered || t.unsure) && m != nil && !removedLongAgo(now, m) && !d.givesUp(now, r, t.address) {
 			return false
 		}
 	}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -21,6 +21,8 @@
 	SendStatus
 	// Query asks an agent which of a list of flows its upstream holds.
 	Query
+	// Probe finds out whether a host responds at all, and whether the control does.
+	Probe
 )
 
 // Reason is the reason for an Action.
@@ -53,6 +55,8 @@
 	CutOff
 	// Broadcast: all upstreams that were not queried yet are queried at once.
 	Broadcast
+	// Unreachable: the host of the flow's upstream can't be reached.
+	Unreachable
 
 	reasons
 )
@@ -61,6 +65,7 @@
 	ByRank: "by-rank", Known: "known", LeastLoaded: "least-loaded", NoRoute: "no-route",
 	NoUpstream: "no-upstream", Overloaded: "overloaded", FlowGone: "flow-gone", NotFound: "not-found", NotReady: "not-ready",
 	Waiting: "waiting", CutOff: "cut-off", Broadcast: "everyone",
+	Unreachable: "unreachable",
 }
 
 // NumReasons returns the number of reasons, for arrays of counters.
@@ -77,8 +82,10 @@
 type Action struct {
 	// Packet is the packet to forward. It is valid until the next call.
 	Packet []byte
-	// To is the address of the upstream, for Forward, SendStatus and Query.
+	// To is the address of the upstream, for Forward, SendStatus, Query and Probe.
 	To gdflow.Address
+	// Control is the address of another upstream, for Probe.
+	Control gdflow.Address
 	// Key is the flow. Keys are the flows of a Query.
 	Key  gdflow.Key
 	Keys []gdflow.Key
@@ -127,7 +134,9 @@
 	lookup        *lookup
 	retryAfter    time.Time // for notFound: no lookup before this time
 	upstream      gdflow.Address
-	failedLookups uint8 // consecutive lookups that did not find the holder
+	callerEnd     uint32 // the sequence number after the last byte that the caller has sent
+	hasData       bool   // callerEnd is set
+	failedLookups uint8  // consecutive lookups that did not find the holder
 	state         state
 }
 
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -98,6 +98,8 @@
 	AgentsUnreachable = declare(309, Error, "almost no agent responds, entry host not ready",
 		"Check the host's links. The routers send to other entry hosts, and this one refuses new flows at once.")
 	AgentsReachable = declare(310, Info, "agents respond again", nothing)
+	HostUnreachable = declare(311, Info, "host can't be reached, flows of repeatable requests there are reset",
+		"If it persists, check the host's power and the path to it.")
 )
 
 // Events 400 to 499: datagrams.
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -16,7 +16,7 @@
 // counters has the metrics of an entry host and the rate limit of its log.
 type counters struct {
 	malformed, accepted       tally.Counter
-	queries, statuses         tally.Counter
+	queries, statuses, probes tally.Counter
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
 	returns                   []tally.Counter
@@ -29,6 +29,7 @@
 func (c *counters) init(scope tally.Scope) {
 	c.malformed = scope.Counter("malformed_datagrams")
 	c.queries, c.statuses = scope.Counter("questions_asked"), scope.Counter("standings_told")
+	c.probes = scope.Counter("hosts_probed")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
 	c.revision, c.version = scope.Gauge("revision"), scope.Gauge("version")
@@ -56,6 +57,8 @@
 		c.queries.Inc(1)
 	case gddispatch.SendStatus:
 		c.statuses.Inc(1)
+	case gddispatch.Probe:
+		c.probes.Inc(1)
 	default:
 		c.drops[r].Inc(1)
 	}
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -90,6 +90,7 @@
 	wake         chan struct{}
 	becameReader chan struct{}
 	behind       chan gdflow.Address
+	probes       chan probeRequest
 	feed         *net.UDPConn
 	updates      net.Listener
 	callers      *net.UDPConn
@@ -133,9 +134,10 @@
 		return err
 	}
 	e.viewSender = e.newSender()
-	e.dispatcher.OnSuspect = e.onSuspect
+	e.dispatcher.OnSuspect, e.dispatcher.OnUnreachable = e.onSuspect, e.onUnreachable
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
+	e.probes = make(chan probeRequest, maxProbes)
 	e.initElection()
 	e.history.Repeats = changeRepeats
 	e.metrics.init(e.Scope)
@@ -149,6 +151,7 @@
 	g.Go(func() error { return e.serveUpdates(work) })
 	g.Go(func() error { e.fetchUpdates(work); return nil })
 	g.Go(func() error { e.runBeacons(work); return nil })
+	g.Go(func() error { e.runProbes(work); return nil })
 	g.Go(func() error { e.tick(work); return nil })
 	g.Go(func() error {
 		defer stop()
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -173,6 +173,9 @@
 			b := gdhop.AppendQuery(s.out.Buffer(), a.Header.Service, a.Header.Status, a.Keys)
 			s.out.Queue(b, a.To.WithPort(s.host.HopAddress.Port()).AddrPort())
 			continue
+		case gddispatch.Probe:
+			s.host.requestProbe(a.To, a.Control)
+			continue
 		case gddispatch.Reset:
 			b := s.host.Codec.AppendReset(s.out.Buffer(), a.Key, a.Seq)
 			s.out.Queue(b, a.Key.Caller().WithPort(s.host.CallerAddress.Port()).AddrPort())
