Send readers' beacons through relays

Ruled out: longer intervals (readers would be missed later); hosts that know their domain's others (they say hello to readers only); relays with a lease or a list of their own, which would have to be replaced when they are paused or cut. Change: above 32 hosts a reader sends a beacon to one relay of each failure domain, with the list of its other hosts; a relay with many divides them into 16 groups and makes the first of each responsible for the rest (the broadcast of the Distributed K-ary System, by list). Relays keep nothing; readers choose anew from whom they heard in 1.3 s, each other ones. Hellos to readers list no members, a beacon five, and an upstream's ID goes once.

--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -48,7 +48,7 @@
 				CallerAddress: s.CallerAddress(),
 				HopAddress:    netip.AddrPortFrom(s.CallerAddress().Addr(), s.HopPort()),
 				FeedAddress:   netip.AddrPortFrom(s.CallerAddress().Addr(), s.FeedPort()),
-				Seeds:         s.Seeds(), Rank: s.Rank(),
+				Seeds:         s.Seeds(), Domain: s.Domain(), Rank: s.Rank(),
 				Codec: platform.Codec{}, Source: store(s),
 				Log: p.log, Scope: p.metrics.Scope(), Grace: s.GracePeriod(),
 			}
--- a/internal/core/gdreaders/election.go
+++ b/internal/core/gdreaders/election.go
@@ -10,7 +10,7 @@
 // # Usage
 //
 //	e := &gdreaders.Election{Self: self, Rank: rank, Seeds: seeds}
-//	for _, to := range e.Tick(now, age) { // send a beacon to each
+//	for _, to := range e.Tick(now, age) { // send a beacon to each, which relays it to its targets
 //		...
 //	}
 //	e.HandleBeacon(now, from, beacon)
@@ -57,8 +57,8 @@
 	noReaderTimeout   = 2 * BeaconInterval
 	fewReadersTimeout = time.Second
 	// MaxMembers limits the members in a beacon, which are the next ones to read:
-	// 120 bytes.
-	MaxMembers = 8
+	// 75 bytes.
+	MaxMembers = 5
 	// maxHosts limits the number of hosts that are tracked.
 	maxHosts = 4096
 )
@@ -79,6 +79,8 @@
 	Revision uint64
 	Age      time.Duration
 	Rank     uint32
+	// Domain is the sender's failure domain.
+	Domain string
 	// Reading reports that the sender reads the store.
 	Reading bool
 	// Leaving reports that the sender is shutting down.
@@ -91,6 +93,7 @@
 	age        time.Duration
 	revision   uint64
 	rank       uint32
+	domain     string
 	reading    bool
 	// needsBeacon is true for a new host until it was sent a beacon.
 	needsBeacon bool
@@ -99,9 +102,11 @@
 // Election decides whether this host reads the store. Its exported fields must be set
 // before the first call.
 type Election struct {
-	Self  gdflow.Address
-	Rank  uint32
-	Seeds []gdflow.Address
+	Self gdflow.Address
+	Rank uint32
+	// Domain is the failure domain of the host.
+	Domain string
+	Seeds  []gdflow.Address
 
 	known   map[gdflow.Address]*peer
 	reading bool
@@ -111,7 +116,8 @@
 	lastSent             time.Time
 	sendNow              bool
 	noReaderYet          bool // no beacon of a reader was received since the start
-	out                  []gdflow.Address
+	out                  []Recipient
+	toReaders            bool // the recipients of the last Tick are readers
 }
 
 // Reading reports whether this host reads the store.
@@ -141,7 +147,7 @@
 	}
 	// A host that only others have listed may know this one already.
 	o.needsBeacon = o.needsBeacon || o.receivedAt.IsZero()
-	o.receivedAt, o.rank, o.reading, o.age, o.revision = now, b.Rank, b.Reading, b.Age, b.Revision
+	o.receivedAt, o.rank, o.domain, o.reading, o.age, o.revision = now, b.Rank, b.Domain, b.Reading, b.Age, b.Revision
 	for _, m := range b.Members {
 		if m.Address == e.Self {
 			continue
@@ -182,7 +188,7 @@
 
 // Tick decides whether this host reads, and returns the hosts to send a beacon to. Age
 // is the age of the host's own state.
-func (e *Election) Tick(now time.Time, age time.Duration) []gdflow.Address {
+func (e *Election) Tick(now time.Time, age time.Duration) []Recipient {
 	if e.lastEnough.IsZero() {
 		e.lastEnough, e.lastSome, e.noReaderYet = now, now, true
 	}
@@ -255,27 +261,34 @@
 
 // recipients returns the recipients of the next beacon: all hosts if this one is a
 // reader; otherwise the readers, or any host that may know one.
-func (e *Election) recipients(now time.Time) []gdflow.Address {
-	e.out = e.out[:0]
+func (e *Election) recipients(now time.Time) []Recipient {
+	e.out, e.toReaders = e.out[:0], false
 	if !e.due(now) {
 		return e.newPeers()
 	}
 	e.sendNow, e.lastSent = false, now
 	for a, o := range e.known {
 		if !e.reading && !e.leaving && o.isFresh(now) {
-			e.out = append(e.out, a)
+			e.out = direct(e.out, a)
 		}
 	}
 	if len(e.out) > 0 {
+		e.toReaders = true
 		return e.out
 	}
-	for a, o := range e.known {
+	for _, o := range e.known {
 		o.needsBeacon = false
-		e.out = append(e.out, a)
+	}
+	if e.reading && len(e.known) > maxDirect {
+		e.out = e.relayed(now)
+	} else {
+		for a := range e.known {
+			e.out = direct(e.out, a)
+		}
 	}
 	for _, a := range e.Seeds {
 		if _, ok := e.known[a]; !ok && a != e.Self {
-			e.out = append(e.out, a)
+			e.out = direct(e.out, a)
 		}
 	}
 	return e.out
@@ -296,19 +309,23 @@
 
 // newPeers returns the newly discovered hosts, so that both ends of a hello know each
 // other at once.
-func (e *Election) newPeers() []gdflow.Address {
+func (e *Election) newPeers() []Recipient {
 	for a, o := range e.known {
 		if o.needsBeacon {
 			o.needsBeacon = false
-			e.out = append(e.out, a)
+			e.out = direct(e.out, a)
 		}
 	}
 	return e.out
 }
 
-// Beacon returns the beacon of this host.
+// Beacon returns the beacon of this host for the recipients of the last Tick. Readers know
+// all hosts, so that one for them lists no members.
 func (e *Election) Beacon(now time.Time, revision uint64, age time.Duration) Beacon {
-	b := Beacon{Revision: revision, Age: age, Rank: e.Rank, Reading: e.reading, Leaving: e.leaving}
+	b := Beacon{Revision: revision, Age: age, Rank: e.Rank, Domain: e.Domain, Reading: e.reading, Leaving: e.leaving}
+	if e.toReaders {
+		return b
+	}
 	for a, o := range e.known {
 		// Only hosts that were observed directly are listed, so that one that is gone
 		// expires.
--- a/internal/core/gdreaders/election_test.go
+++ b/internal/core/gdreaders/election_test.go
@@ -1,6 +1,7 @@
 package gdreaders_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -26,8 +27,20 @@
 	refused   bool // by the store
 	down      bool
 	cut       bool // from the other hosts
+	leaving   bool
+	// ignoresRelays makes the host lose the beacons that it is to relay.
+	ignoresRelays bool
+	// sent and received count the beacons, and bytes the size of those sent.
+	sent, received, bytes int
 }
 
+// The sizes of messages in bytes, with the headers of UDP and IP.
+const (
+	beaconSize = 28 + 45
+	memberSize = 15
+	targetSize = 4
+)
+
 // fleet simulates hosts in virtual time. Beacons arrive at once.
 type fleet struct {
 	now   time.Time
@@ -45,10 +58,12 @@
 	return f
 }
 
+var domains = []string{"a", "b", "c", "d", "e", "f"}
+
 func (f *fleet) join() *host {
 	i := len(f.hosts)
 	h := &host{confirmed: f.now, election: gdreaders.Election{
-		Self: at(i), Rank: uint32(i*7919%4096) << 4, Seeds: []gdflow.Address{at(0), at(1), at(2)},
+		Self: at(i), Rank: uint32(i*7919%4096) << 4, Domain: domains[i%len(domains)], Seeds: []gdflow.Address{at(0), at(1), at(2)},
 	}}
 	f.hosts = append(f.hosts, h)
 	return h
@@ -65,7 +80,7 @@
 }
 
 func (f *fleet) beat(i int, h *host) {
-	to := append([]gdflow.Address(nil), h.election.Tick(f.now, f.now.Sub(h.confirmed))...)
+	to := slices.Clone(h.election.Tick(f.now, f.now.Sub(h.confirmed)))
 	if h.election.Reading() {
 		f.calls++
 		if !h.refused {
@@ -73,18 +88,36 @@
 		}
 	}
 	b := h.election.Beacon(f.now, 1, f.now.Sub(h.confirmed))
-	for _, a := range to {
-		f.messages++
-		ip := a.IP()
-		j := int(ip[2])<<8 | int(ip[3])
-		if j >= len(f.hosts) || f.hosts[j].down || f.hosts[j].cut || h.cut {
-			continue
-		}
-		o := f.hosts[j]
-		o.election.HandleBeacon(f.now, at(i), b)
-		if confirmed := f.now.Add(-b.Age); b.Reading && confirmed.After(o.confirmed) {
-			o.confirmed = confirmed
-		}
+	for _, r := range to {
+		f.deliver(i, i, r, b)
+	}
+}
+
+func index(a gdflow.Address) int {
+	ip := a.IP()
+	return int(ip[2])<<8 | int(ip[3])
+}
+
+// deliver delivers the beacon of the origin, and those that the receiver relays.
+func (f *fleet) deliver(from, origin int, to gdreaders.Recipient, b gdreaders.Beacon) {
+	f.messages++
+	f.hosts[from].sent++
+	f.hosts[from].bytes += beaconSize + memberSize*len(b.Members) + targetSize*len(to.Targets)
+	j := index(to.Address)
+	if j >= len(f.hosts) || f.hosts[j].down || f.hosts[j].cut || f.hosts[from].cut {
+		return
+	}
+	o := f.hosts[j]
+	o.received++
+	if o.ignoresRelays && len(to.Targets) > 0 {
+		return
+	}
+	o.election.HandleBeacon(f.now, at(origin), b)
+	if confirmed := f.now.Add(-b.Age); b.Reading && confirmed.After(o.confirmed) {
+		o.confirmed = confirmed
+	}
+	for _, r := range gdreaders.Relay(to.Targets) {
+		f.deliver(j, origin, r, b)
 	}
 }
 
@@ -98,12 +131,12 @@
 	return out
 }
 
-// maxAge returns the maximum age of the state of the hosts that are neither down nor
-// cut off.
+// maxAge returns the maximum age of the state of the hosts that are neither down, cut off
+// nor leaving.
 func (f *fleet) maxAge() time.Duration {
 	var age time.Duration
 	for _, h := range f.hosts {
-		if !h.down && !h.cut {
+		if !h.down && !h.cut && !h.leaving {
 			age = max(age, f.now.Sub(h.confirmed))
 		}
 	}
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -71,6 +71,8 @@
 	FeedAddress netip.AddrPort
 	// Seeds are entry hosts from which others can be learnt.
 	Seeds []netip.Addr
+	// Domain is the failure domain of the host.
+	Domain string
 	// Rank orders the hosts that may read the source, the lowest first.
 	Rank uint32
 	// Codec decodes and encodes packets.
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -41,7 +42,7 @@
 	e.mu.Lock() // settings may be reloaded during the start
 	defer e.mu.Unlock()
 	self, _ := gdflow.AddressFromAddrPort(e.FeedAddress)
-	e.election = gdreaders.Election{Self: self, Rank: e.Rank, Seeds: e.seedAddresses()}
+	e.election = gdreaders.Election{Self: self, Rank: e.Rank, Domain: e.Domain, Seeds: e.seedAddresses()}
 }
 
 func (e *EntryHost) seedAddresses() []gdflow.Address {
@@ -73,7 +74,7 @@
 	e.mu.Lock()
 	wasReader := e.election.Reading()
 	age := e.state.Age(now)
-	to := append([]gdflow.Address(nil), e.election.Tick(now, age)...)
+	to := slices.Clone(e.election.Tick(now, age))
 	reads := e.election.Reading()
 	b := gdfeed.Beacon{Beacon: e.election.Beacon(now, e.state.Revision(), age)}
 	if base, ok := e.history.Base(); reads && ok && len(to) > 0 {
@@ -99,15 +100,23 @@
 		e.Log.Failure(gdlog.ProcessFailed, err)
 		return
 	}
-	for _, a := range to {
+	for _, r := range to {
 		for _, data := range beacons {
-			if _, err := e.feed.WriteToUDPAddrPort(data, a.AddrPort()); err != nil {
-				e.metrics.failedWrites.Inc(1)
+			if len(r.Targets) > 0 {
+				data = gdfeed.AppendToRelay(nil, data, r.Targets)
 			}
+			e.sendFeed(r.Address.AddrPort(), data)
 		}
 	}
 }
 
+// sendFeed sends a datagram to another entry host.
+func (e *EntryHost) sendFeed(to netip.AddrPort, data []byte) {
+	if _, err := e.feed.WriteToUDPAddrPort(data, to); err != nil {
+		e.metrics.failedWrites.Inc(1)
+	}
+}
+
 // readingChanged logs that the host has started or stopped reading the source, and
 // wakes the reading goroutine.
 func (e *EntryHost) readingChanged(reads bool, known int, revision uint64, age time.Duration) {
@@ -134,31 +143,54 @@
 			e.metrics.failedReads.Inc(1)
 			continue
 		}
-		host, ok := gdflow.AddressFromAddrPort(from)
-		b, err := gdfeed.DecodeBeacon(buf[:n])
-		if err != nil || !ok || from.Port() != e.FeedAddress.Port() {
+		sender, ok := gdflow.AddressFromAddrPort(from)
+		if !ok || from.Port() != e.FeedAddress.Port() || !e.handleDatagram(time.Now(), sender, buf[:n]) {
 			e.metrics.malformed.Inc(1)
-			continue
 		}
-		e.handleBeacon(time.Now(), host, b)
 	}
 }
 
-// handleBeacon applies a beacon with its changes. If the host is still behind, an
-// update is fetched.
-func (e *EntryHost) handleBeacon(now time.Time, host gdflow.Address, b gdfeed.Beacon) {
+// handleDatagram handles the beacon in a datagram, and relays it if the sender asks for it.
+// It reports false if the datagram is invalid.
+func (e *EntryHost) handleDatagram(now time.Time, sender gdflow.Address, data []byte) bool {
+	d, err := gdfeed.ParseDatagram(data, e.FeedAddress.Port())
+	if err != nil {
+		return false
+	}
+	b, err := gdfeed.DecodeBeacon(d.Beacon)
+	if err != nil {
+		return false
+	}
+	origin := sender
+	if d.Relayed {
+		origin = d.Origin
+	}
+	e.handleBeacon(now, origin, sender, b)
+	for _, r := range gdreaders.Relay(d.Targets) {
+		out := d.Beacon
+		if len(r.Targets) > 0 {
+			out = gdfeed.AppendToRelay(nil, out, r.Targets)
+		}
+		e.sendFeed(r.Address.AddrPort(), gdfeed.AppendRelayed(nil, out, origin))
+	}
+	return true
+}
+
+// handleBeacon applies a beacon with its changes. If the host is still behind, an update
+// is fetched from the sender, which may have relayed the beacon of the origin.
+func (e *EntryHost) handleBeacon(now time.Time, origin, sender gdflow.Address, b gdfeed.Beacon) {
 	e.mu.Lock()
-	e.election.HandleBeacon(now, host, b.Beacon)
+	e.election.HandleBeacon(now, origin, b.Beacon)
 	current := e.state.Revision()
 	loaded := e.state.Loaded()
 	if loaded && b.Reading && (b.Revision == current || b.BaseRevision > 0 && b.BaseRevision <= current && b.Revision > current) {
-		e.applyLocked(now, b.Update, (*gddiscovery.State).Apply, host.String())
+		e.applyLocked(now, b.Update, (*gddiscovery.State).Apply, origin.String())
 		current = e.state.Revision()
 	}
 	e.mu.Unlock()
 	if b.Revision > current {
 		select {
-		case e.behind <- host:
+		case e.behind <- sender:
 		default:
 		}
 	}
--- a/internal/wire/gdfeed/change.go
+++ b/internal/wire/gdfeed/change.go
@@ -1,6 +1,8 @@
 package gdfeed
 
 import (
+	"cmp"
+
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
 
@@ -21,7 +23,7 @@
 		}
 		if u := c.Upstream; u != nil {
 			w.Upstream = &wireUpstream{
-				ID: u.ID, Service: u.Service, Domain: u.Domain, Address: toAddress(u.Address), Slots: u.Slots,
+				ID: idUnless(u.ID, c.Name), Service: u.Service, Domain: u.Domain, Address: toAddress(u.Address), Slots: u.Slots,
 				Draining: u.Draining, ColdForMS: toMS(u.ColdFor), StartUnixMilli: u.StartUnixMilli,
 			}
 		}
@@ -29,6 +31,14 @@
 	})
 }
 
+// idUnless returns the ID of an upstream, or nothing if it is the name of the change.
+func idUnless(id, name string) string {
+	if id == name {
+		return ""
+	}
+	return id
+}
+
 func toConfig(c *gddiscovery.Config) *wireConfig {
 	return &wireConfig{
 		Version: c.Version, IdleMS: toMS(c.IdleTimeout),
@@ -64,7 +74,7 @@
 				RemovedServices: d.RemovedServices, Sum: d.Sum,
 			}
 		case c.Kind == gddiscovery.Registration && (w.Upstream != nil || w.Removed):
-			c.Upstream = w.Upstream.upstream()
+			c.Upstream = w.Upstream.upstream(w.Name)
 		case c.Kind == gddiscovery.Evacuation:
 		default:
 			return nil, errors.Errorf("decode change of kind %d and name %q: data is missing", w.Kind, w.Name)
@@ -94,12 +104,12 @@
 	}
 }
 
-func (w *wireUpstream) upstream() *gddiscovery.Upstream {
+func (w *wireUpstream) upstream(name string) *gddiscovery.Upstream {
 	if w == nil {
 		return nil
 	}
 	return &gddiscovery.Upstream{
-		ID: w.ID, Service: w.Service, Domain: w.Domain, Address: w.Address.address(), Slots: w.Slots,
+		ID: cmp.Or(w.ID, name), Service: w.Service, Domain: w.Domain, Address: w.Address.address(), Slots: w.Slots,
 		Draining: w.Draining, ColdFor: fromMS(w.ColdForMS), StartUnixMilli: w.StartUnixMilli,
 	}
 }
--- a/internal/wire/gdfeed/feed.go
+++ b/internal/wire/gdfeed/feed.go
@@ -30,9 +30,9 @@
 const (
 	// Version is the version of the format.
 	Version = 2
-	// MaxBeaconSize is the maximum size of a beacon in bytes. A datagram of this size is
-	// not fragmented on common links.
-	MaxBeaconSize = 1400
+	// MaxBeaconSize is the maximum size of a beacon in bytes, without the list of a relay's
+	// targets. A datagram of this size is not fragmented on common links.
+	MaxBeaconSize = 1400 - originSize - relayOverhead - gdreaders.MaxRelayTargets*ipSize
 	// maxUpdateSize is the maximum size of a decompressed update in bytes: the size of
 	// the largest value in the users' store, for the configuration and all
 	// registrations.
@@ -53,6 +53,7 @@
 	Revision     uint64       `cbor:"1,keyasint"`
 	AgeMS        uint32       `cbor:"2,keyasint"`
 	Rank         uint32       `cbor:"3,keyasint"`
+	Domain       string       `cbor:"9,keyasint,omitempty"`
 	Reading      bool         `cbor:"4,keyasint,omitempty"`
 	Leaving      bool         `cbor:"5,keyasint,omitempty"`
 	Members      []wireMember `cbor:"6,keyasint,omitempty"`
@@ -158,7 +159,7 @@
 // fetch it.
 func EncodeBeacons(b Beacon) ([][]byte, error) {
 	w := wireBeacon{
-		Revision: b.Revision, AgeMS: toMS(b.Age), Rank: b.Rank, Reading: b.Reading, Leaving: b.Leaving,
+		Revision: b.Revision, AgeMS: toMS(b.Age), Rank: b.Rank, Domain: b.Domain, Reading: b.Reading, Leaving: b.Leaving,
 	}
 	for _, m := range b.Members {
 		w.Members = append(w.Members, wireMember{Address: toAddress(m.Address), Rank: m.Rank})
@@ -223,7 +224,7 @@
 	}
 	out := Beacon{
 		Beacon: gdreaders.Beacon{
-			Revision: w.Revision, Age: fromMS(w.AgeMS), Rank: w.Rank, Reading: w.Reading, Leaving: w.Leaving,
+			Revision: w.Revision, Age: fromMS(w.AgeMS), Rank: w.Rank, Domain: w.Domain, Reading: w.Reading, Leaving: w.Leaving,
 		},
 		BaseRevision: w.BaseRevision,
 		Update:       gddiscovery.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS)},
