Pace bulk packets on the entry hosts' links

Conclusion: who doesn't upload no longer waits for those who do on the way out; on the way in, packets of uploads still fill the link (the 36 s window).

--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -49,7 +49,8 @@
 				HopAddress:    netip.AddrPortFrom(s.CallerAddress().Addr(), s.HopPort()),
 				FeedAddress:   netip.AddrPortFrom(s.CallerAddress().Addr(), s.FeedPort()),
 				Seeds:         s.Seeds(), Domain: s.Domain(), Rank: s.Rank(),
-				Codec: platform.Codec{}, Source: store(s),
+				LinkBytesPerSecond: s.LinkBytesPerSecond(),
+				Codec:              platform.Codec{}, Source: store(s),
 				Log: p.log, Scope: p.metrics.Scope(), Grace: s.GracePeriod(),
 			}
 			p.state = func(now time.Time) any { return e.State(now) }
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -82,6 +82,10 @@
 type Action struct {
 	// Packet is the packet to forward. It is valid until the next call.
 	Packet []byte
+	// PacketSeq and PacketSize are the sequence number and the payload's length of a packet
+	// in the middle of a flow whose upstream is known, in bytes.
+	PacketSeq  uint32
+	PacketSize int
 	// To is the address of the upstream, for Forward, SendStatus, Query and Probe.
 	To gdflow.Address
 	// Control is the address of another upstream, for Probe.
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -8,6 +8,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gddispatch"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/core/gdpacer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/operate/gdloglimit"
 	"godwitdrift.example/godwitdrift/internal/operate/gdmetric"
@@ -17,6 +18,7 @@
 type counters struct {
 	malformed, accepted       tally.Counter
 	queries, statuses, probes tally.Counter
+	bulkQueued, bulkDropped   tally.Counter
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
 	returns                   []tally.Counter
@@ -30,6 +32,7 @@
 	c.malformed = scope.Counter("malformed_datagrams")
 	c.queries, c.statuses = scope.Counter("questions_asked"), scope.Counter("standings_told")
 	c.probes = scope.Counter("hosts_probed")
+	c.bulkQueued, c.bulkDropped = scope.Counter("bulk_packets_queued"), scope.Counter("bulk_packets_dropped")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
 	c.revision, c.version = scope.Gauge("revision"), scope.Gauge("version")
@@ -64,6 +67,15 @@
 	}
 }
 
+func (c *counters) countPaced(d gdpacer.Decision) {
+	switch d {
+	case gdpacer.Queued:
+		c.bulkQueued.Inc(1)
+	case gdpacer.Dropped:
+		c.bulkDropped.Inc(1)
+	}
+}
+
 func (c *counters) countReturn(r gdguard.Reason) { c.returns[r].Inc(1) }
 
 func (c *counters) recordView(v *gddiscovery.View) {
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -32,6 +32,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gddispatch"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdpacer"
 	"godwitdrift.example/godwitdrift/internal/core/gdreaders"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdshutdown"
@@ -44,6 +45,9 @@
 	minDrainTime = 1500 * time.Millisecond
 	// quietPeriod is the time without packets after which a draining host stops.
 	quietPeriod = 500 * time.Millisecond
+	// pacedShare is the share of the link's bandwidth that forwarded packets may use. The
+	// rest is left to the link's other traffic and its headers.
+	pacedShare = 0.8
 	// minTickInterval is the minimum interval between two checks of the lookups.
 	minTickInterval = 5 * time.Millisecond
 )
@@ -75,6 +79,8 @@
 	Domain string
 	// Rank orders the hosts that may read the source, the lowest first.
 	Rank uint32
+	// LinkBytesPerSecond is the bandwidth of the host's link, or 0 if it is unknown.
+	LinkBytesPerSecond float64
 	// Codec decodes and encodes packets.
 	Codec Codec
 	// Source provides the state of the deployment.
@@ -86,6 +92,8 @@
 
 	mu           sync.Mutex
 	dispatcher   gddispatch.Dispatcher
+	pacer        gdpacer.Pacer
+	paced        chan struct{} // wakes sendPaced
 	state        gddiscovery.State
 	election     gdreaders.Election
 	history      gddiscovery.History // for the changes in beacons
@@ -140,6 +148,7 @@
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
 	e.probes = make(chan probeRequest, maxProbes)
+	e.pacer.BytesPerSecond, e.paced = pacedShare*e.LinkBytesPerSecond, make(chan struct{}, 1)
 	e.initElection()
 	e.history.Repeats = changeRepeats
 	e.metrics.init(e.Scope)
@@ -155,6 +164,7 @@
 	g.Go(func() error { e.runBeacons(work); return nil })
 	g.Go(func() error { e.runProbes(work); return nil })
 	g.Go(func() error { e.tick(work); return nil })
+	g.Go(func() error { e.sendPaced(work); return nil })
 	g.Go(func() error {
 		defer stop()
 		e.drain(ctx, work)
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -7,6 +7,7 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gddispatch"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdpacer"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdsocket"
 	"godwitdrift.example/godwitdrift/internal/wire/gdbatch"
@@ -161,7 +162,7 @@
 		switch a.Verb {
 		case gddispatch.Forward:
 			b := gdhop.AppendForward(s.out.Buffer(), a.Header, a.Opens)
-			s.out.Queue(append(b, a.Packet...), a.To.WithPort(s.host.HopAddress.Port()).AddrPort())
+			s.forward(now, a, append(b, a.Packet...))
 			if !a.Opens && a.Reason != gddispatch.ByRank {
 				continue
 			}
@@ -186,6 +187,59 @@
 	}
 }
 
+// forward sends the datagram of a forwarded packet now, or when the pacer allows it.
+func (s *sender) forward(now time.Time, a *gddispatch.Action, datagram []byte) {
+	to := a.To.WithPort(s.host.HopAddress.Port())
+	d := s.host.pacer.Offer(now, gdpacer.Packet{Key: a.Key, Seq: a.PacketSeq, Size: a.PacketSize, To: to, Datagram: datagram})
+	s.host.metrics.countPaced(d)
+	switch d {
+	case gdpacer.Pass:
+		s.out.Queue(datagram, to.AddrPort())
+	case gdpacer.Queued:
+		select {
+		case s.host.paced <- struct{}{}:
+		default:
+		}
+	case gdpacer.Dropped:
+		s.host.metrics.event(now, s.host.Log, gdlog.PacketDropped, "flow", a.Key, "upstream", a.To, "reason", "link-full",
+			"queued", s.host.pacer.Queued())
+	}
+}
+
+// sendPaced sends the packets that the pacer has queued.
+func (e *EntryHost) sendPaced(ctx context.Context) {
+	out := e.newSender()
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.paced:
+		}
+		for ctx.Err() == nil {
+			e.mu.Lock()
+			next := e.pacer.NextDue()
+			e.mu.Unlock()
+			if next.IsZero() {
+				break
+			}
+			t.Reset(max(time.Until(next), minTickInterval))
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			}
+			e.mu.Lock()
+			for k := range e.pacer.Due(time.Now()) {
+				out.out.Queue(append(out.out.Buffer(), k.Datagram...), k.To.AddrPort())
+			}
+			e.mu.Unlock()
+			out.flush()
+		}
+	}
+}
+
 func (s *sender) flush() {
 	if lost := s.out.Flush(); lost > 0 {
 		s.host.metrics.failedWrites.Inc(int64(lost))
