Probe an upstream that is silent and gone; play four more kinds of faults in the soak

While both states hold, the check for the first used up the probe that the check for the second then asked for, once in 200 ms, and none was delivered. Ruled out: the configuration (all entry hosts had the version within 0.1 s), the rig's upstream (it had registered again), the connected socket to it. Change: one decision whether the upstream is unavailable, and one probe. TestReturnedUpstreamIsFound fails without the change.

--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -303,23 +303,33 @@
 
 // refusal returns why the upstream can't accept a new flow, or 0.
 func (g *Guard) refusal(now time.Time, h Header) Reason {
+	unavailable := g.unavailable(now)
 	switch {
-	case g.exited && !g.answers.probe(now):
-		return Exited
+	case unavailable != 0 && !g.answers.probe(now):
+		return unavailable
 	case g.leaving:
 		return Leaving
 	case !g.status.AcceptsNew:
 		return Draining
 	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
 		return Cold
-	case g.answers.silent(now) && !g.answers.probe(now):
-		return Silent
 	case g.work.n >= int(g.status.Slots)*maxLoadPerSlot(h):
 		return Busy
 	}
 	return 0
 }
 
+// unavailable returns why the upstream gets no flows but probes, or 0.
+func (g *Guard) unavailable(now time.Time) Reason {
+	switch {
+	case g.exited:
+		return Exited
+	case g.answers.silent(now):
+		return Silent
+	}
+	return 0
+}
+
 // maxLoadPerSlot returns the load per slot up to which the upstream accepts the flow.
 func maxLoadPerSlot(h Header) int {
 	switch {
--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -53,6 +53,9 @@
 
 func (h *Host) internalAddr() netip.AddrPort { return netip.AddrPortFrom(h.addr, firstInternalPort) }
 
+// Domain returns the failure domain of the host.
+func (h *Host) Domain() string { return h.domain }
+
 // StoreProxy returns the proxy of an entry host's connections to the store.
 func (h *Host) StoreProxy() *gdfaultproxy.StreamProxy { return &h.storeProxy }
 
--- a/internal/rig/gdhostrig/upstream.go
+++ b/internal/rig/gdhostrig/upstream.go
@@ -20,7 +20,9 @@
 	lingerTime = time.Second
 	// queuedPerSlot is the maximum number of queued requests per slot.
 	queuedPerSlot = 5
-	// coldSlowdown is the factor by which a cold upstream's requests take longer.
+	// slowFactor is the factor by which a slow upstream's requests take longer, and
+	// coldSlowdown that of a cold one.
+	slowFactor   = 4
 	coldSlowdown = 1.6
 	// maxFlows is the maximum number of flows that an upstream holds.
 	maxFlows = 2000
@@ -43,6 +45,7 @@
 	coldUntil  time.Time
 	sequence   int
 	registered gddiscovery.Upstream // the registration written last, without its sequence
+	slow       bool                 // a fault makes it slow
 }
 
 // upstreamFlow is the upstream's side of a flow.
@@ -201,6 +204,15 @@
 	})
 }
 
+// Slow makes the upstream take slowFactor times as long for each request, for the duration d.
+func (u *Upstream) Slow(now time.Time, d time.Duration) {
+	if !u.running() || u.slow {
+		return
+	}
+	u.slow = true
+	u.rig.ReportFault(now, u.host, "slow", d, func(time.Time) { u.slow = false })
+}
+
 // ExpireRegistration removes the registration of a running upstream for the duration d, as
 // an outage of the store does.
 func (u *Upstream) ExpireRegistration(now time.Time, d time.Duration) {
@@ -369,6 +381,9 @@
 	u.busySlots++
 	u.rig.observe(Event{At: now, Kind: RequestStarted, Upstream: u.ID, Service: u.Service, ID: q.id, Flow: q.flow.key})
 	serviceTime := u.rig.callers.serviceTime(q.class)
+	if u.slow {
+		serviceTime *= slowFactor
+	}
 	if now.Before(u.coldUntil) {
 		serviceTime = time.Duration(float64(serviceTime) * coldSlowdown)
 	}
--- a/internal/rig/gdsoak/faults.go
+++ b/internal/rig/gdsoak/faults.go
@@ -1,6 +1,7 @@
 package gdsoak
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -110,6 +111,47 @@
 	}},
 }
 
+// laterFaults are kinds that came later. They are injected beside the others, so that the
+// seeds keep the faults that they had.
+var laterFaults = []fault{
+	{"slow-upstream", false, func(p *injector, now time.Time) {
+		if all := p.Upstreams(); len(all) > 0 {
+			pick(p, all).Slow(now, 2*p.randomDuration())
+		}
+	}},
+	{"cold-return", false, (*injector).coldReturn},
+	{"one-way-domain", false, (*injector).oneWayDomain},
+	{"kill-agents", false, func(p *injector, now time.Time) {
+		for i, h := range p.Hosts(gdhostrig.RoleAgent) {
+			if i%2 == 0 {
+				p.Kill(now, h)
+			}
+		}
+	}},
+}
+
+// coldReturn stops all upstreams of a failure domain. They come back together, cold.
+func (p *injector) coldReturn(now time.Time) {
+	d, downtime := p.randomDomain(), p.randomDuration()
+	for _, u := range p.Upstreams() {
+		if u.Domain == d {
+			u.Crash(now, downtime)
+		}
+	}
+}
+
+// oneWayDomain drops all datagrams from the hosts of a failure domain.
+func (p *injector) oneWayDomain(now time.Time) {
+	domain, d := p.randomDomain(), p.randomDuration()
+	for _, h := range append(p.Hosts(gdhostrig.RoleEntry), p.Hosts(gdhostrig.RoleAgent)...) {
+		if h.Domain() != domain {
+			continue
+		}
+		p.SetDatagramFaults(h, gdfaultproxy.DatagramFaults{DropOut: true})
+		p.ReportFault(now, h, "one-way", d, func(time.Time) { p.SetDatagramFaults(h, gdfaultproxy.DatagramFaults{}) })
+	}
+}
+
 // randomDuration returns a random duration of a fault.
 func (p *injector) randomDuration() time.Duration {
 	return minFaultDuration + time.Duration(p.Rand().Int64N(int64(maxFaultDuration-minFaultDuration)))
@@ -185,5 +227,5 @@
 
 // FaultNames returns the names of all kinds of faults, separated by commas.
 func FaultNames() string {
-	return strings.Join(lo.Map(faults, func(f fault, _ int) string { return f.name }), ", ")
+	return strings.Join(lo.Map(slices.Concat(faults, laterFaults), func(f fault, _ int) string { return f.name }), ", ")
 }
--- a/internal/rig/gdsoak/soak.go
+++ b/internal/rig/gdsoak/soak.go
@@ -27,6 +27,8 @@
 	maxBatchSize = 3
 	// meanBatchInterval is the mean time between two batches of faults.
 	meanBatchInterval = 700 * time.Millisecond
+	// meanLaterInterval is the mean time between two faults of the later kinds.
+	meanLaterInterval = 3 * time.Second
 	// domainOutDelay is the time from the end of the fault period until a domain goes
 	// out of service, so that it is back before operations are measured.
 	domainOutDelay = recoverTime - domainOutBound - maxFaultDuration
@@ -83,6 +85,7 @@
 		}
 		at += time.Duration(rnd.ExpFloat64() * float64(meanBatchInterval))
 	}
+	steps = append(steps, s.laterSteps()...)
 	// Planned work while the deployment recovers, without faults, lets each run check the
 	// promises with a time bound. It ends before operations are measured, because a service
 	// may have no upstream left while a domain is out of service.
@@ -100,6 +103,25 @@
 	return steps
 }
 
+// laterSteps returns the faults of the later kinds, drawn apart from the others. Seeds that
+// reproduce an earlier defect have none.
+func (s *Soak) laterSteps() []step {
+	regression := slices.ContainsFunc(Regressions(), func(r Regression) bool { return r.Seed == s.Seed && !r.Later })
+	if s.Seed%plannedSeedInterval == 0 || regression {
+		return nil
+	}
+	rnd := rand.New(rand.NewPCG(s.Seed, 4))
+	var steps []step
+	for at := firstFaultAt; at < firstFaultAt+s.FaultPeriod; {
+		f := laterFaults[rnd.IntN(len(laterFaults))]
+		if s.allows(f.name) {
+			steps = append(steps, step{at: at, fault: f})
+		}
+		at += time.Duration(rnd.ExpFloat64() * float64(meanLaterInterval))
+	}
+	return steps
+}
+
 func (s *Soak) allows(name string) bool {
 	return len(s.OnlyFaults) == 0 || slices.Contains(s.OnlyFaults, name)
 }
