Split the cores by decision; explain a flow from logs

An engineer on call had only grep to put the lines of a flow from many processes together. Ruled out: asking gdhost processes over their metrics address, since the hosts keep nothing and most are replaced by the time of a complaint.

--- a/cmd/godwitdrift/app.go
+++ b/cmd/godwitdrift/app.go
@@ -36,6 +36,7 @@
 			statusCommand(i),
 			dumpCommand(i),
 			explainCommand(i),
+			explainLogCommand(i),
 			balancerCommand(i),
 			agentCommand(i),
 		},
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -42,20 +42,6 @@
 	// answerTimeout is the time an agent has to answer: several round trips between
 	// failure domains and the processing on a slow host.
 	answerTimeout = 30 * time.Millisecond
-	// maxRetries is how often an upstream is queried again that does not report
-	// whether it holds a flow. The timeout doubles each time: half a second in all,
-	// in which a host that was paused or flooded answers.
-	maxRetries = 3
-	// maxSerialQueries is how many upstreams are queried one after the other for a
-	// flow before all others are queried at once: one more than the busy upstreams
-	// that a new flow is offered to.
-	maxSerialQueries = maxBusyOffers + 1
-	// broadcastsPerSecond and broadcastBurst limit the lookups that query all
-	// upstreams, which prove that a flow is gone. After a power loss all flows are
-	// looked up at once, over links of 10 Mbit/s, and the queries take 1 kB for
-	// 40 upstreams.
-	broadcastsPerSecond = 500
-	broadcastBurst      = 250
 	// probesPerSecond and probeBurst limit the packets sent to agents that can't
 	// answer a query without one: half the capacity of a link of 10 Mbit/s.
 	probesPerSecond = 2000
@@ -67,40 +53,11 @@
 	// maxPending is how many packets of a flow are queued until its lookup ends: the
 	// number of packets that one end of a flow has in flight on the users' platform.
 	maxPending = 16
-	// maxBusyOffers is how many busy upstreams are tried before the least loaded
-	// one is asked to accept the flow nevertheless.
-	maxBusyOffers = 3
-	// reofferInterval is the delay after which a flow is offered again if all
-	// upstreams were overloaded: about the duration of a request.
-	reofferInterval = 20 * time.Millisecond
-	// minDeferral and maxDeferral limit how long such a flow is deferred. Between
-	// them the limit is the route's latency objective, after which no answer could be
-	// in time.
-	minDeferral = 50 * time.Millisecond
-	maxDeferral = 250 * time.Millisecond
-	// maxUrgentPriority is the last priority that counts as urgent.
-	maxUrgentPriority = 1
-	// notFoundDelay is the time before the next lookup of a flow that was not found.
-	// It is shorter than the callers' minimum retransmission timeout, and doubles
-	// with each lookup up to maxNotFoundDelay.
-	notFoundDelay    = 150 * time.Millisecond
-	maxNotFoundDelay = 1200 * time.Millisecond
-	// viewPollInterval is the interval at which a lookup that needs a newer view
-	// checks for one: half the beacon interval. maxViewPolls limits the wait to less
-	// than a second.
-	viewPollInterval = 50 * time.Millisecond
-	maxViewPolls     = 8
-	// maxViewAge is the maximum age of a view that proves that a flow is gone.
-	maxViewAge = 2500 * time.Millisecond
 	// earlyTTL is how long a packet is queued until the first view is set. Callers
 	// retransmit after 200 ms, and older packets would all be released at the same
 	// time after a power loss. maxEarly limits them, to 0.3 MB.
 	earlyTTL = 150 * time.Millisecond
 	maxEarly = 256
-	// removalGrace is the time after its removal from the view at which an
-	// unresponsive upstream counts as gone: the time that the users' requirements
-	// give a running one to register again after an outage.
-	removalGrace = 2 * time.Second
 )
 
 // Dispatcher decides at an entry host to which upstream each packet is sent. Its
@@ -252,30 +209,6 @@
 	return f
 }
 
-// handleOpen handles a packet that opens a flow, or a retransmission of one.
-func (d *Dispatcher) handleOpen(now time.Time, r *gddiscovery.Route, f *flow, p gdflow.Packet, raw []byte) {
-	const secondCopy = 2
-	switch f.state {
-	case resolved:
-		if p.Retransmits() < secondCopy {
-			d.forward(now, r, f.upstream, Action{Key: p.Key(), Packet: raw, Opens: true, Reason: Known})
-			return
-		}
-	case opening:
-		d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
-		return
-	case 0:
-		// No upstream can have accepted the first transmission, and another host
-		// can offer the flow.
-		if d.cutOff && p.Retransmits() == 0 {
-			d.add(Action{Verb: Reset, Key: p.Key(), Reason: CutOff})
-			return
-		}
-	}
-	d.startLookup(now, f, opening, p, raw)
-	d.offerNext(now, r, p.Key(), f)
-}
-
 // handleData handles a packet in the middle of a flow.
 func (d *Dispatcher) handleData(now time.Time, r *gddiscovery.Route, f *flow, p gdflow.Packet, raw []byte) {
 	switch f.state {
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -6,7 +6,6 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
-	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
 
 // HandleReturned decides on a packet that an agent returned.
@@ -38,25 +37,6 @@
 	}
 }
 
-// handleOpenRefused offers the flow to the next upstream if the refusal comes from
-// the one that was tried last.
-func (d *Dispatcher) handleOpenRefused(now time.Time, r *gddiscovery.Route, info ReturnInfo, k gdflow.Key, f *flow) {
-	if info.Reason == gdguard.Silent || info.Reason == gdguard.Exited {
-		d.hosts.markSuspect(now, info.From)
-	}
-	if f.state != opening || f.lookup.deferred {
-		return
-	}
-	t := f.lookup.attemptAt(info.From)
-	if t == nil {
-		return
-	}
-	t.answered, t.load, t.busy = true, info.Load, info.Reason == gdguard.Busy
-	if t == f.lookup.last() {
-		d.offerNext(now, r, k, f)
-	}
-}
-
 // handleNotHeld continues the lookup after an agent reported that its upstream does
 // not hold the flow.
 func (d *Dispatcher) handleNotHeld(now time.Time, r *gddiscovery.Route, info ReturnInfo, p gdflow.Packet, f *flow, raw []byte) {
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -9,6 +9,27 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
 
+const (
+	// maxSerialQueries is how many upstreams are queried one after the other for a
+	// flow before all others are queried at once: one more than the busy upstreams
+	// that a new flow is offered to.
+	maxSerialQueries = maxBusyOffers + 1
+	// maxRetries is how often an upstream is queried again that does not report
+	// whether it holds a flow. The timeout doubles each time: half a second in all,
+	// in which a host that was paused or flooded answers.
+	maxRetries = 3
+	// notFoundDelay is the time before the next lookup of a flow that was not found.
+	// It is shorter than the callers' minimum retransmission timeout, and doubles
+	// with each lookup up to maxNotFoundDelay.
+	notFoundDelay    = 150 * time.Millisecond
+	maxNotFoundDelay = 1200 * time.Millisecond
+	// viewPollInterval is the interval at which a lookup that needs a newer view
+	// checks for one: half the beacon interval. maxViewPolls limits the wait to less
+	// than a second.
+	viewPollInterval = 50 * time.Millisecond
+	maxViewPolls     = 8
+)
+
 // bestRanked returns the upstream that ranks first for the flow among those that
 // pass the filter and were not tried yet.
 func (d *Dispatcher) bestRanked(hash uint64, p *gddiscovery.Pool, l *lookup, ok func(*gddiscovery.Member) bool) *gddiscovery.Member {
@@ -23,77 +44,6 @@
 	return first
 }
 
-// offerNext offers the flow to the next upstream.
-func (d *Dispatcher) offerNext(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
-	l := f.lookup
-	hash := k.Hash()
-	var m *gddiscovery.Member
-	if p, ok := d.view.Pool(r.PickService(hash)); ok && l.busyCount() < maxBusyOffers {
-		m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) && !d.hosts.suspect(now, m.Address()) })
-		if m == nil && l.leastLoaded() == nil {
-			m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
-		}
-	}
-	if m != nil {
-		d.sendPacket(now, r, k, f, m.Address(), Action{Opens: true, Reason: ByRank})
-		return
-	}
-	if t := l.leastLoaded(); t != nil {
-		if l.forced {
-			d.deferOffer(now, r, k, f)
-			return
-		}
-		l.forced = true
-		at := t.address
-		l.remove(at)
-		d.sendPacket(now, r, k, f, at, Action{
-			Opens: true, Reason: LeastLoaded, Header: gdguard.Header{Forced: true, Urgent: r.Priority <= maxUrgentPriority},
-		})
-		return
-	}
-	if l.allAnswered() && !l.unanswered {
-		// Each upstream has refused, so the request has not run. An unresponsive
-		// one may have accepted the flow.
-		d.refuse(k, f, NoUpstream)
-		return
-	}
-	d.markNotFound(now, k, f)
-}
-
-// refuse ends the offers and resets the flow at the caller. No upstream has
-// accepted it.
-func (d *Dispatcher) refuse(k gdflow.Key, f *flow, reason Reason) {
-	attempts := len(f.lookup.attempts)
-	d.endLookup(f)
-	f.state = 0
-	d.add(Action{Verb: Reset, Key: k, Reason: reason, Attempts: attempts})
-}
-
-// deferOffer defers a flow for which all upstreams are overloaded, or refuses it
-// when it has been deferred for the route's latency objective.
-func (d *Dispatcher) deferOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
-	l := f.lookup
-	if now.Sub(l.started) >= min(max(r.LatencyObjective, minDeferral), maxDeferral) {
-		if l.unanswered {
-			d.markNotFound(now, k, f)
-			return
-		}
-		d.refuse(k, f, Overloaded)
-		return
-	}
-	l.deferred = true
-	d.setDeadline(k, l, now.Add(reofferInterval))
-}
-
-// reoffer offers a deferred flow to all upstreams again.
-func (d *Dispatcher) reoffer(now time.Time, k gdflow.Key, f *flow) {
-	f.lookup.deferred, f.lookup.forced = false, false
-	f.lookup.attempts = f.lookup.attempts[:0]
-	if r, ok := d.view.Route(k.Service()); ok {
-		d.offerNext(now, r, k, f)
-	}
-}
-
 // queryNext queries the next upstream for the flow. When the likely holders have
 // answered that they do not hold it, queryNext queries all others, provided that their
 // answers can prove that the flow is gone.
@@ -130,21 +80,6 @@
 	d.setDeadline(k, f.lookup, now.Add(batchDelay+answerTimeout))
 }
 
-// mayBroadcast reports whether all upstreams of the route may be queried: their
-// answers can prove that the flow is gone, because none is known to be unresponsive,
-// and the rate limit of such lookups is not exceeded.
-func (d *Dispatcher) mayBroadcast(now time.Time, r *gddiscovery.Route) bool {
-	if now.Sub(d.confirmed) > maxViewAge {
-		return false
-	}
-	for m := range d.members(r) {
-		if d.hosts.suspect(now, m.Address()) && !removedLongAgo(now, m) && !d.givesUp(now, r, m.Address()) {
-			return false
-		}
-	}
-	return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)
-}
-
 // retryQueries queries the unresponsive upstreams again. It ends the lookup if
 // there are none or they were queried often enough.
 func (d *Dispatcher) retryQueries(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
@@ -189,25 +124,6 @@
 	d.timers = slices.Insert(d.timers, i, timer{key: k, at: at})
 }
 
-// removedLongAgo reports whether the upstream's registration was removed so long
-// ago that a running upstream would have registered again.
-func removedLongAgo(now time.Time, m *gddiscovery.Member) bool {
-	since, gone := m.Removed()
-	return gone && now.Sub(since) >= removalGrace
-}
-
-// conclude ends a lookup in which no upstream has reported that it holds the flow.
-func (d *Dispatcher) conclude(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
-	if !d.provesGone(now, r, f.lookup) {
-		d.markNotFound(now, k, f)
-		return
-	}
-	attempts, seq := len(f.lookup.attempts), f.lookup.ack
-	d.endLookup(f)
-	f.state = gone
-	d.add(Action{Verb: Reset, Key: k, Seq: seq, Reason: FlowGone, Attempts: attempts})
-}
-
 // nextCandidate returns the next upstream that may hold the flow. Those of the
 // service that the flow would be routed to now come first.
 func (d *Dispatcher) nextCandidate(hash uint64, r *gddiscovery.Route, l *lookup) *gddiscovery.Member {
@@ -228,31 +144,6 @@
 	return nil
 }
 
-// provesGone reports whether the lookup has proved that no upstream holds the flow:
-// each one that could hold it has answered that it does not, and the view is recent
-// enough to list them all.
-func (d *Dispatcher) provesGone(now time.Time, r *gddiscovery.Route, l *lookup) bool {
-	if len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil {
-		return false
-	}
-	for _, t := range l.attempts {
-		if m := d.memberAt(r, t.address); (!t.answered || t.unsure) && m != nil && !removedLongAgo(now, m) && !d.givesUp(now, r, t.address) {
-			return false
-		}
-	}
-	return !d.viewBehind(l)
-}
-
-// viewBehind reports whether agents had reported a higher revision than the view's
-// when the last upstream of the lookup answered. Higher revisions that are reported
-// later don't count, or the lookup would not end during a series of registrations.
-func (d *Dispatcher) viewBehind(l *lookup) bool {
-	if l.requiredRevision == 0 {
-		l.requiredRevision = max(d.newestRevision, 1)
-	}
-	return d.view.Revision() < l.requiredRevision
-}
-
 // sendPacket sends the packet of the lookup to an upstream and starts the timeout.
 func (d *Dispatcher) sendPacket(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow, at gdflow.Address, a Action) {
 	l := f.lookup
@@ -289,16 +180,6 @@
 	}
 }
 
-func (l *lookup) busyCount() int {
-	n := 0
-	for _, t := range l.attempts {
-		if t.busy {
-			n++
-		}
-	}
-	return n
-}
-
 func (l *lookup) allAnswered() bool {
 	for _, t := range l.attempts {
 		if !t.answered {
--- /dev/null
+++ b/internal/core/gddispatch/proof.go
@@ -0,0 +1,82 @@
+package gddispatch
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+const (
+	// broadcastsPerSecond and broadcastBurst limit the lookups that query all
+	// upstreams, which prove that a flow is gone. After a power loss all flows are
+	// looked up at once, over links of 10 Mbit/s, and the queries take 1 kB for
+	// 40 upstreams.
+	broadcastsPerSecond = 500
+	broadcastBurst      = 250
+	// maxViewAge is the maximum age of a view that proves that a flow is gone.
+	maxViewAge = 2500 * time.Millisecond
+	// removalGrace is the time after its removal from the view at which an
+	// unresponsive upstream counts as gone: the time that the users' requirements
+	// give a running one to register again after an outage.
+	removalGrace = 2 * time.Second
+)
+
+// mayBroadcast reports whether all upstreams of the route may be queried: their
+// answers can prove that the flow is gone, because none is known to be unresponsive,
+// and the rate limit of such lookups is not exceeded.
+func (d *Dispatcher) mayBroadcast(now time.Time, r *gddiscovery.Route) bool {
+	if now.Sub(d.confirmed) > maxViewAge {
+		return false
+	}
+	for m := range d.members(r) {
+		if d.hosts.suspect(now, m.Address()) && !removedLongAgo(now, m) && !d.givesUp(now, r, m.Address()) {
+			return false
+		}
+	}
+	return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)
+}
+
+// removedLongAgo reports whether the upstream's registration was removed so long
+// ago that a running upstream would have registered again.
+func removedLongAgo(now time.Time, m *gddiscovery.Member) bool {
+	since, gone := m.Removed()
+	return gone && now.Sub(since) >= removalGrace
+}
+
+// conclude ends a lookup in which no upstream has reported that it holds the flow.
+func (d *Dispatcher) conclude(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
+	if !d.provesGone(now, r, f.lookup) {
+		d.markNotFound(now, k, f)
+		return
+	}
+	attempts, seq := len(f.lookup.attempts), f.lookup.ack
+	d.endLookup(f)
+	f.state = gone
+	d.add(Action{Verb: Reset, Key: k, Seq: seq, Reason: FlowGone, Attempts: attempts})
+}
+
+// provesGone reports whether the lookup has proved that no upstream holds the flow:
+// each one that could hold it has answered that it does not, and the view is recent
+// enough to list them all.
+func (d *Dispatcher) provesGone(now time.Time, r *gddiscovery.Route, l *lookup) bool {
+	if len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil {
+		return false
+	}
+	for _, t := range l.attempts {
+		if m := d.memberAt(r, t.address); (!t.answered || t.unsure) && m != nil && !removedLongAgo(now, m) && !d.givesUp(now, r, t.address) {
+			return false
+		}
+	}
+	return !d.viewBehind(l)
+}
+
+// viewBehind reports whether agents had reported a higher revision than the view's
+// when the last upstream of the lookup answered. Higher revisions that are reported
+// later don't count, or the lookup would not end during a series of registrations.
+func (d *Dispatcher) viewBehind(l *lookup) bool {
+	if l.requiredRevision == 0 {
+		l.requiredRevision = max(d.newestRevision, 1)
+	}
+	return d.view.Revision() < l.requiredRevision
+}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -183,14 +183,3 @@
 	}
 	return nil
 }
-
-// leastLoaded returns the busy upstream with the least load, or nil.
-func (l *lookup) leastLoaded() *attempt {
-	var best *attempt
-	for i := range l.attempts {
-		if t := &l.attempts[i]; t.busy && (best == nil || t.load < best.load) {
-			best = t
-		}
-	}
-	return best
-}
--- /dev/null
+++ b/internal/core/gdguard/cold.go
@@ -0,0 +1,65 @@
+package gdguard
+
+import (
+	"slices"
+	"time"
+)
+
+// restart is a restart of the upstream that the agent has observed and that no entry
+// host has reported yet. The zero value means none.
+type restart struct {
+	observedAt    time.Time // when the agent observed it
+	after         time.Time // when the previous process was still running, or was unavailable
+	previousStart int64     // when the previous process was started, or 0
+}
+
+// matches reports whether the status of an upstream that was started at the time, in
+// Unix milliseconds, is that of the new process.
+func (r restart) matches(startMilli int64) bool {
+	if r.previousStart != 0 {
+		return startMilli != r.previousStart
+	}
+	return startMilli >= r.after.Add(-maxStartSkew).UnixMilli()
+}
+
+// noteRestart records that the upstream may have restarted after a time. The entry
+// hosts may not know of it yet, so the agent applies the slow start itself.
+func (g *Guard) noteRestart(now, after time.Time) {
+	r := restart{observedAt: now, after: after, previousStart: g.status.StartUnixMilli}
+	if g.exited {
+		r.previousStart = g.exitedStart
+	}
+	if g.restart.observedAt.IsZero() && !r.matches(g.status.StartUnixMilli) {
+		g.restart = r
+	}
+}
+
+// isCold reports whether the upstream is cold: according to its status, or since the
+// agent has observed a restart that was not reported to it.
+func (g *Guard) isCold(now time.Time) bool {
+	until := g.coldUntil
+	if r := g.restart; !r.observedAt.IsZero() && r.observedAt.Add(g.status.ColdFor).After(until) {
+		until = r.observedAt.Add(g.status.ColdFor)
+	}
+	return g.status.ColdFlowsPerSecond > 0 && now.Before(until)
+}
+
+// budget limits the new flows within any second.
+type budget struct{ used []time.Time }
+
+func (b *budget) trim(now time.Time) {
+	i := 0
+	for ; i < len(b.used) && now.Sub(b.used[i]) > time.Second; i++ {
+	}
+	b.used = slices.Delete(b.used, 0, i)
+}
+
+func (b *budget) allows(now time.Time, perSecond int) bool {
+	b.trim(now)
+	return len(b.used) < max(perSecond, 1)
+}
+
+func (b *budget) spend(now time.Time) {
+	b.trim(now)
+	b.used = append(b.used, now)
+}
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -20,7 +20,6 @@
 package gdguard
 
 import (
-	"slices"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdcache"
@@ -35,37 +34,6 @@
 	// maxFlows limits one generation of the flow cache: the connections of one
 	// upstream in the users' settings, plus some for flows that have ended.
 	maxFlows = 8192
-	// maxStartSkew is the maximum difference between the start times of an agent and
-	// its upstream if both were started together. No platform restarts a process that
-	// fast, so no earlier agent can have accepted a flow.
-	maxStartSkew = 100 * time.Millisecond
-	// maxFlowDuration is the maximum duration of a flow in the users' settings. An
-	// agent that has run for longer has observed every flow that its upstream can
-	// hold.
-	maxFlowDuration = 60 * time.Second
-	// answerTimeout is the time an upstream has to answer a request for a flow.
-	// Upstreams answer within a millisecond; the rest is a margin for a slow host.
-	answerTimeout = 60 * time.Millisecond
-	// silentAfter is the number of consecutive unanswered requests for flows after
-	// which the upstream counts as silent. Two could just be lost.
-	silentAfter = 3
-	// forcedDepth and urgentDepth limit the load per slot of an upstream that accepts
-	// a flow although no upstream has a free slot. At these limits the last request
-	// waits for two or three times its processing time, which the users' latency
-	// objectives permit.
-	forcedDepth = 3
-	urgentDepth = 4
-	// flowProbeInterval is the interval at which a silent upstream gets a request for
-	// a flow.
-	flowProbeInterval = 200 * time.Millisecond
-	// returnTimeout is how long an upstream takes at most to return a packet of a flow
-	// that it does not hold. It does so at once and on the same host.
-	returnTimeout = 5 * time.Millisecond
-	// portProbeDelay is how long an upstream with requests in progress sends nothing
-	// before the agent probes its port: longer than nearly all requests take.
-	portProbeDelay = 150 * time.Millisecond
-	// portProbeInterval is the minimum interval between two such probes.
-	portProbeInterval = 500 * time.Millisecond
 )
 
 // Header is sent by an entry host with each packet to an agent, and in messages
@@ -111,13 +79,6 @@
 	hasData     bool      // the caller has sent data, so that callerEnd is set
 }
 
-// probedFlow is an unknown flow of which a packet was delivered to the upstream.
-type probedFlow struct {
-	key gdflow.Key
-	f   *flow
-	at  time.Time
-}
-
 // Guard is the packet filter of an agent. Its exported fields must be set before the
 // first call.
 type Guard struct {
@@ -180,12 +141,6 @@
 
 func (g *Guard) serves(h Header) bool { return h.Service == gddiscovery.ServiceHash(g.Service) }
 
-// knowsAllFlows reports whether the upstream can't hold a flow that the guard does not
-// know.
-func (g *Guard) knowsAllFlows(now time.Time) bool {
-	return g.ObservedFromStart || now.Sub(g.observingSince) > maxFlowDuration
-}
-
 // UpdateStatus updates the status of the upstream, unless a newer one is known or it
 // is that of another service that used this host's address before. It reports whether
 // AcceptsNew has changed or the status is the first one.
@@ -206,58 +161,6 @@
 	return changed
 }
 
-// restart is a restart of the upstream that the agent has observed and that no entry
-// host has reported yet. The zero value means none.
-type restart struct {
-	observedAt    time.Time // when the agent observed it
-	after         time.Time // when the previous process was still running, or was unavailable
-	previousStart int64     // when the previous process was started, or 0
-}
-
-// matches reports whether the status of an upstream that was started at the time, in
-// Unix milliseconds, is that of the new process.
-func (r restart) matches(startMilli int64) bool {
-	if r.previousStart != 0 {
-		return startMilli != r.previousStart
-	}
-	return startMilli >= r.after.Add(-maxStartSkew).UnixMilli()
-}
-
-// noteRestart records that the upstream may have restarted after a time. The entry
-// hosts may not know of it yet, so the agent applies the slow start itself.
-func (g *Guard) noteRestart(now, after time.Time) {
-	r := restart{observedAt: now, after: after, previousStart: g.status.StartUnixMilli}
-	if g.exited {
-		r.previousStart = g.exitedStart
-	}
-	if g.restart.observedAt.IsZero() && !r.matches(g.status.StartUnixMilli) {
-		g.restart = r
-	}
-}
-
-// startedTogether reports whether the upstream, which was started at the Unix
-// millisecond, was started together with the agent. Both times are from one host's
-// clock. If the clock is adjusted between the two starts, they look far apart, except
-// for one adjustment in hundreds.
-func (g *Guard) startedTogether(startMilli int64) bool {
-	return startMilli != 0 && !g.AgentStarted.IsZero() && g.AgentStarted.Sub(time.UnixMilli(startMilli)).Abs() <= maxStartSkew
-}
-
-// Holding reports what is known about a flow, for a query without a packet.
-func (g *Guard) Holding(now time.Time, service uint32, k gdflow.Key) Holding {
-	g.init(now)
-	f, known := g.flows.Get(now, k)
-	switch {
-	case !g.serves(Header{Service: service}) || known && f.state == absent:
-		return Absent
-	case known && f.state == open:
-		return Present
-	case !known && (g.exited || g.knowsAllFlows(now)):
-		return Absent
-	}
-	return Unsure
-}
-
 // HandleEntryPacket decides on a packet that an entry host has sent.
 func (g *Guard) HandleEntryPacket(now time.Time, entry gdflow.Address, h Header, p gdflow.Packet) []Action {
 	g.init(now)
@@ -280,77 +183,6 @@
 
 func (g *Guard) add(a Action) { g.actions = append(g.actions, a) }
 
-// handleOpen decides on a packet that opens a flow.
-func (g *Guard) handleOpen(now time.Time, entry gdflow.Address, h Header, p gdflow.Packet) {
-	g.UpdateStatus(now, h)
-	f, known := g.flows.Get(now, p.Key())
-	if known && f.state >= pending {
-		f.entry = entry
-		g.add(Action{Verb: Deliver, Key: p.Key()})
-		return
-	}
-	if r := g.refusal(now, h); r != 0 {
-		g.returnPacket(p.Key(), entry, r)
-		return
-	}
-	g.cold.spend(now)
-	g.answers.sent(now)
-	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack}
-	g.work.offer(now, f)
-	g.flows.Put(now, p.Key(), f)
-	g.add(Action{Verb: Deliver, Key: p.Key()})
-}
-
-// refusal returns why the upstream can't accept a new flow, or 0.
-func (g *Guard) refusal(now time.Time, h Header) Reason {
-	unavailable := g.unavailable(now)
-	switch {
-	case unavailable != 0 && !g.answers.probe(now):
-		return unavailable
-	case g.leaving:
-		return Leaving
-	case !g.status.AcceptsNew:
-		return Draining
-	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
-		return Cold
-	case g.work.n >= int(g.status.Slots)*maxLoadPerSlot(h):
-		return Busy
-	}
-	return 0
-}
-
-// unavailable returns why the upstream gets no flows but probes, or 0.
-func (g *Guard) unavailable(now time.Time) Reason {
-	switch {
-	case g.exited:
-		return Exited
-	case g.answers.silent(now):
-		return Silent
-	}
-	return 0
-}
-
-// maxLoadPerSlot returns the load per slot up to which the upstream accepts the flow.
-func maxLoadPerSlot(h Header) int {
-	switch {
-	case h.Forced && h.Urgent:
-		return urgentDepth
-	case h.Forced:
-		return forcedDepth
-	}
-	return 1
-}
-
-// isCold reports whether the upstream is cold: according to its status, or since the
-// agent has observed a restart that was not reported to it.
-func (g *Guard) isCold(now time.Time) bool {
-	until := g.coldUntil
-	if r := g.restart; !r.observedAt.IsZero() && r.observedAt.Add(g.status.ColdFor).After(until) {
-		until = r.observedAt.Add(g.status.ColdFor)
-	}
-	return g.status.ColdFlowsPerSecond > 0 && now.Before(until)
-}
-
 // handleData decides on a packet in the middle of a flow.
 func (g *Guard) handleData(now time.Time, entry gdflow.Address, h Header, p gdflow.Packet) {
 	f, known := g.flows.Get(now, p.Key())
@@ -375,61 +207,6 @@
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
 
-// extends reports whether the caller's packet has data beyond all that was delivered
-// before, and records its end. A retransmission that arrives after the answer is no
-// request.
-func (f *flow) extends(p gdflow.Packet) bool {
-	end := p.Seq + uint32(p.Size)
-	if p.Size == 0 || f.hasData && int32(end-f.callerEnd) <= 0 {
-		return false
-	}
-	f.callerEnd, f.hasData = end, true
-	return true
-}
-
-// reportHolding reports to the entry host that the upstream holds the flow: at once if
-// the guard knows it, otherwise when the upstream has sent a packet of the flow or has
-// not returned the delivered one in time.
-func (g *Guard) reportHolding(now time.Time, k gdflow.Key, f *flow) {
-	switch {
-	case f.state == open:
-		g.add(Action{Verb: ReportHeld, Key: k, Entry: f.entry})
-	case f.state == unknown && !f.reportHeld:
-		f.reportHeld = true
-		g.probed = append(g.probed, probedFlow{key: k, f: f, at: now})
-	}
-}
-
-// settleProbed marks the probed flows whose packets the upstream did not return as held.
-func (g *Guard) settleProbed(now time.Time) {
-	i := 0
-	for ; i < len(g.probed) && now.Sub(g.probed[i].at) >= returnTimeout; i++ {
-		if t := g.probed[i]; t.f.state == unknown {
-			t.f.state, t.f.reportHeld = open, false
-			g.add(Action{Verb: ReportHeld, Key: t.key, Entry: t.f.entry})
-		}
-	}
-	g.probed = slices.Delete(g.probed, 0, i)
-}
-
-// mayHold reports whether the upstream holds the flow of the packet, or may hold it.
-func (f *flow) mayHold(p gdflow.Packet) bool {
-	switch f.state {
-	case absent, pending:
-		return false
-	case halfOpen:
-		return f.confirms(p)
-	}
-	return true
-}
-
-// confirms reports whether the caller's packet acknowledges this upstream's
-// acceptance, and not that of another upstream which accepted a copy.
-func (f *flow) confirms(p gdflow.Packet) bool {
-	const maxFirstAnswer = 1 << 20 // bytes of an answer before the first observed acknowledgement
-	return p.Ack-f.acceptSeq <= maxFirstAnswer
-}
-
 // HandleUpstreamPacket decides on a packet that the upstream has sent.
 func (g *Guard) HandleUpstreamPacket(now time.Time, p gdflow.Packet) []Action {
 	g.init(now)
@@ -503,36 +280,3 @@
 	g.flows.Put(now, p.Key(), f)
 	g.returnPacket(p.Key(), entry, NotHeld)
 }
-
-// ShouldProbe reports whether the agent should probe the upstream's port: it has
-// requests in progress and has sent nothing for a while.
-func (g *Guard) ShouldProbe(now time.Time) bool {
-	if g.exited || g.work.n == 0 || now.Sub(g.lastReceived) < portProbeDelay || now.Sub(g.lastPortProbe) < portProbeInterval {
-		return false
-	}
-	if oldest, ok := g.work.oldest(); !ok || now.Sub(oldest) < portProbeDelay {
-		return false
-	}
-	g.lastPortProbe = now
-	return true
-}
-
-// HandleUpstreamExit handles the exit of the upstream's process. It resets all of its
-// flows, so that the callers can retry at once.
-func (g *Guard) HandleUpstreamExit(now time.Time) []Action {
-	g.init(now)
-	if g.exited {
-		return nil
-	}
-	g.exited, g.ObservedFromStart = true, true
-	g.exitedAt, g.exitedStart = now, g.status.StartUnixMilli
-	g.flows.Each(func(k gdflow.Key, f *flow) bool {
-		if f.state == open || f.state == halfOpen {
-			g.add(Action{Verb: Reset, Key: k, Seq: f.expectedSeq})
-		}
-		return true
-	})
-	g.flows.Clear()
-	g.work = workload{}
-	return g.actions
-}
--- a/internal/core/gdguard/limits.go
+++ b/internal/core/gdguard/load.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
 // maxRequestTime is the maximum time for which a request counts as load: longer than
@@ -89,52 +91,14 @@
 	return slices.Delete(list, 0, i)
 }
 
-// budget limits the new flows within any second.
-type budget struct{ used []time.Time }
-
-func (b *budget) trim(now time.Time) {
-	i := 0
-	for ; i < len(b.used) && now.Sub(b.used[i]) > time.Second; i++ {
-	}
-	b.used = slices.Delete(b.used, 0, i)
-}
-
-func (b *budget) allows(now time.Time, perSecond int) bool {
-	b.trim(now)
-	return len(b.used) < max(perSecond, 1)
-}
-
-func (b *budget) spend(now time.Time) {
-	b.trim(now)
-	b.used = append(b.used, now)
-}
-
-// answers tracks whether the upstream answers requests for flows.
-type answers struct {
-	unanswered int
-	since      time.Time
-	lastProbe  time.Time
-}
-
-func (a *answers) sent(now time.Time) {
-	if a.unanswered == 0 {
-		a.since = now
-	}
-	a.unanswered++
-}
-
-// received records a packet of the upstream.
-func (a *answers) received() { a.unanswered = 0 }
-
-func (a *answers) silent(now time.Time) bool {
-	return a.unanswered >= silentAfter && now.Sub(a.since) > answerTimeout
-}
-
-// probe reports whether a silent upstream is to be probed with a request for a flow.
-func (a *answers) probe(now time.Time) bool {
-	if now.Sub(a.lastProbe) < flowProbeInterval {
+// extends reports whether the caller's packet has data beyond all that was delivered
+// before, and records its end. A retransmission that arrives after the answer is no
+// request.
+func (f *flow) extends(p gdflow.Packet) bool {
+	end := p.Seq + uint32(p.Size)
+	if p.Size == 0 || f.hasData && int32(end-f.callerEnd) <= 0 {
 		return false
 	}
-	a.lastProbe = now
+	f.callerEnd, f.hasData = end, true
 	return true
 }
--- a/internal/core/gdpacer/pacer_test.go
+++ b/internal/core/gdpacer/pacer_test.go
@@ -111,9 +111,8 @@
 	require.Equal(t, gdpacer.Pass, p.Offer(start, packet(2, 1, 100)), "another flow")
 	require.Equal(t, gdpacer.Duplicate, p.Offer(start, packet(1, seq, bulk)), "a retransmission")
 	var got []uint32
-	for now := start; p.Queued() > 0; {
-		now = p.NextDue()
-		for k := range p.Due(now) {
+	for p.Queued() > 0 {
+		for k := range p.Due(p.NextDue()) {
 			got = append(got, k.Seq)
 		}
 	}
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -35,20 +35,21 @@
 		view   = "internal/core/gddiscovery/view.go"
 		state  = "internal/core/gddiscovery/state.go"
 		lookup = "internal/core/gddispatch/lookup.go"
+		proof  = "internal/core/gddispatch/proof.go"
 	)
 	return []Mutant{
 		{drained, []string{"scale-in"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.domainOut"}}},
 		{domainOut, []string{"domain-out"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.upstream.Draining"}}},
 		{coldStart, []string{"scale-out", "replace"}, []edit{
-			{"internal/core/gdguard/guard.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
+			{"internal/core/gdguard/admission.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
 		}},
 		{rightService, []string{"config"}, []edit{
 			{"platform/values.go", "gddiscovery.Share{{Service: r.Service,", "gddiscovery.Share{{Service: \"gallery\","},
 		}},
 		{flowStays, []string{"replace", "terminate-entry"}, []edit{
 			{lookup, "len(f.lookup.attempts) < maxSerialQueries", "len(f.lookup.attempts) < 1"},
-			{lookup, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)", "return false"},
-			{lookup, "len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil", "len(l.attempts) == 0"},
+			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)", "return false"},
+			{proof, "len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil", "len(l.attempts) == 0"},
 		}},
 		{configInTime, []string{"config"}, []edit{
 			{state, "c.Kind == Configuration && (c.Removed || c.Config == nil)", "c.Kind == Configuration && known"},
