Share the timer loop of lookups and paced packets

Cause: sendPaced repeated the loop of tick, line for line; two comments stood between declarations instead of on one. Ruled out: one goroutine for both (their deadlines differ by orders of magnitude).

--- a/internal/core/gddispatch/reach.go
+++ b/internal/core/gddispatch/reach.go
@@ -18,14 +18,14 @@
 	controlTTL = 2 * time.Second
 )
 
+// probeHost requests a probe of a host, unless there was one recently.
+//
 // A host whose network stack does not respond either can't deliver packets to its
 // upstream, whatever the reason: it has no power, or the path to it is cut. An agent that
 // restarts on a host that responds is no reason to give up a flow, since its upstream
 // still holds it. Probes tell the two apart. Another host that has answered is probed at
 // the same time: if that probe fails too, this host's own link is the reason, and the
 // result says nothing.
-
-// probeHost requests a probe of a host, unless there was one recently.
 func (d *Dispatcher) probeHost(now time.Time, at gdflow.Address) {
 	control, ok := d.hosts.control(now, at)
 	o := d.hosts.get(at)
--- a/internal/core/gdreaders/relay.go
+++ b/internal/core/gdreaders/relay.go
@@ -29,6 +29,8 @@
 
 func direct(out []Recipient, a gdflow.Address) []Recipient { return append(out, Recipient{Address: a}) }
 
+// addRelays adds the recipients of a reader's beacon for the hosts that it knows.
+//
 // A reader of a large deployment sends each beacon to one relay of each failure domain, and
 // lists the domain's other hosts, for which the relay is responsible. A relay with many
 // divides them into groups and makes the first of each responsible for its group: the
@@ -37,8 +39,6 @@
 // which it has just heard. The two readers choose different relays where there are enough
 // hosts, so that the loss of a relay costs its hosts one of two beacons until the reader
 // notices.
-
-// addRelays adds the recipients of a reader's beacon for the hosts that it knows.
 func (e *Election) addRelays(now time.Time) {
 	byDomain := make(map[string][]gdflow.Address)
 	for a, o := range e.known {
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -100,31 +100,48 @@
 // tick handles the timeouts of lookups while there are any.
 func (e *EntryHost) tick(ctx context.Context) {
 	out := e.newSender()
+	e.runTimer(ctx, e.wake, e.dispatcher.NextTick, func(now time.Time) {
+		out.execute(now, e.dispatcher.Tick(now))
+		e.updateCutOff()
+	}, out)
+}
+
+// sendPaced sends the packets that the pacer has queued.
+func (e *EntryHost) sendPaced(ctx context.Context) {
+	out := e.newSender()
+	e.runTimer(ctx, e.paced, e.pacer.NextDue, func(now time.Time) {
+		for k := range e.pacer.Due(now) {
+			out.out.Queue(append(out.out.Buffer(), k.Datagram...), k.To.AddrPort())
+		}
+	}, out)
+}
+
+// runTimer calls due, with mu locked, at the times that next returns, until that is the
+// zero time. It starts again after each wake-up.
+func (e *EntryHost) runTimer(ctx context.Context, wake <-chan struct{}, next func() time.Time, due func(now time.Time), out *sender) {
 	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-e.wake:
+		case <-wake:
 		}
 		for ctx.Err() == nil {
 			e.mu.Lock()
-			next := e.dispatcher.NextTick()
+			at := next()
 			e.mu.Unlock()
-			if next.IsZero() {
+			if at.IsZero() {
 				break
 			}
-			t.Reset(max(time.Until(next), minTickInterval))
+			t.Reset(max(time.Until(at), minTickInterval))
 			select {
 			case <-ctx.Done():
 				return
 			case <-t.C:
 			}
-			now := time.Now()
 			e.mu.Lock()
-			out.execute(now, e.dispatcher.Tick(now))
-			e.updateCutOff()
+			due(time.Now())
 			e.mu.Unlock()
 			out.flush()
 		}
@@ -206,40 +223,6 @@
 	}
 }
 
-// sendPaced sends the packets that the pacer has queued.
-func (e *EntryHost) sendPaced(ctx context.Context) {
-	out := e.newSender()
-	t := time.NewTimer(0)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-e.paced:
-		}
-		for ctx.Err() == nil {
-			e.mu.Lock()
-			next := e.pacer.NextDue()
-			e.mu.Unlock()
-			if next.IsZero() {
-				break
-			}
-			t.Reset(max(time.Until(next), minTickInterval))
-			select {
-			case <-ctx.Done():
-				return
-			case <-t.C:
-			}
-			e.mu.Lock()
-			for k := range e.pacer.Due(time.Now()) {
-				out.out.Queue(append(out.out.Buffer(), k.Datagram...), k.To.AddrPort())
-			}
-			e.mu.Unlock()
-			out.flush()
-		}
-	}
-}
-
 func (s *sender) flush() {
 	if lost := s.out.Flush(); lost > 0 {
 		s.host.metrics.failedWrites.Inc(int64(lost))
