--- a/cmd/gdhost/main.go
+++ b/cmd/gdhost/main.go
@@ -32,7 +32,8 @@
 	}
 }
 
-// app returns the command line. A process reloads its settings at each of the hangups.
+// app returns the command line. A process reloads its settings at each SIGHUP that it
+// receives from hangups.
 func app(hangups <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:     "gdhost",
--- a/internal/core/gddiscovery/history.go
+++ b/internal/core/gddiscovery/history.go
@@ -25,5 +25,5 @@
 	h.sent = h.sent[max(len(h.sent)-h.Repeats, 0):]
 }
 
-// Reset forgets the messages, because the host has not sent all changes.
+// Reset forgets the messages. It is called while the host does not send its changes.
 func (h *History) Reset() { h.sent = nil }
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -23,8 +23,8 @@
 )
 
 // mayBroadcast reports whether all upstreams of the route may be queried: their
-// answers can prove that the flow is gone, because none is known to be unresponsive,
-// and the rate limit of such lookups is not exceeded.
+// answers can prove that the flow is gone, because none is known to be unresponsive
+// unless its host can't be reached, and the rate limit of such lookups is not exceeded.
 func (d *Dispatcher) mayBroadcast(now time.Time, r *gddiscovery.Route) bool {
 	if now.Sub(d.confirmed) > maxViewAge {
 		return false
@@ -57,8 +57,9 @@
 }
 
 // provesGone reports whether the lookup has proved that no upstream holds the flow:
-// each one that could hold it has answered that it does not, and the view is recent
-// enough to list them all.
+// each one that could hold it has answered that it does not, or its host can't be reached
+// and the route's requests may be sent again; and the view is recent enough to list them
+// all.
 func (d *Dispatcher) provesGone(now time.Time, r *gddiscovery.Route, l *lookup) bool {
 	if len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil {
 		return false
--- a/internal/core/gddispatch/reach.go
+++ b/internal/core/gddispatch/reach.go
@@ -59,9 +59,9 @@
 	return r.Idempotent && d.hosts.unreachable(now, at)
 }
 
-// noteRetransmission looks for the caller's sending data again on a flow whose upstream
-// is known: its packets, or the upstream's acknowledgements, get lost. It reports whether
-// the packet carries data.
+// noteRetransmission requests a probe of the upstream's host if the caller sends data again
+// on a flow whose upstream is known: its packets, or the upstream's acknowledgements, get
+// lost. It reports whether the packet carries data.
 func (d *Dispatcher) noteRetransmission(now time.Time, f *flow, p gdflow.Packet) bool {
 	if p.Size == 0 {
 		return false
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -43,7 +43,8 @@
 	NoUpstream
 	// Overloaded: no upstream could accept the flow within the route's latency objective.
 	Overloaded
-	// FlowGone: each upstream that could hold the flow has reported that it does not.
+	// FlowGone: each upstream that could hold the flow has reported that it does not, or
+	// can't be reached.
 	FlowGone
 	// NotFound: some upstreams did not report whether they hold the flow.
 	NotFound
