Never pace packets of urgent routes

Ruled out: a larger bulk size (uploads end in packets of any size). Change: the pacer learns whether the packet's route is urgent and lets those pass. Conclusion: urgent requests don't wait behind uploads; TestUrgentPacketsAreNotBulk.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -227,7 +227,9 @@
 			d.add(Action{Verb: Reset, Key: p.Key(), To: f.upstream, Seq: p.Ack, Reason: Unreachable})
 			return
 		}
-		d.forwardTo(now, m, Action{Key: p.Key(), Packet: raw, PacketSeq: p.Seq, PacketSize: p.Size, Reason: Known})
+		d.forwardTo(now, m, Action{
+			Key: p.Key(), Packet: raw, PacketSeq: p.Seq, PacketSize: p.Size, Urgent: isUrgent(r), Reason: Known,
+		})
 	case opening:
 		if f.lookup.deferred {
 			d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -72,7 +72,7 @@
 		at := t.address
 		l.remove(at)
 		d.sendPacket(now, r, k, f, at, Action{
-			Opens: true, Reason: LeastLoaded, Header: gdguard.Header{Forced: true, Urgent: r.Priority <= maxUrgentPriority},
+			Opens: true, Reason: LeastLoaded, Header: gdguard.Header{Forced: true, Urgent: isUrgent(r)},
 		})
 		return
 	}
@@ -85,6 +85,9 @@
 	d.markNotFound(now, k, f)
 }
 
+// isUrgent reports whether the route is of the first priorities.
+func isUrgent(r *gddiscovery.Route) bool { return r.Priority <= maxUrgentPriority }
+
 // refuse ends the offers and resets the flow at the caller. No upstream has
 // accepted it.
 func (d *Dispatcher) refuse(k gdflow.Key, f *flow, reason Reason) {
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -87,6 +87,8 @@
 	// in the middle of a flow whose upstream is known, in bytes.
 	PacketSeq  uint32
 	PacketSize int
+	// Urgent reports that the packet's route is of the first priorities.
+	Urgent bool
 	// To is the address of the upstream, for Forward, SendStatus, Query and Probe.
 	To gdflow.Address
 	// Control is the address of another upstream, for Probe.
--- a/internal/core/gdpacer/pacer.go
+++ b/internal/core/gdpacer/pacer.go
@@ -29,8 +29,8 @@
 )
 
 const (
-	// bulkSize is the size from which on the data of a packet counts as bulk, in bytes.
-	// Requests that are urgent are smaller.
+	// bulkSize is the size from which on the data of a packet that is not urgent counts as
+	// bulk, in bytes.
 	bulkSize = 600
 	// burst is for how long bulk packets may exceed the rate after a pause.
 	burst = 20 * time.Millisecond
@@ -48,6 +48,8 @@
 	Seq uint32
 	// Size is the length of the packet's payload, in bytes.
 	Size int
+	// Urgent packets are never bulk.
+	Urgent bool
 	// To is where the datagram goes.
 	To gdflow.Address
 	// Datagram is the packet as it is sent. A Pacer that queues the packet copies it.
@@ -109,7 +111,7 @@
 	size := float64(len(k.Datagram))
 	inOrder := k.Size == 0 || p.flows[k.Key] == 0
 	switch {
-	case k.Size < bulkSize && inOrder:
+	case (k.Urgent || k.Size < bulkSize) && inOrder:
 		p.tokens = max(p.tokens-size, -p.limit(maxDebt))
 		return Pass
 	case len(p.queue) == 0 && p.tokens >= size:
--- a/internal/core/gdpacer/pacer_test.go
+++ b/internal/core/gdpacer/pacer_test.go
@@ -144,6 +144,21 @@
 	require.True(t, p.NextDue().IsZero())
 }
 
+// TestUrgentPacketsAreNotBulk: reports of 900 bytes on a route of the first priorities don't
+// wait behind uploads.
+func TestUrgentPacketsAreNotBulk(t *testing.T) {
+	p := &gdpacer.Pacer{BytesPerSecond: rate}
+	for i := range uint32(100) {
+		p.Offer(start, packet(1, i*bulk, bulk))
+	}
+	require.Positive(t, p.Queued())
+	report := packet(2, 1, 900)
+	require.Equal(t, gdpacer.Queued, p.Offer(start, report))
+	report = packet(3, 1, 900)
+	report.Urgent = true
+	require.Equal(t, gdpacer.Pass, p.Offer(start, report))
+}
+
 func TestQueueIsBounded(t *testing.T) {
 	p := &gdpacer.Pacer{BytesPerSecond: rate}
 	queued, dropped := 0, 0
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -207,7 +207,7 @@
 // forward sends the datagram of a forwarded packet now, or when the pacer allows it.
 func (s *sender) forward(now time.Time, a *gddispatch.Action, datagram []byte) {
 	to := a.To.WithPort(s.host.HopAddress.Port())
-	d := s.host.pacer.Offer(now, gdpacer.Packet{Key: a.Key, Seq: a.PacketSeq, Size: a.PacketSize, To: to, Datagram: datagram})
+	d := s.host.pacer.Offer(now, gdpacer.Packet{Key: a.Key, Seq: a.PacketSeq, Size: a.PacketSize, Urgent: a.Urgent, To: to, Datagram: datagram})
 	s.host.metrics.countPaced(d)
 	switch d {
 	case gdpacer.Pass:
