--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 	"godwitdrift.example/godwitdrift/internal/process/gdentry"
 	"godwitdrift.example/godwitdrift/platform"
@@ -38,9 +39,10 @@
 			}
 			s := p.settings
 			client := storeClient()
+			var eras gddiscovery.EraTracker
 			store := func(s *platform.Settings) *platform.Store {
 				return &platform.Store{
-					Address: s.StoreAddress().String(), HTTP: client,
+					Address: s.StoreAddress().String(), HTTP: client, Eras: &eras,
 					OnInvalid: func(err error) { p.log.Failure(gdlog.ValueInvalid, err) },
 				}
 			}
--- a/cmd/gdhost/main_test.go
+++ b/cmd/gdhost/main_test.go
@@ -67,7 +67,7 @@
 	defer res.Body.Close()
 	state, err := io.ReadAll(res.Body)
 	require.NoError(t, err)
-	require.Contains(t, string(state), `"revision":0`)
+	require.Contains(t, string(state), `"revision":"0.0"`)
 }
 
 // TestChangedSettings: the running process applies changed settings, with and without a
--- a/cmd/gdrig/soak.go
+++ b/cmd/gdrig/soak.go
@@ -111,8 +111,8 @@
 			n, err := m.Run(ctx, root, dir, gdhostrig.Small())
 			mu.Lock()
 			defer mu.Unlock()
-			detected[m.Promise] = n
-			fmt.Fprintf(os.Stderr, "mutant of %s: detected %d times\n", m.Promise, n)
+			detected[m.Name()] = n
+			fmt.Fprintf(os.Stderr, "mutant of %s: detected %d times\n", m.Name(), n)
 			return err
 		})
 	}
--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -34,7 +34,7 @@
 type Change struct {
 	Subject
 	// Revision is the position of the change in the order of all changes.
-	Revision uint64
+	Revision Revision
 	// Removed reports that the subject was removed, or that its state is unusable.
 	Removed bool
 	// Config or Delta is set for a configuration. The full state has no deltas.
@@ -45,11 +45,22 @@
 	Upstream *Upstream
 }
 
+// version returns the version of the configuration that the change describes, or 0.
+func (c *Change) version() uint64 {
+	switch {
+	case c.Config != nil:
+		return c.Config.Version
+	case c.Delta != nil:
+		return c.Delta.Version
+	}
+	return 0
+}
+
 // Update is a list of changes.
 type Update struct {
 	Changes []Change
 	// Revision is the revision up to which the changes are complete.
-	Revision uint64
+	Revision Revision
 	// Age is the minimum time since the source held this state.
 	Age time.Duration
 	// Full reports that the changes are the full state, so that subjects without a
--- a/internal/core/gddiscovery/delta.go
+++ b/internal/core/gddiscovery/delta.go
@@ -18,7 +18,7 @@
 // given as it is in the end.
 type ConfigDelta struct {
 	// Since is the lowest revision of a configuration that the delta applies to.
-	Since uint64
+	Since Revision
 	// Version and IdleTimeout are those of the described configuration.
 	Config
 	// RemovedRoutes and RemovedServices are the names of those that are gone. Routes and
@@ -81,20 +81,20 @@
 
 // configAt is a configuration and its revision.
 type configAt struct {
-	revision uint64
+	revision Revision
 	config   *Config
 	sum      uint64
 }
 
 // retainConfig records a configuration for later deltas.
-func (s *State) retainConfig(revision uint64, c *Config) {
+func (s *State) retainConfig(revision Revision, c *Config) {
 	s.configs = append(s.configs, configAt{revision: revision, config: c, sum: c.sum()})
 	s.configs = s.configs[max(len(s.configs)-maxConfigs, 0):]
 }
 
 // compact returns the change of the latest configuration in its shortest form for a host
 // that has all changes up to the revision.
-func (s *State) compact(c Change, revision uint64) Change {
+func (s *State) compact(c Change, revision Revision) Change {
 	first := -1
 	for i, o := range s.configs {
 		if o.revision <= revision {
--- a/internal/core/gddiscovery/delta_test.go
+++ b/internal/core/gddiscovery/delta_test.go
@@ -13,7 +13,7 @@
 )
 
 // changedConfig returns the configuration with some routes added, removed and changed.
-func changedConfig(rnd *rand.Rand, c gddiscovery.Change, revision uint64) gddiscovery.Change {
+func changedConfig(rnd *rand.Rand, c gddiscovery.Change, revision gddiscovery.Revision) gddiscovery.Change {
 	old := c.Config
 	next := &gddiscovery.Config{Version: old.Version + 1 + rnd.Uint64N(3), Services: old.Services, IdleTimeout: old.IdleTimeout}
 	for _, r := range old.Routes {
@@ -35,7 +35,7 @@
 	return gddiscovery.Change{Subject: c.Subject, Revision: revision, Config: next}
 }
 
-func manyRoutes(revision uint64) gddiscovery.Change {
+func manyRoutes(revision gddiscovery.Revision) gddiscovery.Change {
 	c := config(revision, 1)
 	for i := range 120 {
 		a := gdflow.AddressFrom([4]byte{198, 19, 0, byte(i)}, 443)
@@ -53,7 +53,7 @@
 	sender := loaded(t, first)
 	followers := []*gddiscovery.State{loaded(t, first), loaded(t, first), loaded(t, first)}
 	c := first
-	for revision := uint64(11); revision < 200; revision++ {
+	for revision := gddiscovery.Revision(11); revision < 200; revision++ {
 		c = changedConfig(rnd, c, revision)
 		require.True(t, sender.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{c}, Revision: revision}))
 		for i, f := range followers {
--- a/internal/core/gddiscovery/history.go
+++ b/internal/core/gddiscovery/history.go
@@ -6,13 +6,13 @@
 	// Repeats is in how many messages each change is sent.
 	Repeats int
 
-	sent []uint64 // the revisions of the last messages
+	sent []Revision // the revisions of the last messages
 }
 
 // Base returns the revision after which all changes are sent with the next message. It
 // reports false before the first message: the receivers then have all changes already or
 // need more than the recent ones.
-func (h *History) Base() (uint64, bool) {
+func (h *History) Base() (Revision, bool) {
 	if len(h.sent) == 0 {
 		return 0, false
 	}
@@ -20,7 +20,7 @@
 }
 
 // Sent records that a message with the changes up to the revision was sent to all.
-func (h *History) Sent(revision uint64) {
+func (h *History) Sent(revision Revision) {
 	h.sent = append(h.sent, revision)
 	h.sent = h.sent[max(len(h.sent)-h.Repeats, 0):]
 }
--- a/internal/core/gddiscovery/history_test.go
+++ b/internal/core/gddiscovery/history_test.go
@@ -16,8 +16,8 @@
 	h := gddiscovery.History{Repeats: 2}
 	_, ok := h.Base()
 	require.False(t, ok)
-	sent := make(map[uint64]int)
-	send := func(revision uint64) {
+	sent := make(map[gddiscovery.Revision]int)
+	send := func(revision gddiscovery.Revision) {
 		if base, ok := h.Base(); ok {
 			for r := base + 1; r <= revision; r++ {
 				sent[r]++
@@ -30,11 +30,11 @@
 		send(100)
 	}
 	require.Empty(t, sent)
-	for r := uint64(104); r <= 300; r += 4 { // a storm
+	for r := gddiscovery.Revision(104); r <= 300; r += 4 { // a storm
 		send(r)
 	}
 	send(300)
-	for r := uint64(101); r <= 300; r++ {
+	for r := gddiscovery.Revision(101); r <= 300; r++ {
 		require.Equal(t, 2, sent[r], "change %d", r)
 	}
 	h.Reset()
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -25,26 +25,31 @@
 	updatedAt time.Time
 	// graceUntil is the time until which a removed upstream is still used.
 	graceUntil time.Time
+	// written is the revision at which the subject was last written, not removed.
+	written Revision
+	// keptUntil is the time until which the record is kept unconfirmed, or zero.
+	keptUntil time.Time
 }
 
 // State holds the latest change of each subject. The zero value is empty.
 type State struct {
 	records  map[Subject]*record
-	revision uint64
+	revision Revision
 	// completeSince is the revision from which on all changes are retained. Removals
 	// before it may be unknown.
-	completeSince uint64
+	completeSince Revision
 	configs       []configAt // the latest configurations, oldest first
 	confirmed     time.Time
+	settledAt     time.Time // until then the state may lack running upstreams
 	loaded        bool
 	view          *View
 }
 
 // Revision returns the revision up to which the state is complete.
-func (s *State) Revision() uint64 { return s.revision }
+func (s *State) Revision() Revision { return s.revision }
 
 // CompleteSince returns the revision from which on all changes are retained.
-func (s *State) CompleteSince() uint64 { return s.completeSince }
+func (s *State) CompleteSince() Revision { return s.completeSince }
 
 // Loaded reports whether a full update was loaded.
 func (s *State) Loaded() bool { return s.loaded }
@@ -61,8 +66,8 @@
 // View returns the current view, or nil before the first full update.
 func (s *State) View() *View { return s.view }
 
-// Load applies a full update: subjects that it does not contain are marked as removed.
-// It reports whether the view has changed.
+// Load applies a full update: subjects that it does not contain are marked as removed,
+// unless they were written in an earlier era. It reports whether the view has changed.
 func (s *State) Load(now time.Time, u Update) bool {
 	if s.loaded && u.Revision < s.revision {
 		return false
@@ -72,7 +77,8 @@
 		present[c.Subject] = struct{}{}
 	}
 	for subject, r := range s.records {
-		if _, ok := present[subject]; !ok && !r.change.Removed && r.change.Revision <= u.Revision {
+		_, ok := present[subject]
+		if !ok && !r.change.Removed && r.change.Revision <= u.Revision && r.change.Revision.Era() == u.Revision.Era() {
 			u.Changes = append(u.Changes, Change{Subject: subject, Revision: u.Revision, Removed: true})
 		}
 	}
@@ -81,10 +87,10 @@
 }
 
 // Apply applies an update. It reports whether the view has changed. An update is
-// ignored before the first full one, and as a whole if it has the delta of a
-// configuration that does not apply to the one known.
+// ignored before the first full one, and as a whole if it is of another era or has the
+// delta of a configuration that does not apply to the one known.
 func (s *State) Apply(now time.Time, u Update) bool {
-	if !s.loaded || !s.resolveDeltas(u.Changes) {
+	if !s.loaded || u.Revision.Era() != s.revision.Era() || !s.resolveDeltas(u.Changes) {
 		return false
 	}
 	return s.merge(now, u)
@@ -96,7 +102,7 @@
 	r, known := s.records[Subject{Kind: Configuration}]
 	for i := range changes {
 		c := &changes[i]
-		if c.Delta == nil || known && c.Revision <= r.change.Revision {
+		if c.Delta == nil || known && !r.precedes(*c) {
 			continue
 		}
 		if !known || r.change.Revision < c.Delta.Since {
@@ -123,11 +129,15 @@
 		}
 	}
 	if u.Revision >= s.revision {
+		if u.Revision.Era() > s.revision.Era() {
+			s.beginEra(now, s.view == nil)
+		}
 		s.revision = u.Revision
 		if at := now.Add(-u.Age); at.After(s.confirmed) {
 			s.confirmed = at
 		}
 	}
+	changed = s.expireUnconfirmed(now) || changed
 	if s.expire(now) || changed {
 		s.view = s.buildView()
 		return true
@@ -135,22 +145,34 @@
 	return false
 }
 
+// precedes reports whether the record is older than a change of its subject. A
+// configuration with a higher version is newer whatever the revisions: versions never go
+// back, not even in a source that was restored.
+func (r *record) precedes(c Change) bool {
+	if c.Kind == Configuration {
+		if v := c.version(); v != r.change.version() {
+			return v > r.change.version()
+		}
+	}
+	return c.Revision > r.change.Revision && !r.repeats(c)
+}
+
 // put applies a change, unless a newer one of its subject is known.
 func (s *State) put(now time.Time, c Change, outage bool) bool {
 	old, known := s.records[c.Subject]
-	if known && c.Revision <= old.change.Revision {
-		return false
-	}
 	if c.Kind == Configuration && (c.Removed || c.Config == nil) {
 		// A configuration is never removed, and one that can't be read is ignored.
 		return false
 	}
+	if known && !old.precedes(c) {
+		return false
+	}
 	r := &record{change: c, updatedAt: now}
-	if known && c.Removed && c.Upstream == nil {
-		r.change.Upstream = old.change.Upstream
-		if outage && !old.change.Removed {
-			r.graceUntil = now.Add(expiryGrace)
-		}
+	if !c.Removed {
+		r.written = c.Revision
+	}
+	if known {
+		r.succeed(old, outage)
 	}
 	s.records[c.Subject] = r
 	if c.Config != nil {
@@ -159,6 +181,21 @@
 	return true
 }
 
+// succeed takes over from the record that this one replaces what the change does not say.
+func (r *record) succeed(old *record, outage bool) {
+	if !r.change.Removed {
+		r.reconcile(old)
+		return
+	}
+	r.written = old.written
+	if r.change.Upstream == nil {
+		r.change.Upstream = old.change.Upstream
+		if outage && !old.change.Removed {
+			r.graceUntil = r.updatedAt.Add(expiryGrace)
+		}
+	}
+}
+
 // expire deletes the records of subjects that were removed so long ago that no flow
 // can depend on them.
 func (s *State) expire(now time.Time) bool {
@@ -176,7 +213,7 @@
 // ChangesSince returns the changes after the revision, oldest first, or a full update
 // if not all changes from there on are retained. A configuration is described by its
 // differences where that is shorter.
-func (s *State) ChangesSince(now time.Time, revision uint64) Update {
+func (s *State) ChangesSince(now time.Time, revision Revision) Update {
 	u := Update{Revision: s.revision, Age: s.Age(now), Full: revision < s.completeSince}
 	for subject, r := range s.records {
 		if u.Full || r.change.Revision > revision {
@@ -190,3 +227,18 @@
 	sort.Slice(u.Changes, func(i, j int) bool { return u.Changes[i].Revision < u.Changes[j].Revision })
 	return u
 }
+
+// UpdateSince returns the changes after the revision as ChangesSince does, and what is kept
+// unconfirmed from an earlier era.
+func (s *State) UpdateSince(now time.Time, revision Revision) Update {
+	u := s.ChangesSince(now, revision)
+	if u.Full {
+		return u
+	}
+	for _, r := range s.records {
+		if s.unconfirmed(r) {
+			u.Changes = append(u.Changes, r.change)
+		}
+	}
+	return u
+}
--- a/internal/core/gddiscovery/state_test.go
+++ b/internal/core/gddiscovery/state_test.go
@@ -18,7 +18,7 @@
 
 func at(i int) gdflow.Address { return gdflow.AddressFrom([4]byte{10, 0, 0, byte(i)}, 8080) }
 
-func config(revision, version uint64) gddiscovery.Change {
+func config(revision gddiscovery.Revision, version uint64) gddiscovery.Change {
 	return gddiscovery.Change{
 		Subject: gddiscovery.Subject{Kind: gddiscovery.Configuration}, Revision: revision,
 		Config: &gddiscovery.Config{
@@ -32,7 +32,7 @@
 	}
 }
 
-func upstream(revision uint64, id string, change func(*gddiscovery.Upstream)) gddiscovery.Change {
+func upstream(revision gddiscovery.Revision, id string, change func(*gddiscovery.Upstream)) gddiscovery.Change {
 	u := &gddiscovery.Upstream{ID: id, Service: "booking", Domain: "a", Address: at(1), Slots: 3}
 	if change != nil {
 		change(u)
@@ -42,13 +42,13 @@
 	}
 }
 
-func removal(revision uint64, id string) gddiscovery.Change {
+func removal(revision gddiscovery.Revision, id string) gddiscovery.Change {
 	return gddiscovery.Change{
 		Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: id}, Revision: revision, Removed: true,
 	}
 }
 
-func evacuation(revision uint64, domain string, removed bool) gddiscovery.Change {
+func evacuation(revision gddiscovery.Revision, domain string, removed bool) gddiscovery.Change {
 	return gddiscovery.Change{
 		Subject: gddiscovery.Subject{Kind: gddiscovery.Evacuation, Name: domain}, Revision: revision, Removed: removed,
 	}
@@ -84,7 +84,7 @@
 	require.False(t, s.Load(start, older), "a stale read of the full state")
 	require.Equal(t, uint64(7), s.View().Version())
 	require.False(t, member(t, s, at(1)).AcceptsNew(start))
-	require.Equal(t, uint64(10), s.Revision())
+	require.Equal(t, gddiscovery.Revision(10), s.Revision())
 }
 
 // TestOrderDoesNotMatter: changes result in the same view, in whatever order and however
@@ -92,13 +92,13 @@
 func TestOrderDoesNotMatter(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		var changes []gddiscovery.Change
-		for rev := uint64(11); rev < 31; rev++ {
+		for rev := gddiscovery.Revision(11); rev < 31; rev++ {
 			id := rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(rt, "id")
 			switch rapid.IntRange(0, 3).Draw(rt, "kind") {
 			case 0:
 				changes = append(changes, removal(rev, id))
 			case 1:
-				changes = append(changes, config(rev, rev))
+				changes = append(changes, config(rev, uint64(rev)))
 			case 2:
 				changes = append(changes, evacuation(rev, "a", rapid.Bool().Draw(rt, "gone")))
 			default:
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -17,7 +17,7 @@
 	services   map[string]*Pool
 	domainsOut map[string]struct{}
 	upstreams  []*Member
-	revision   uint64
+	revision   Revision
 }
 
 // Pool is a service with its upstreams.
@@ -40,7 +40,7 @@
 // Member is an upstream in a view.
 type Member struct {
 	upstream   Upstream
-	revision   uint64
+	revision   Revision
 	seed       uint64
 	updatedAt  time.Time
 	graceUntil time.Time
@@ -71,7 +71,7 @@
 }
 
 // Revision returns the revision of the view.
-func (v *View) Revision() uint64 { return v.revision }
+func (v *View) Revision() Revision { return v.revision }
 
 // Version returns the version of the configuration.
 func (v *View) Version() uint64 { return v.config.Version }
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -74,7 +74,8 @@
 
 	view           *gddiscovery.View
 	confirmed      time.Time
-	newestRevision uint64 // the highest revision that an agent has reported
+	settledAt      time.Time            // until then the view may lack running upstreams
+	newestRevision gddiscovery.Revision // the highest revision that an agent has reported
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	hosts          hosts
 	timers         []timer
@@ -141,8 +142,9 @@
 	return d.actions
 }
 
-// ConfirmView records that the view was current at the time.
-func (d *Dispatcher) ConfirmView(at time.Time) { d.confirmed = at }
+// ConfirmView records that the view was current at the time, and that it may lack running
+// upstreams until settledAt, which is the zero time if it lists all.
+func (d *Dispatcher) ConfirmView(at, settledAt time.Time) { d.confirmed, d.settledAt = at, settledAt }
 
 // Flows returns the number of cached flows.
 func (d *Dispatcher) Flows() int { return d.flows.Len() }
--- a/internal/core/gddispatch/dispatcher_test.go
+++ b/internal/core/gddispatch/dispatcher_test.go
@@ -103,13 +103,16 @@
 func TestStaleViewProvesNothing(t *testing.T) {
 	tests := []struct {
 		name      string
-		confirmed time.Duration // how long ago
-		revision  uint64        // reported by the agents
+		confirmed time.Duration        // how long ago
+		settledIn time.Duration        // from now
+		revision  gddiscovery.Revision // reported by the agents
 		want      gddispatch.Verb
 	}{
-		{"view is recent", time.Second, 100, gddispatch.Reset},
-		{"view is old", 3 * time.Second, 100, gddispatch.Drop},
-		{"an agent is ahead", time.Second, 101, gddispatch.Drop},
+		{"view is recent", time.Second, 0, 100, gddispatch.Reset},
+		{"view is old", 3 * time.Second, 0, 100, gddispatch.Drop},
+		{"an agent is ahead", time.Second, 0, 101, gddispatch.Drop},
+		{"an agent knows a later era", time.Second, 0, gddiscovery.NewRevision(1, 3), gddispatch.Drop},
+		{"source was restored a second ago", time.Second, time.Second, 100, gddispatch.Drop},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -117,7 +120,7 @@
 			var state gddiscovery.State
 			require.True(t, state.Load(start, update(3, 3, nil)))
 			d.SetView(start, state.View())
-			d.ConfirmView(start.Add(-tt.confirmed))
+			d.ConfirmView(start.Add(-tt.confirmed), start.Add(tt.settledIn))
 			p := gdflow.NewPacket(callerKey(5), gdflow.Data)
 			actions := d.HandleCallerPacket(start, p, []byte{0})
 			for len(actions) > 0 && actions[0].Verb == gddispatch.Forward {
@@ -315,7 +318,7 @@
 				require.NotEqual(t, upstreamAt(j), a.To)
 			}
 			require.True(t, a.Header.Status.AcceptsNew)
-			require.Equal(t, uint64(100), a.Header.Status.Revision)
+			require.Equal(t, gddiscovery.Revision(100), a.Header.Status.Revision)
 		}
 	}
 }
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -121,7 +121,7 @@
 			change(i, &up)
 		}
 		u.Changes = append(u.Changes, gddiscovery.Change{
-			Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: up.ID}, Revision: uint64(2 + i), Upstream: &up,
+			Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: up.ID}, Revision: gddiscovery.Revision(2 + i), Upstream: &up,
 		})
 	}
 	return u
@@ -147,7 +147,7 @@
 func (f *fleet) addEntry(i int) *entry {
 	e := &entry{}
 	e.core.SetView(f.now, f.view)
-	e.core.ConfirmView(f.now)
+	e.core.ConfirmView(f.now, time.Time{})
 	f.entries[entryAt(i)] = e
 	return e
 }
@@ -167,7 +167,7 @@
 // confirm confirms the view of an entry host.
 func (f *fleet) confirm(e *entry) {
 	if !f.unconfirmed {
-		e.core.ConfirmView(f.now)
+		e.core.ConfirmView(f.now, time.Time{})
 	}
 }
 
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -26,7 +26,7 @@
 // answers can prove that the flow is gone, because none is known to be unresponsive
 // unless its host can't be reached, and the rate limit of such lookups is not exceeded.
 func (d *Dispatcher) mayBroadcast(now time.Time, r *gddiscovery.Route) bool {
-	if now.Sub(d.confirmed) > maxViewAge {
+	if !d.viewListsAll(now) {
 		return false
 	}
 	for m := range d.members(r) {
@@ -37,6 +37,12 @@
 	return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)
 }
 
+// viewListsAll reports whether the view lists all upstreams that may hold a flow: it is
+// recent, and no upstream still has to register again at a restored source.
+func (d *Dispatcher) viewListsAll(now time.Time) bool {
+	return now.Sub(d.confirmed) <= maxViewAge && !now.Before(d.settledAt)
+}
+
 // removedLongAgo reports whether the upstream's registration was removed so long
 // ago that a running upstream would have registered again.
 func removedLongAgo(now time.Time, m *gddiscovery.Member) bool {
@@ -61,7 +67,7 @@
 // and the route's requests may be sent again; and the view is recent enough to list them
 // all.
 func (d *Dispatcher) provesGone(now time.Time, r *gddiscovery.Route, l *lookup) bool {
-	if len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil {
+	if len(l.attempts) == 0 || !d.viewListsAll(now) || d.nextCandidate(0, r, l) != nil {
 		return false
 	}
 	for _, t := range l.attempts {
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -64,7 +64,7 @@
 }
 
 // HandleHoldings continues the lookups of the flows that an agent's answer is about.
-func (d *Dispatcher) HandleHoldings(now time.Time, from gdflow.Address, revision uint64, keys []gdflow.Key, holdings []gdguard.Holding) []Action {
+func (d *Dispatcher) HandleHoldings(now time.Time, from gdflow.Address, revision gddiscovery.Revision, keys []gdflow.Key, holdings []gdguard.Holding) []Action {
 	d.init()
 	d.noteAnswer(now, from)
 	d.newestRevision = max(d.newestRevision, revision)
--- a/internal/core/gddispatch/recovery_test.go
+++ b/internal/core/gddispatch/recovery_test.go
@@ -24,7 +24,7 @@
 	u := update(upstreams, 2, nil)
 	require.True(t, state.Load(f.now, u))
 	for i := range 40 {
-		revision := uint64(101 + i)
+		revision := gddiscovery.Revision(101 + i)
 		f.after(time.Duration(i)*25*time.Millisecond, func() {
 			for _, ag := range f.agents {
 				h := gdguard.Header{Service: gddiscovery.ServiceHash("booking"), Status: ag.guard.Status()}
@@ -60,7 +60,7 @@
 	raw[0] = 2 // the buffer is reused
 	late := start.Add(100 * time.Millisecond)
 	require.Equal(t, gddispatch.Waiting, d.HandleCallerPacket(late, gdflow.NewPacket(callerKey(2), gdflow.Open), raw)[0].Reason)
-	d.ConfirmView(late)
+	d.ConfirmView(late, time.Time{})
 	actions := d.SetView(start.Add(200*time.Millisecond), state.View())
 	require.Len(t, actions, 1, "the caller retransmits the first by now")
 	require.Equal(t, gddispatch.Forward, actions[0].Verb)
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
@@ -115,7 +116,7 @@
 	// Load is the number of requests that the agent's upstream is processing.
 	Load int
 	// Revision is the highest revision that the agent has observed.
-	Revision uint64
+	Revision gddiscovery.Revision
 	Reason   gdguard.Reason
 }
 
@@ -157,12 +158,12 @@
 	deadline         time.Time
 	ack              uint32
 	started          time.Time
-	retries          int    // how often the unresponsive upstreams were queried again
-	viewPolls        int    // how often the lookup waited for a newer view
-	requiredRevision uint64 // the revision that a view needs to prove that the flow is gone, or 0
-	forced           bool   // the least loaded upstream was asked to accept the flow although it is busy
-	unanswered       bool   // an upstream that was offered the flow has not answered in time
-	deferred         bool   // all upstreams are overloaded; the offer is repeated later
+	retries          int                  // how often the unresponsive upstreams were queried again
+	viewPolls        int                  // how often the lookup waited for a newer view
+	requiredRevision gddiscovery.Revision // the revision that a view needs to prove that the flow is gone, or 0
+	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
+	unanswered       bool                 // an upstream that was offered the flow has not answered in time
+	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
 }
 
 // attempt is one upstream that was tried.
--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -44,7 +44,7 @@
 		return unavailable
 	case g.leaving:
 		return Leaving
-	case !g.status.AcceptsNew:
+	case !g.status.AcceptsNew || now.Before(g.refusesUntil):
 		return Draining
 	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
 		return Cold
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -31,6 +31,10 @@
 	// flowTTL is the minimum time for which an idle flow is cached: the longest idle
 	// timeout in the users' settings. The cache's second generation doubles it.
 	flowTTL = 15 * time.Second
+	// restoreGrace is how long an upstream that accepted no new flows still refuses them
+	// when the source of the status was restored from a copy: the time that the users'
+	// requirements give a running upstream to register again.
+	restoreGrace = 2 * time.Second
 	// maxFlows limits one generation of the flow cache: the connections of one
 	// upstream in the users' settings, plus some for flows that have ended.
 	maxFlows = 8192
@@ -97,6 +101,7 @@
 	observingSince time.Time
 	status         UpstreamStatus
 	coldUntil      time.Time
+	refusesUntil   time.Time // the upstream may accept no new flows although its status says so
 	restart        restart
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
@@ -131,7 +136,7 @@
 func (g *Guard) Flows() int { return g.flows.Len() }
 
 // Revision returns the highest revision that an entry host has reported.
-func (g *Guard) Revision() uint64 { return g.status.Revision }
+func (g *Guard) Revision() gddiscovery.Revision { return g.status.Revision }
 
 // Status returns the latest status of the upstream.
 func (g *Guard) Status() UpstreamStatus { return g.status }
@@ -150,9 +155,7 @@
 		return false
 	}
 	changed := s.AcceptsNew != g.status.AcceptsNew || g.status.Revision == 0
-	if s.Revision > g.status.Revision || now.Add(s.ColdLeft).After(g.coldUntil) {
-		g.coldUntil = now.Add(s.ColdLeft)
-	}
+	g.updateCold(now, s)
 	g.status = s
 	if g.restart.matches(s.StartUnixMilli) {
 		g.restart = restart{}
@@ -161,6 +164,19 @@
 	return changed
 }
 
+// updateCold updates until when the upstream is cold. A status of a later era may come from
+// a copy that was made before the upstream drained or became cold, so that it neither ends
+// the slow start nor, for restoreGrace, lets in new flows.
+func (g *Guard) updateCold(now time.Time, s UpstreamStatus) {
+	restored := g.status.Revision != 0 && s.Revision.Era() > g.status.Revision.Era()
+	if restored && !g.status.AcceptsNew && s.StartUnixMilli == g.status.StartUnixMilli {
+		g.refusesUntil = now.Add(restoreGrace)
+	}
+	if s.Revision > g.status.Revision && !restored || now.Add(s.ColdLeft).After(g.coldUntil) {
+		g.coldUntil = now.Add(s.ColdLeft)
+	}
+}
+
 // HandleEntryPacket decides on a packet that an entry host has sent.
 func (g *Guard) HandleEntryPacket(now time.Time, entry gdflow.Address, h Header, p gdflow.Packet) []Action {
 	g.init(now)
--- a/internal/core/gdguard/guard_test.go
+++ b/internal/core/gdguard/guard_test.go
@@ -23,7 +23,7 @@
 }
 
 // header returns the header of an entry host with a current view.
-func header(revision uint64) gdguard.Header {
+func header(revision gddiscovery.Revision) gdguard.Header {
 	return gdguard.Header{
 		Service: gddiscovery.ServiceHash("booking"),
 		Status:  gdguard.UpstreamStatus{Revision: revision, AcceptsNew: true, Slots: 3},
@@ -152,7 +152,7 @@
 // TestOlderStatusIsIgnored: an entry host that was paused reports an old status.
 func TestOlderStatusIsIgnored(t *testing.T) {
 	g := &gdguard.Guard{Service: "booking"}
-	update := func(revision uint64, acceptsNew bool) bool {
+	update := func(revision gddiscovery.Revision, acceptsNew bool) bool {
 		h := header(revision)
 		h.Status.AcceptsNew = acceptsNew
 		return g.UpdateStatus(start, h)
@@ -161,7 +161,7 @@
 	require.False(t, update(8, true))
 	require.False(t, g.Status().AcceptsNew)
 	require.True(t, update(10, true))
-	require.Equal(t, uint64(10), g.Revision())
+	require.Equal(t, gddiscovery.Revision(10), g.Revision())
 	other := header(11)
 	other.Service = gddiscovery.ServiceHash("gallery")
 	other.Status.AcceptsNew = false
--- a/internal/core/gdguard/start_test.go
+++ b/internal/core/gdguard/start_test.go
@@ -66,7 +66,7 @@
 func TestUnreportedRestartTriggersSlowStart(t *testing.T) {
 	const coldFor, perSecond = 4 * time.Second, 10
 	first := start.Add(-time.Hour).UnixMilli()
-	reported := func(revision uint64, startMilli int64, left time.Duration) gdguard.Header {
+	reported := func(revision gddiscovery.Revision, startMilli int64, left time.Duration) gdguard.Header {
 		h := header(revision)
 		h.Forced = true
 		h.Status = gdguard.UpstreamStatus{
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
@@ -51,7 +52,7 @@
 // UpstreamStatus is the status of an upstream as an entry host reports it to the agent.
 type UpstreamStatus struct {
 	// Revision is the revision of the entry host's view.
-	Revision uint64
+	Revision gddiscovery.Revision
 	// AcceptsNew reports whether the upstream accepts new flows.
 	AcceptsNew bool
 	// Slots is how many requests the upstream processes concurrently.
--- a/internal/core/gdreaders/election.go
+++ b/internal/core/gdreaders/election.go
@@ -27,6 +27,7 @@
 	"slices"
 	"time"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
@@ -76,9 +77,14 @@
 	Members []Member
 	// Revision is the revision of the sender's view, and Age the time since it was
 	// confirmed.
-	Revision uint64
+	Revision gddiscovery.Revision
 	Age      time.Duration
-	Rank     uint32
+	// Unconfirmed is the checksum of what the sender keeps from an earlier era of the
+	// source, or 0, and SettlingLeft how long its view may lack running upstreams since the
+	// latest era began.
+	Unconfirmed  uint64
+	SettlingLeft time.Duration
+	Rank         uint32
 	// Domain is the sender's failure domain.
 	Domain string
 	// Reading reports that the sender reads the store.
@@ -91,7 +97,6 @@
 	receivedAt time.Time // from the host itself, zero if only listed by others
 	listedAt   time.Time
 	age        time.Duration
-	revision   uint64
 	rank       uint32
 	domain     string
 	reading    bool
@@ -147,7 +152,7 @@
 	}
 	// A host that only others have listed may know this one already.
 	o.needsBeacon = o.needsBeacon || o.receivedAt.IsZero()
-	o.receivedAt, o.rank, o.domain, o.reading, o.age, o.revision = now, b.Rank, b.Domain, b.Reading, b.Age, b.Revision
+	o.receivedAt, o.rank, o.domain, o.reading, o.age = now, b.Rank, b.Domain, b.Reading, b.Age
 	for _, m := range b.Members {
 		if m.Address == e.Self {
 			continue
@@ -331,7 +336,7 @@
 
 // Beacon returns the beacon of this host for the recipients of the last Tick. Readers know
 // all hosts, so that one for them lists no members.
-func (e *Election) Beacon(now time.Time, revision uint64, age time.Duration) Beacon {
+func (e *Election) Beacon(now time.Time, revision gddiscovery.Revision, age time.Duration) Beacon {
 	b := Beacon{Revision: revision, Age: age, Rank: e.Rank, Domain: e.Domain, Reading: e.reading, Leaving: e.leaving}
 	if e.toReaders {
 		return b
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -81,6 +81,10 @@
 var ValueInvalid = declare(206, Error, "invalid value in the platform's store",
 	"Find out who wrote it. An invalid registration counts as removed; an invalid configuration is ignored.")
 
+// SourceRestored reports that the platform's store was restored from a copy. Event 207.
+var SourceRestored = declare(207, Info, "platform's store began a new era, what the copy lacks is kept until it is written again",
+	"Check that the operators' last changes were written again.")
+
 // Events 300 to 399: the platform and the peers.
 var (
 	PlatformUnreachable = declare(300, Error, "platform unreachable",
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -23,7 +23,7 @@
 	forwards, resets, drops   []tally.Counter
 	returns                   []tally.Counter
 	lookupTime                tally.Histogram
-	revision, version         tally.Gauge
+	era, revision, version    tally.Gauge
 	upstreams                 tally.Gauge
 	logLimit                  gdloglimit.Limiter
 }
@@ -35,7 +35,7 @@
 	c.bulkQueued, c.bulkDropped = scope.Counter("bulk_packets_queued"), scope.Counter("bulk_packets_dropped")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
-	c.revision, c.version = scope.Gauge("revision"), scope.Gauge("version")
+	c.era, c.revision, c.version = scope.Gauge("era"), scope.Gauge("revision"), scope.Gauge("version")
 	c.upstreams = scope.Gauge("upstreams")
 	c.lookupTime = scope.Histogram("settle_seconds", gdmetric.LatencyBuckets())
 	for r := range gddispatch.NumReasons() {
@@ -79,7 +79,8 @@
 func (c *counters) countReturn(r gdguard.Reason) { c.returns[r].Inc(1) }
 
 func (c *counters) recordView(v *gddiscovery.View) {
-	c.revision.Update(float64(v.Revision()))
+	c.revision.Update(float64(v.Revision().Number()))
+	c.era.Update(float64(v.Revision().Era()))
 	c.version.Update(float64(v.Version()))
 	c.upstreams.Update(float64(len(v.Upstreams())))
 }
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -77,6 +77,8 @@
 	to := slices.Clone(e.election.Tick(now, age))
 	reads := e.election.Reading()
 	b := gdfeed.Beacon{Beacon: e.election.Beacon(now, e.state.Revision(), age)}
+	_, b.Unconfirmed = e.state.Unconfirmed()
+	b.SettlingLeft = e.state.SettlingLeft(now)
 	if base, ok := e.history.Base(); reads && ok && len(to) > 0 {
 		b.BaseRevision = max(base, e.state.CompleteSince())
 		b.Update = e.state.ChangesSince(now, b.BaseRevision)
@@ -119,7 +121,7 @@
 
 // readingChanged logs that the host has started or stopped reading the source, and
 // wakes the reading goroutine.
-func (e *EntryHost) readingChanged(reads bool, known int, revision uint64, age time.Duration) {
+func (e *EntryHost) readingChanged(reads bool, known int, revision gddiscovery.Revision, age time.Duration) {
 	ev := gdlog.BecameFollower
 	if reads {
 		ev = gdlog.BecameReader
@@ -182,13 +184,12 @@
 	e.mu.Lock()
 	e.election.HandleBeacon(now, origin, b.Beacon)
 	current := e.state.Revision()
-	loaded := e.state.Loaded()
-	if loaded && b.Reading && (b.Revision == current || b.BaseRevision > 0 && b.BaseRevision <= current && b.Revision > current) {
+	if e.state.Loaded() && b.Reading && (b.Revision == current || b.BaseRevision > 0 && b.BaseRevision <= current && b.Revision > current) {
 		e.applyLocked(now, b.Update, (*gddiscovery.State).Apply, origin.String())
-		current = e.state.Revision()
 	}
+	behind := b.Revision > e.state.Revision() || e.learnsFrom(now, b)
 	e.mu.Unlock()
-	if b.Revision > current {
+	if behind {
 		select {
 		case e.behind <- sender:
 		default:
@@ -196,6 +197,19 @@
 	}
 }
 
+// learnsFrom notes how long the sender's view may lack upstreams since the source was
+// restored, and reports whether the sender keeps other things from before than this host.
+// It is called with mu locked.
+func (e *EntryHost) learnsFrom(now time.Time, b gdfeed.Beacon) bool {
+	if !e.state.Loaded() || b.Revision.Era() != e.state.Revision().Era() {
+		return false
+	}
+	e.state.ExtendSettling(now, b.SettlingLeft)
+	e.confirmView(now)
+	_, sum := e.state.Unconfirmed()
+	return b.Unconfirmed != 0 && b.Unconfirmed != sum
+}
+
 // serveUpdates serves updates to other entry hosts.
 func (e *EntryHost) serveUpdates(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -207,7 +221,7 @@
 		}
 		now := time.Now()
 		e.mu.Lock()
-		u := e.state.ChangesSince(now, after)
+		u := e.state.UpdateSince(now, gddiscovery.Revision(after))
 		e.mu.Unlock()
 		if err := gdfeed.WriteUpdate(w, u); err != nil {
 			e.metrics.failedWrites.Inc(1)
@@ -250,7 +264,7 @@
 
 // fetchUpdate fetches and applies the changes after the revision, or the full state if
 // that is 0.
-func (e *EntryHost) fetchUpdate(ctx context.Context, client *http.Client, host gdflow.Address, after uint64) error {
+func (e *EntryHost) fetchUpdate(ctx context.Context, client *http.Client, host gdflow.Address, after gddiscovery.Revision) error {
 	requested := time.Now()
 	u, err := fetch(ctx, client, host, after)
 	if err != nil {
@@ -272,10 +286,10 @@
 }
 
 // fetch fetches the changes after the revision from another entry host.
-func fetch(ctx context.Context, c *http.Client, host gdflow.Address, after uint64) (gddiscovery.Update, error) {
+func fetch(ctx context.Context, c *http.Client, host gdflow.Address, after gddiscovery.Revision) (gddiscovery.Update, error) {
 	u := url.URL{
 		Scheme: "http", Host: host.String(), Path: updatesPath,
-		RawQuery: url.Values{afterParam: {strconv.FormatUint(after, 10)}}.Encode(),
+		RawQuery: url.Values{afterParam: {strconv.FormatUint(uint64(after), 10)}}.Encode(),
 	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), nil)
 	if err != nil {
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -35,10 +35,12 @@
 
 // Source provides the state of the deployment.
 type Source interface {
-	// Load returns the full state.
+	// Load returns the full state. It and Watch return an error if the answer is from an
+	// earlier era than the source is known to be in.
 	Load(ctx context.Context) (gddiscovery.Update, error)
-	// Watch returns the changes after the revision. It waits for one up to the duration.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (gddiscovery.Update, error)
+	// Watch returns the changes after the revision. It waits for one up to the duration. The
+	// error is ErrHistoryLost if the source has begun another era since.
+	Watch(ctx context.Context, after gddiscovery.Revision, wait time.Duration) (gddiscovery.Update, error)
 }
 
 // follow loads the state, and watches the source while this host is a reader.
@@ -81,7 +83,7 @@
 	return e.state.Loaded(), e.election.Reading()
 }
 
-func (e *EntryHost) revision() uint64 {
+func (e *EntryHost) revision() gddiscovery.Revision {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.state.Revision()
@@ -130,8 +132,14 @@
 
 // applyLocked applies an update. It is called with mu locked.
 func (e *EntryHost) applyLocked(now time.Time, u gddiscovery.Update, f updateFunc, source string) {
+	before := e.state.Revision()
 	changed := f(&e.state, now, u)
-	e.dispatcher.ConfirmView(now.Add(-e.state.Age(now)))
+	e.confirmView(now)
+	if after := e.state.Revision(); after.Era() > before.Era() && before != 0 {
+		kept, _ := e.state.Unconfirmed()
+		e.Log.Event(gdlog.SourceRestored, "revision", after, "before", before, "version", e.state.View().Version(), "kept", kept,
+			"settled-in", e.state.SettlingLeft(now).String(), "source", source)
+	}
 	if !changed {
 		return
 	}
@@ -147,6 +155,12 @@
 	}
 }
 
+// confirmView passes the age of the state to the dispatcher, and from when on it lists all
+// upstreams. It is called with mu locked.
+func (e *EntryHost) confirmView(now time.Time) {
+	e.dispatcher.ConfirmView(now.Add(-e.state.Age(now)), now.Add(e.state.SettlingLeft(now)))
+}
+
 // execute executes the actions after a change of the view. It is called with mu locked.
 func (e *EntryHost) execute(now time.Time, actions []gddispatch.Action) {
 	if !e.election.Reading() {
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -34,7 +34,7 @@
 	added   chan struct{}
 }
 
-func (s *source) update(after uint64) gddiscovery.Update {
+func (s *source) update(after gddiscovery.Revision) gddiscovery.Update {
 	u := gddiscovery.Update{}
 	for _, c := range s.changes {
 		u.Revision = max(u.Revision, c.Revision)
@@ -52,7 +52,7 @@
 	return s.update(0), nil
 }
 
-func (s *source) Watch(ctx context.Context, after uint64, wait time.Duration) (gddiscovery.Update, error) {
+func (s *source) Watch(ctx context.Context, after gddiscovery.Revision, wait time.Duration) (gddiscovery.Update, error) {
 	s.mu.Lock()
 	u, lost := s.update(after), s.lost
 	s.lost = false
@@ -119,11 +119,11 @@
 	return portOf(c)
 }
 
-func config(revision uint64, address gdflow.Address) gddiscovery.Change {
+func config(revision gddiscovery.Revision, address gdflow.Address) gddiscovery.Change {
 	return gddiscovery.Change{
 		Subject: gddiscovery.Subject{Kind: gddiscovery.Configuration}, Revision: revision,
 		Config: &gddiscovery.Config{
-			Version: revision, IdleTimeout: 15 * time.Second,
+			Version: uint64(revision), IdleTimeout: 15 * time.Second,
 			Routes:   []gddiscovery.Route{{Name: "r", Address: address, Shares: []gddiscovery.Share{{Service: "booking", Weight: 1}}}},
 			Services: []gddiscovery.Service{{Name: "booking"}},
 		},
@@ -273,7 +273,7 @@
 	return u, err
 }
 
-func (s lateSource) Watch(ctx context.Context, after uint64, wait time.Duration) (gddiscovery.Update, error) {
+func (s lateSource) Watch(ctx context.Context, after gddiscovery.Revision, wait time.Duration) (gddiscovery.Update, error) {
 	select {
 	case s.waits <- wait:
 	default:
@@ -308,7 +308,7 @@
 	return gddiscovery.Update{}, ctx.Err()
 }
 
-func (unresponsiveSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (gddiscovery.Update, error) {
+func (unresponsiveSource) Watch(ctx context.Context, _ gddiscovery.Revision, _ time.Duration) (gddiscovery.Update, error) {
 	<-ctx.Done()
 	return gddiscovery.Update{}, ctx.Err()
 }
--- a/internal/process/gdentry/state.go
+++ b/internal/process/gdentry/state.go
@@ -1,14 +1,20 @@
 package gdentry
 
-import "time"
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+)
 
 // State is the state of an entry host, for operators.
 type State struct {
 	// Revision and Version are those of the view and of its configuration. AgeMS is the
 	// time since the view was confirmed, in milliseconds.
-	Revision uint64 `json:"revision"`
-	Version  uint64 `json:"version"`
-	AgeMS    int64  `json:"age-ms"`
+	Revision gddiscovery.Revision `json:"revision"`
+	Version  uint64               `json:"version"`
+	AgeMS    int64                `json:"age-ms"`
+	// Unconfirmed counts the subjects kept from an earlier era of the source.
+	Unconfirmed int `json:"unconfirmed"`
 	// Upstreams counts those in the view, DomainsOut the failure domains that are out.
 	Upstreams  int `json:"upstreams"`
 	DomainsOut int `json:"domains-out"`
@@ -38,6 +44,7 @@
 		SilentHosts: e.dispatcher.SilentHosts(), SuspectHosts: e.dispatcher.Suspects(now),
 		ReadsStore: e.election.Reading(), Peers: e.election.KnownHosts(), Ready: e.Ready(), CutOff: e.dispatcher.CutOff(),
 	}
+	s.Unconfirmed, _ = e.state.Unconfirmed()
 	if v := e.state.View(); v != nil {
 		s.Version, s.Upstreams, s.DomainsOut = v.Version(), len(v.Upstreams()), v.DomainsOut()
 	}
--- a/internal/process/gdpacketagent/state.go
+++ b/internal/process/gdpacketagent/state.go
@@ -1,14 +1,18 @@
 package gdpacketagent
 
-import "time"
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+)
 
 // State is the state of an agent, for operators.
 type State struct {
 	// Revision is the highest one that an entry host has reported. AcceptsNew and Slots
 	// are the upstream's status at that revision.
-	Revision   uint64 `json:"revision"`
-	AcceptsNew bool   `json:"takes-new"`
-	Slots      uint8  `json:"slots"`
+	Revision   gddiscovery.Revision `json:"revision"`
+	AcceptsNew bool                 `json:"takes-new"`
+	Slots      uint8                `json:"slots"`
 	// Flows counts the cached flows, Load the requests in progress or queued.
 	Flows int  `json:"flows"`
 	Load  int  `json:"load"`
--- a/internal/rig/gdhostrig/operator.go
+++ b/internal/rig/gdhostrig/operator.go
@@ -1,6 +1,7 @@
 package gdhostrig
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -96,6 +97,7 @@
 // SetDomainOut takes a failure domain out of service or puts it back in service.
 func (r *Rig) SetDomainOut(now time.Time, domain string, out bool) {
 	r.store.SetDomainOut(now, domain, out)
+	r.domainsOut[domain] = out
 	kind := DomainBack
 	if out {
 		kind = DomainOut
@@ -143,6 +145,66 @@
 	r.ReportFault(now, h, text, d, func(time.Time) { r.store.SetFaults(name, platformsim.Faults{}) })
 }
 
+const (
+	// operatorReturn is the time from a restore of the store until the operator has written
+	// again what was lost.
+	operatorReturn = 2500 * time.Millisecond
+	// maxRegisterDelay is the maximum time until an upstream has.
+	maxRegisterDelay = 1900 * time.Millisecond
+)
+
+// RestoreStore makes the store unavailable for the time away and then restores it from a
+// copy of the given age. The operator and the upstreams write again what was lost.
+func (r *Rig) RestoreStore(now time.Time, age, away time.Duration) {
+	r.store.SetFaults("", platformsim.Faults{Unavailable: true})
+	r.ReportFault(now, nil, "restore", away, func(now time.Time) {
+		lost := platformsim.NewLost(r.store.Restore(now.Add(-away - age)))
+		r.store.SetFaults("", platformsim.Faults{})
+		r.After(operatorReturn, func(now time.Time) { r.writeAgain(now, lost) })
+		r.registerAgain(lost.Upstreams)
+	})
+}
+
+// writeAgain writes what the operator has written and the store has lost.
+func (r *Rig) writeAgain(now time.Time, lost platformsim.Lost) {
+	if lost.Config {
+		r.store.PutConfig(now, r.config)
+	}
+	for _, d := range lost.Domains {
+		r.store.SetDomainOut(now, d, r.domainsOut[d])
+	}
+}
+
+// registerAgain makes the upstreams write their registrations again after random delays.
+// Those of upstreams that have stopped expire.
+func (r *Rig) registerAgain(ids []string) {
+	running := make(map[string]*Upstream)
+	for _, h := range r.Hosts(RoleAgent) {
+		if u := h.upstream; u != nil && u.running() {
+			running[u.ID] = u
+		}
+	}
+	for _, id := range ids {
+		if u := running[id]; u != nil {
+			delay := time.Duration(r.rand.Int64N(int64(maxRegisterDelay)))
+			r.After(delay, func(now time.Time) { u.registerAgain(now) })
+			continue
+		}
+		r.After(maxMissedRegistrations*registerInterval, func(now time.Time) {
+			if r.store.HasUpstream(id) && !r.runs(id) {
+				r.store.RemoveUpstream(now, id)
+			}
+		})
+	}
+}
+
+// runs reports whether the upstream with the ID is running.
+func (r *Rig) runs(id string) bool {
+	return slices.ContainsFunc(r.Hosts(RoleAgent), func(h *Host) bool {
+		return h.upstream != nil && h.upstream.ID == id && h.upstream.running()
+	})
+}
+
 // DropHistory makes the store drop its history of changes.
 func (r *Rig) DropHistory(now time.Time) {
 	r.observe(Event{At: now, Kind: PlannedWork, Text: "forget history"})
--- a/internal/rig/gdhostrig/rig.go
+++ b/internal/rig/gdhostrig/rig.go
@@ -73,6 +73,7 @@
 	names           map[netip.Addr]string
 	callers         callers
 	config          gddiscovery.Config
+	domainsOut      map[string]bool
 	routeCount      int // the number of routes added so far
 	lastNumbers     map[byte]byte
 	firstStart      bool // the whole deployment starts for the first time
@@ -107,6 +108,7 @@
 	r.rand = rand.New(rand.NewPCG(r.Seed, 1))
 	r.datagramProxy.Rand = rand.New(rand.NewPCG(r.Seed, 2))
 	r.store = platformsim.NewStore(historyRetention)
+	r.domainsOut = make(map[string]bool)
 	r.names, r.lastNumbers = make(map[netip.Addr]string), make(map[byte]byte)
 	if err := r.claimNetwork(); err != nil {
 		return err
--- a/internal/rig/gdhostrig/upstream.go
+++ b/internal/rig/gdhostrig/upstream.go
@@ -220,12 +220,15 @@
 		return
 	}
 	u.rig.store.RemoveUpstream(now, u.ID)
-	u.rig.ReportFault(now, nil, "lapse "+u.ID, d, func(now time.Time) {
-		if u.running() {
-			u.registered = gddiscovery.Upstream{}
-			u.register(now)
-		}
-	})
+	u.rig.ReportFault(now, nil, "lapse "+u.ID, d, u.registerAgain)
+}
+
+// registerAgain writes the registration even if it has not changed.
+func (u *Upstream) registerAgain(now time.Time) {
+	if u.running() {
+		u.registered = gddiscovery.Upstream{}
+		u.register(now)
+	}
 }
 
 func (u *Upstream) reportStopped(now time.Time) {
--- a/internal/rig/gdsoak/faults.go
+++ b/internal/rig/gdsoak/faults.go
@@ -26,6 +26,13 @@
 	maxFaultDuration = 2500 * time.Millisecond
 )
 
+// A storm of configurations consists of stormChanges changes at stormInterval.
+const (
+	stormChanges  = 8
+	stormInterval = 150 * time.Millisecond
+	stormDuration = stormChanges * stormInterval
+)
+
 // minUpstreams is the number of upstreams of a service that are kept running.
 const minUpstreams = 2
 
@@ -111,8 +118,68 @@
 	}},
 }
 
-// laterFaults are kinds that came later. They are injected beside the others, so that the
+// faultSet is a set of kinds that came later. It is drawn apart from the others, so that the
 // seeds keep the faults that they had.
+type faultSet struct {
+	// stream selects the random numbers of the set.
+	stream uint64
+	// meanInterval is the mean time between two faults.
+	meanInterval time.Duration
+	kinds        []fault
+}
+
+// laterSets are the later kinds of faults in the order in which they were added.
+var laterSets = []faultSet{
+	{stream: 4, meanInterval: 3 * time.Second, kinds: laterFaults},
+	{stream: 5, meanInterval: 6 * time.Second, kinds: restoreFaults},
+}
+
+// restoreFaults restore the store from a copy.
+var restoreFaults = []fault{
+	{"restore", false, func(p *injector, now time.Time) { p.RestoreStore(now, 2*p.randomDuration(), p.randomDuration()) }},
+	{"restore-twice", false, func(p *injector, now time.Time) {
+		away := p.randomDuration()
+		p.RestoreStore(now, p.randomDuration(), away)
+		p.After(away+p.randomDuration(), func(now time.Time) { p.RestoreStore(now, p.randomDuration(), minFaultDuration) })
+	}},
+	{"restore-after-change", false, func(p *injector, now time.Time) {
+		p.ChangeConfig(now)
+		p.domainOut(now)
+		p.scaleOut(now)
+		p.withSpareUpstream(func(u *gdhostrig.Upstream) { u.Drain(now) })
+		p.After(minFaultDuration, func(now time.Time) { p.RestoreStore(now, minFaultDuration+p.randomDuration(), minFaultDuration) })
+	}},
+	{"restore-after-storm", false, (*injector).restoreAfterStorm},
+	{"restore-with-newcomers", false, (*injector).restoreWithNewcomers},
+}
+
+// restoreAfterStorm restores the store from a copy that lacks the second half of a series of
+// configurations which have taken effect since.
+func (p *injector) restoreAfterStorm(now time.Time) {
+	const effect = time.Second
+	p.configStorm(now)
+	p.After(stormDuration+effect, func(now time.Time) {
+		p.RestoreStore(now, effect+stormDuration/2, minFaultDuration)
+		p.After(minFaultDuration+stableTime+effect, p.ChangeConfig) // the bound applies to it
+	})
+}
+
+// restoreWithNewcomers restores the store from a copy that lacks a new upstream, which holds
+// flows. Entry hosts that start at the same time know only the copy.
+func (p *injector) restoreWithNewcomers(now time.Time) {
+	const newcomers, effect, restoreMargin = 2, 2 * time.Second, 50 * time.Millisecond
+	p.scaleOut(now)
+	p.After(effect, func(now time.Time) {
+		p.RestoreStore(now, effect+minFaultDuration, minFaultDuration)
+	})
+	p.After(effect+minFaultDuration+restoreMargin, func(now time.Time) {
+		for range newcomers {
+			_, err := p.AddEntry(now, p.randomDomain())
+			p.reportError(err)
+		}
+	})
+}
+
 var laterFaults = []fault{
 	{"slow-upstream", false, func(p *injector, now time.Time) {
 		if all := p.Upstreams(); len(all) > 0 {
@@ -197,9 +264,8 @@
 }
 
 func (p *injector) configStorm(now time.Time) {
-	const changes, interval = 8, 150 * time.Millisecond
-	for i := range changes {
-		p.After(time.Duration(i)*interval, p.ChangeConfig)
+	for i := range stormChanges {
+		p.After(time.Duration(i)*stormInterval, p.ChangeConfig)
 	}
 }
 
@@ -227,5 +293,13 @@
 
 // FaultNames returns the names of all kinds of faults, separated by commas.
 func FaultNames() string {
-	return strings.Join(lo.Map(slices.Concat(faults, laterFaults), func(f fault, _ int) string { return f.name }), ", ")
+	return strings.Join(lo.Map(allFaults(), func(f fault, _ int) string { return f.name }), ", ")
+}
+
+func allFaults() []fault {
+	all := slices.Clone(faults)
+	for _, set := range laterSets {
+		all = append(all, set.kinds...)
+	}
+	return all
 }
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -17,8 +17,9 @@
 // Mutant is a variant of the product in which a mechanism that a promise depends on is
 // disabled.
 type Mutant struct {
-	// Promise is the name of the promise that the variant breaks.
-	Promise string
+	// Promise is the name of the promise that the variant breaks, and Variant tells apart
+	// variants that break the same one.
+	Promise, Variant string
 	// Faults names the faults that reveal the breach.
 	Faults []string
 	edits  []edit
@@ -27,7 +28,7 @@
 // edit replaces a text that occurs exactly once in a source file.
 type edit struct{ file, old, new string }
 
-// Mutants returns one mutant for each promise that a defect of the product alone can
+// Mutants returns at least one mutant for each promise that a defect of the product alone can
 // break. The other promises follow from the packets' signatures; the tests of [Checker]
 // show that it detects their breaches too.
 func Mutants() []Mutant {
@@ -38,23 +39,23 @@
 		proof  = "internal/core/gddispatch/proof.go"
 	)
 	return []Mutant{
-		{drained, []string{"scale-in"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.domainOut"}}},
-		{domainOut, []string{"domain-out"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.upstream.Draining"}}},
-		{coldStart, []string{"scale-out", "replace"}, []edit{
+		{drained, "", []string{"scale-in"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.domainOut"}}},
+		{domainOut, "", []string{"domain-out"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.upstream.Draining"}}},
+		{coldStart, "", []string{"scale-out", "replace"}, []edit{
 			{"internal/core/gdguard/admission.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
 		}},
-		{rightService, []string{"config"}, []edit{
+		{rightService, "", []string{"config"}, []edit{
 			{"platform/values.go", "gddiscovery.Share{{Service: r.Service,", "gddiscovery.Share{{Service: \"gallery\","},
 		}},
-		{flowStays, []string{"replace", "terminate-entry"}, []edit{
+		{flowStays, "", []string{"replace", "terminate-entry"}, []edit{
 			{lookup, "len(f.lookup.attempts) < maxSerialQueries", "len(f.lookup.attempts) < 1"},
 			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)", "return false"},
-			{proof, "len(l.attempts) == 0 || now.Sub(d.confirmed) > maxViewAge || d.nextCandidate(0, r, l) != nil", "len(l.attempts) == 0"},
+			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || d.nextCandidate(0, r, l) != nil", "len(l.attempts) == 0"},
 		}},
-		{configInTime, []string{"config"}, []edit{
+		{configInTime, "", []string{"config"}, []edit{
 			{state, "c.Kind == Configuration && (c.Removed || c.Config == nil)", "c.Kind == Configuration && known"},
 		}},
-		{configNeverBack, []string{"config"}, []edit{
+		{configNeverBack, "", []string{"config"}, []edit{
 			{
 				view, "v.routes, v.services = s.routing(v.config)",
 				"v.routes, v.services = s.routing(v.config)\n" +
@@ -68,18 +69,32 @@
 			},
 			{view, "func newPool(", "var (\nmutantRoutes []map[gdflow.Address]*Route\nmutantVersion uint64\n)\n\nfunc newPool("},
 		}},
-		{unaltered, []string{"config"}, []edit{
+		{unaltered, "", []string{"config"}, []edit{
 			{"internal/process/gdentry/packets.go", "\t\te.Codec.ClearReserved(b)\n", "\t\te.Codec.ClearReserved(b)\n\t\tb[0]++\n"},
 		}},
-		{recovers, []string{"config"}, []edit{
+		{recovers, "", []string{"config"}, []edit{
 			{"internal/process/gdentry/entry.go", "return e.ready.Load() && !e.leaving.Load() && !e.cutOff.Load()", "return false"},
 		}},
-		{keepsRunning, []string{"garbage"}, []edit{
+		{configNeverBack, "copy-wins", []string{"restore-after-storm"}, []edit{
+			{state, "return v > r.change.version()", "return c.Revision > r.change.Revision"},
+		}},
+		{configInTime, "no-era", []string{"restore-after-storm", "config"}, []edit{
+			{"platform/store.go", "n, err := strconv.ParseUint(text, 10, 64)", "n, err := strconv.ParseUint(\"0\", 10, 64)"},
+		}},
+		{keepsRunning, "", []string{"garbage"}, []edit{
 			{state, "	old, known := s.records[c.Subject]", "	old, known := s.records[c.Subject]\nif c.Kind == Registration && c.Removed && !known {\npanic(\"mutant\")\n}"},
 		}},
 	}
 }
 
+// Name returns the name of the mutant.
+func (m Mutant) Name() string {
+	if m.Variant == "" {
+		return m.Promise
+	}
+	return m.Promise + "/" + m.Variant
+}
+
 // writeOverlay writes the mutant's files to dir and returns the overlay file with which
 // the go command compiles them instead of those below root.
 func (m Mutant) writeOverlay(root, dir string) (string, error) {
@@ -95,7 +110,7 @@
 			text = string(data)
 		}
 		if n := strings.Count(text, e.old); n != 1 {
-			return "", errors.Errorf("mutant of %s: %s contains %q %d times instead of once", m.Promise, e.file, e.old, n)
+			return "", errors.Errorf("mutant of %s: %s contains %q %d times instead of once", m.Name(), e.file, e.old, n)
 		}
 		texts[path] = strings.Replace(text, e.old, e.new, 1)
 	}
@@ -120,7 +135,7 @@
 // Run builds the mutant from the sources below root and runs a soak of seed 1 with it, in
 // a directory below dir. It returns how many breaches of the promise the checks detected.
 func (m Mutant) Run(ctx context.Context, root, dir string, shape gdhostrig.Shape) (int, error) {
-	dir = filepath.Join(dir, "mutant-"+m.Promise)
+	dir = filepath.Join(dir, "mutant-"+m.Promise+"-"+m.Variant)
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return 0, errors.WithStack(err)
 	}
@@ -132,7 +147,7 @@
 	build := exec.CommandContext(ctx, "go", "build", "-overlay", file, "-o", binary, "./cmd/gdhost")
 	build.Dir = root
 	if out, err := build.CombinedOutput(); err != nil {
-		return 0, errors.Wrapf(err, "build mutant of %s: %s", m.Promise, out)
+		return 0, errors.Wrapf(err, "build mutant of %s: %s", m.Name(), out)
 	}
 	s := &Soak{Binary: binary, Dir: filepath.Join(dir, "run"), Seed: 1, Shape: shape, FaultPeriod: mutantFaultPeriod, OnlyFaults: m.Faults}
 	r, err := s.Run(ctx)
--- a/internal/rig/gdsoak/regressions.go
+++ b/internal/rig/gdsoak/regressions.go
@@ -3,8 +3,8 @@
 // Regression is a seed that once broke a promise.
 type Regression struct {
 	Seed uint64
-	// Later reports that the defect needs the later kinds of faults.
-	Later bool
+	// LaterSets is how many of the later sets of faults the seed had.
+	LaterSets int
 	// Cause describes the defect and names the test that reproduces it without processes.
 	// The defect is in the product, in the rig or in a check.
 	Cause string
@@ -14,12 +14,12 @@
 // 12 s.
 func Regressions() []Regression {
 	return []Regression{
-		{9, false, "unresolved: an entry host exited 27 ms after its start without output, as one does that SIGHUP ends (seed 1796358542874); once in three runs of the seed"},
-		{14, false, "an entry host that had just loaded sent a peer changes without the removals before its load: gddiscovery TestRemovalBeforeLoadNeedsFullUpdate; and the rig counted closed flows as held: gdhostrig TestClosedFlowsDoNotCountTowardsLimit"},
-		{16, false, "an upstream restarted and only its agent could observe it: gdguard TestUnreportedRestartTriggersSlowStart"},
-		{31, false, "same cause as seed 16"},
-		{49, false, "the check expected a service without upstreams to accept flows: gdsoak TestChecker"},
-		{1796358542874, false, "SIGHUP within some 10 ms of the start of a process, before main had asked for the signal, ended the process"},
-		{107, true, "an upstream that was silent and then gone got no probe any more, so that it stayed without flows after its return: gdguard TestReturnedUpstreamIsFound; once in four runs"},
+		{9, 0, "unresolved: an entry host exited 27 ms after its start without output, as one does that SIGHUP ends (seed 1796358542874); once in three runs of the seed"},
+		{14, 0, "an entry host that had just loaded sent a peer changes without the removals before its load: gddiscovery TestRemovalBeforeLoadNeedsFullUpdate; and the rig counted closed flows as held: gdhostrig TestClosedFlowsDoNotCountTowardsLimit"},
+		{16, 0, "an upstream restarted and only its agent could observe it: gdguard TestUnreportedRestartTriggersSlowStart"},
+		{31, 0, "same cause as seed 16"},
+		{49, 0, "the check expected a service without upstreams to accept flows: gdsoak TestChecker"},
+		{1796358542874, 0, "SIGHUP within some 10 ms of the start of a process, before main had asked for the signal, ended the process"},
+		{107, 1, "an upstream that was silent and then gone got no probe any more, so that it stayed without flows after its return: gdguard TestReturnedUpstreamIsFound; once in four runs"},
 	}
 }
--- a/internal/rig/gdsoak/soak.go
+++ b/internal/rig/gdsoak/soak.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdhostrig"
 )
@@ -27,8 +28,6 @@
 	maxBatchSize = 3
 	// meanBatchInterval is the mean time between two batches of faults.
 	meanBatchInterval = 700 * time.Millisecond
-	// meanLaterInterval is the mean time between two faults of the later kinds.
-	meanLaterInterval = 3 * time.Second
 	// domainOutDelay is the time from the end of the fault period until a domain goes
 	// out of service, so that it is back before operations are measured.
 	domainOutDelay = recoverTime - domainOutBound - maxFaultDuration
@@ -103,21 +102,32 @@
 	return steps
 }
 
-// laterSteps returns the faults of the later kinds, drawn apart from the others. Seeds that
-// reproduce an earlier defect have none.
+// laterSteps returns the faults of the later sets. Seeds that reproduce an earlier defect
+// have only those that they had then.
 func (s *Soak) laterSteps() []step {
-	regression := slices.ContainsFunc(Regressions(), func(r Regression) bool { return r.Seed == s.Seed && !r.Later })
-	if s.Seed%plannedSeedInterval == 0 || regression {
+	if s.Seed%plannedSeedInterval == 0 {
 		return nil
 	}
-	rnd := rand.New(rand.NewPCG(s.Seed, 4))
-	var steps []step
-	for at := firstFaultAt; at < firstFaultAt+s.FaultPeriod; {
-		f := laterFaults[rnd.IntN(len(laterFaults))]
-		if s.allows(f.name) {
-			steps = append(steps, step{at: at, fault: f})
+	sets := laterSets
+	for _, r := range Regressions() {
+		if r.Seed == s.Seed {
+			sets = sets[:r.LaterSets]
 		}
-		at += time.Duration(rnd.ExpFloat64() * float64(meanLaterInterval))
+	}
+	var steps []step
+	for _, set := range sets {
+		steps = append(steps, s.drawSteps(set)...)
+	}
+	return steps
+}
+
+func (s *Soak) drawSteps(set faultSet) []step {
+	rnd := rand.New(rand.NewPCG(s.Seed, set.stream))
+	kinds := lo.Filter(set.kinds, func(f fault, _ int) bool { return s.allows(f.name) })
+	var steps []step
+	for at := firstFaultAt; at < firstFaultAt+s.FaultPeriod && len(kinds) > 0; {
+		steps = append(steps, step{at: at, fault: kinds[rnd.IntN(len(kinds))]})
+		at += time.Duration(rnd.ExpFloat64() * float64(set.meanInterval))
 	}
 	return steps
 }
--- a/internal/rig/gdsoak/soak_test.go
+++ b/internal/rig/gdsoak/soak_test.go
@@ -40,7 +40,7 @@
 			}
 		}
 	}
-	require.Len(t, seen, len(faults)+len(laterFaults))
+	require.Len(t, seen, len(allFaults()))
 }
 
 // TestShortSoak runs one seed with planned work only and one with all kinds of faults
--- a/internal/wire/gdfeed/change.go
+++ b/internal/wire/gdfeed/change.go
@@ -11,13 +11,13 @@
 
 func toChanges(changes []gddiscovery.Change) []wireChange {
 	return lo.Map(changes, func(c gddiscovery.Change, _ int) wireChange {
-		w := wireChange{Kind: uint8(c.Kind), Name: c.Name, Revision: c.Revision, Removed: c.Removed}
+		w := wireChange{Kind: uint8(c.Kind), Name: c.Name, Revision: uint64(c.Revision), Removed: c.Removed}
 		if c.Config != nil {
 			w.Config = toConfig(c.Config)
 		}
 		if d := c.Delta; d != nil {
 			w.Delta = &wireDelta{
-				Since: d.Since, Config: *toConfig(&d.Config), RemovedRoutes: d.RemovedRoutes,
+				Since: uint64(d.Since), Config: *toConfig(&d.Config), RemovedRoutes: d.RemovedRoutes,
 				RemovedServices: d.RemovedServices, Sum: d.Sum,
 			}
 		}
@@ -62,7 +62,7 @@
 	for _, w := range changes {
 		c := gddiscovery.Change{
 			Subject:  gddiscovery.Subject{Kind: gddiscovery.Kind(w.Kind), Name: w.Name},
-			Revision: w.Revision, Removed: w.Removed,
+			Revision: gddiscovery.Revision(w.Revision), Removed: w.Removed,
 		}
 		switch {
 		case c.Kind == gddiscovery.Configuration && w.Config != nil:
@@ -70,7 +70,7 @@
 		case c.Kind == gddiscovery.Configuration && w.Delta != nil:
 			d := w.Delta
 			c.Delta = &gddiscovery.ConfigDelta{
-				Since: d.Since, Config: *d.Config.config(), RemovedRoutes: d.RemovedRoutes,
+				Since: gddiscovery.Revision(d.Since), Config: *d.Config.config(), RemovedRoutes: d.RemovedRoutes,
 				RemovedServices: d.RemovedServices, Sum: d.Sum,
 			}
 		case c.Kind == gddiscovery.Registration && (w.Upstream != nil || w.Removed):
--- a/internal/wire/gdfeed/feed.go
+++ b/internal/wire/gdfeed/feed.go
@@ -45,7 +45,7 @@
 type Beacon struct {
 	gdreaders.Beacon
 	// BaseRevision is the revision to which the changes apply.
-	BaseRevision uint64
+	BaseRevision gddiscovery.Revision
 	Update       gddiscovery.Update
 }
 
@@ -59,6 +59,8 @@
 	Members      []wireMember `cbor:"6,keyasint,omitempty"`
 	BaseRevision uint64       `cbor:"7,keyasint,omitempty"`
 	Changes      []wireChange `cbor:"8,keyasint,omitempty"`
+	Unconfirmed  uint64       `cbor:"10,keyasint,omitempty"`
+	SettlingMS   uint32       `cbor:"11,keyasint,omitempty"`
 }
 
 type wireMember struct {
@@ -159,7 +161,8 @@
 // fetch it.
 func EncodeBeacons(b Beacon) ([][]byte, error) {
 	w := wireBeacon{
-		Revision: b.Revision, AgeMS: toMS(b.Age), Rank: b.Rank, Domain: b.Domain, Reading: b.Reading, Leaving: b.Leaving,
+		Revision: uint64(b.Revision), AgeMS: toMS(b.Age), Rank: b.Rank, Domain: b.Domain, Reading: b.Reading, Leaving: b.Leaving,
+		Unconfirmed: b.Unconfirmed, SettlingMS: toMS(b.SettlingLeft),
 	}
 	for _, m := range b.Members {
 		w.Members = append(w.Members, wireMember{Address: toAddress(m.Address), Rank: m.Rank})
@@ -169,9 +172,9 @@
 		return [][]byte{data}, err
 	}
 	var out [][]byte
-	base, changes := b.BaseRevision, toChanges(b.Update.Changes)
+	base, changes := uint64(b.BaseRevision), toChanges(b.Update.Changes)
 	for {
-		n, data, err := encodePrefix(w, base, b.Revision, changes)
+		n, data, err := encodePrefix(w, base, uint64(b.Revision), changes)
 		if err != nil {
 			return nil, err
 		}
@@ -224,10 +227,11 @@
 	}
 	out := Beacon{
 		Beacon: gdreaders.Beacon{
-			Revision: w.Revision, Age: fromMS(w.AgeMS), Rank: w.Rank, Domain: w.Domain, Reading: w.Reading, Leaving: w.Leaving,
+			Revision: gddiscovery.Revision(w.Revision), Age: fromMS(w.AgeMS), Rank: w.Rank, Domain: w.Domain, Reading: w.Reading, Leaving: w.Leaving,
+			Unconfirmed: w.Unconfirmed, SettlingLeft: fromMS(w.SettlingMS),
 		},
-		BaseRevision: w.BaseRevision,
-		Update:       gddiscovery.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS)},
+		BaseRevision: gddiscovery.Revision(w.BaseRevision),
+		Update:       gddiscovery.Update{Changes: changes, Revision: gddiscovery.Revision(w.Revision), Age: fromMS(w.AgeMS)},
 	}
 	for _, m := range w.Members {
 		out.Members = append(out.Members, gdreaders.Member{Address: m.Address.address(), Rank: m.Rank})
@@ -245,7 +249,7 @@
 		return errors.Wrap(err, "write update")
 	}
 	if err := cbor.NewEncoder(fw).Encode(wireUpdate{
-		Revision: u.Revision, AgeMS: toMS(u.Age), Changes: toChanges(u.Changes), Full: u.Full,
+		Revision: uint64(u.Revision), AgeMS: toMS(u.Age), Changes: toChanges(u.Changes), Full: u.Full,
 	}); err != nil {
 		return errors.Wrap(err, "write update")
 	}
@@ -266,7 +270,7 @@
 		return gddiscovery.Update{}, errors.Wrap(err, "read update")
 	}
 	changes, err := fromChanges(w.Changes)
-	return gddiscovery.Update{Changes: changes, Revision: w.Revision, Age: fromMS(w.AgeMS), Full: w.Full}, err
+	return gddiscovery.Update{Changes: changes, Revision: gddiscovery.Revision(w.Revision), Age: fromMS(w.AgeMS), Full: w.Full}, err
 }
 
 func checkVersion(b []byte) error {
--- a/internal/wire/gdfeed/feed_test.go
+++ b/internal/wire/gdfeed/feed_test.go
@@ -21,7 +21,7 @@
 func registration(i int) gddiscovery.Change {
 	id := fmt.Sprintf("i-%08x", i)
 	return gddiscovery.Change{
-		Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: id}, Revision: uint64(100 + i),
+		Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: id}, Revision: gddiscovery.Revision(100 + i),
 		Upstream: &gddiscovery.Upstream{
 			ID: id, Service: "booking", Domain: "bilbao-a", Address: address(i), Slots: 3, Draining: i%2 == 0,
 			ColdFor: 2 * time.Second, StartUnixMilli: 1_796_342_400_000,
@@ -93,7 +93,7 @@
 		require.LessOrEqual(t, got.BaseRevision, state.Revision(), "no gap")
 		state.Apply(now, got.Update)
 	}
-	require.Equal(t, uint64(500), state.Revision())
+	require.Equal(t, gddiscovery.Revision(500), state.Revision())
 	require.Len(t, state.View().Upstreams(), 120)
 }
 
@@ -107,7 +107,7 @@
 	require.NoError(t, err)
 	require.Zero(t, got.BaseRevision)
 	require.Empty(t, got.Update.Changes)
-	require.Equal(t, uint64(500), got.Revision)
+	require.Equal(t, gddiscovery.Revision(500), got.Revision)
 }
 
 func TestUpdateRoundTrips(t *testing.T) {
--- a/internal/wire/gdhop/hop.go
+++ b/internal/wire/gdhop/hop.go
@@ -24,6 +24,7 @@
 
 	"github.com/pkg/errors"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
@@ -88,7 +89,7 @@
 	Key gdflow.Key
 	// Revision is the highest revision that the agent has observed, for Return and
 	// QueryReply.
-	Revision uint64
+	Revision gddiscovery.Revision
 	// Load is the number of requests in progress at the upstream, for Return, Accepted
 	// and Held.
 	Load   uint16
@@ -132,7 +133,7 @@
 	if s.AcceptsNew {
 		flags |= flagAcceptsNew
 	}
-	b = binary.BigEndian.AppendUint64(b, s.Revision)
+	b = binary.BigEndian.AppendUint64(b, uint64(s.Revision))
 	b = append(b, flags, s.Slots)
 	b = binary.BigEndian.AppendUint16(b, s.ColdFlowsPerSecond)
 	b = binary.BigEndian.AppendUint32(b, uint32(max(s.ColdLeft, 0)/time.Millisecond))
@@ -141,10 +142,10 @@
 }
 
 // AppendReturn appends a Return message up to its packet.
-func AppendReturn(b []byte, r gdguard.Reason, load int, revision uint64) []byte {
+func AppendReturn(b []byte, r gdguard.Reason, load int, revision gddiscovery.Revision) []byte {
 	b = append(b, Version, byte(Return), byte(r))
 	b = binary.BigEndian.AppendUint16(b, clamp(load))
-	return binary.BigEndian.AppendUint64(b, revision)
+	return binary.BigEndian.AppendUint64(b, uint64(revision))
 }
 
 // AppendFlowNotice appends an Accepted or Held message.
@@ -168,9 +169,9 @@
 
 // AppendQueryReply appends a QueryReply message up to its flows, which AppendHolding
 // appends.
-func AppendQueryReply(b []byte, revision uint64) []byte {
+func AppendQueryReply(b []byte, revision gddiscovery.Revision) []byte {
 	b = append(b, Version, byte(QueryReply))
-	return binary.BigEndian.AppendUint64(b, revision)
+	return binary.BigEndian.AppendUint64(b, uint64(revision))
 }
 
 // AppendHolding appends one flow, and what the agent reports about it, to a QueryReply
@@ -241,7 +242,7 @@
 
 func parseStatus(b []byte) gdguard.UpstreamStatus {
 	return gdguard.UpstreamStatus{
-		Revision:           binary.BigEndian.Uint64(b),
+		Revision:           gddiscovery.Revision(binary.BigEndian.Uint64(b)),
 		AcceptsNew:         b[8]&flagAcceptsNew != 0,
 		Slots:              b[9],
 		ColdFlowsPerSecond: binary.BigEndian.Uint16(b[10:]),
@@ -260,7 +261,7 @@
 		return Message{}, errors.Errorf("decode returned packet: unknown reason %d", b[2])
 	}
 	m.Load = binary.BigEndian.Uint16(b[3:])
-	m.Revision = binary.BigEndian.Uint64(b[5:])
+	m.Revision = gddiscovery.Revision(binary.BigEndian.Uint64(b[5:]))
 	m.Packet = b[returnSize:]
 	return m, nil
 }
@@ -296,7 +297,7 @@
 	if len(b) < headerSize || (len(b)-headerSize)%holdingSize != 0 || len(b) > headerSize+gdguard.MaxQueryFlows*holdingSize {
 		return Message{}, errors.Errorf("decode query reply: invalid size of %d bytes", len(b))
 	}
-	m.Revision = binary.BigEndian.Uint64(b[2:])
+	m.Revision = gddiscovery.Revision(binary.BigEndian.Uint64(b[2:]))
 	for b = b[headerSize:]; len(b) > 0; b = b[holdingSize:] {
 		k, _ := gdflow.ParseKey(b)
 		h := gdguard.Holding(b[gdflow.KeySize])
