Keep lookups and offers from filling a slow link

Datagrams are lost when a link is full, so that the host kept it full by itself. Change: a flow whose packet has more than 300 bytes of data is looked up without it; packets that waited for a lookup are paced like others; packets to unsure agents take a quarter of the link at most; queries and statuses count for the pacer. While more than half of the agents are silent a flow isn't offered to one after the other, the caller's next copy is.

--- a/internal/core/gddispatch/bucket.go
+++ b/internal/core/gddispatch/bucket.go
@@ -8,17 +8,17 @@
 	updated time.Time
 }
 
-// take takes a token and reports whether there was one.
-func (b *bucket) take(now time.Time, perSecond, burst float64) bool {
+// take takes n tokens and reports whether there were as many.
+func (b *bucket) take(now time.Time, perSecond, burst, n float64) bool {
 	if b.updated.IsZero() {
 		b.tokens = burst
 	} else {
 		b.tokens = min(burst, b.tokens+now.Sub(b.updated).Seconds()*perSecond)
 	}
 	b.updated = now
-	if b.tokens < 1 {
+	if b.tokens < n {
 		return false
 	}
-	b.tokens--
+	b.tokens -= n
 	return true
 }
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -21,6 +21,7 @@
 package gddispatch
 
 import (
+	"cmp"
 	"iter"
 	"time"
 
@@ -42,10 +43,13 @@
 	// answerTimeout is the time an agent has to answer: several round trips between
 	// failure domains and the processing on a slow host.
 	answerTimeout = 30 * time.Millisecond
-	// probesPerSecond and probeBurst limit the packets sent to agents that can't
-	// answer a query without one: half the capacity of a link of 10 Mbit/s.
-	probesPerSecond = 2000
-	probeBurst      = 1000
+	// probeShare is the share of the link that may be used for packets to agents that can't
+	// answer a query without one, and probeBurst for how long it may be exceeded.
+	probeShare = 0.25
+	probeBurst = 200 * time.Millisecond
+	// defaultLink is assumed as the bandwidth of a link that is not known, and is the most
+	// that counts of one that is, in bytes per second: 100 Mbit/s.
+	defaultLink = 12.5e6
 	// batchDelay is how long queries are delayed to be batched with others to the
 	// same agents. It is short compared to 100 ms, the lowest latency objective in the
 	// users' settings.
@@ -63,6 +67,8 @@
 // Dispatcher decides at an entry host to which upstream each packet is sent. Its
 // exported fields must be set before the first call.
 type Dispatcher struct {
+	// LinkBytesPerSecond is the bandwidth of the host's link, or 0 if it is unknown.
+	LinkBytesPerSecond float64
 	// OnSuspect, if set, is called when a host has stopped responding and when it
 	// responds again.
 	OnSuspect func(host gdflow.Address, suspect bool)
@@ -157,7 +163,7 @@
 func (d *Dispatcher) Suspects(now time.Time) int { return d.hosts.suspects(now) }
 
 // SilentHosts returns the number of hosts that have stopped responding.
-func (d *Dispatcher) SilentHosts() int { return d.hosts.silentHosts() }
+func (d *Dispatcher) SilentHosts() int { return d.hosts.silentCount }
 
 func (d *Dispatcher) init() {
 	if d.flows.MinTTL == 0 {
@@ -240,7 +246,7 @@
 		at := f.lookup.last().address
 		d.forward(now, r, at, Action{Key: p.Key(), Packet: raw, Reason: Waiting, Header: gdguard.Header{Confirm: true}})
 	case lookingUp:
-		f.lookup.enqueue(raw)
+		f.lookup.enqueue(p, raw)
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 	case gone:
 		d.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
@@ -263,10 +269,20 @@
 	f.lookup = &lookup{ack: p.Ack, started: now}
 	d.lookups++
 	if d.lookups <= maxBufferedPackets {
-		f.lookup.packet = append([]byte(nil), raw...)
+		f.lookup.packet = hold(p, raw)
 	}
 }
 
+// takeProbe reports whether the packet of a lookup may be sent to an agent that can't answer
+// a query without it.
+func (d *Dispatcher) takeProbe(now time.Time, l *lookup) bool {
+	if !l.packet.held() {
+		return false
+	}
+	rate := min(cmp.Or(d.LinkBytesPerSecond, defaultLink), defaultLink) * probeShare
+	return d.probes.take(now, rate, rate*probeBurst.Seconds(), float64(len(l.packet.raw)))
+}
+
 // endLookup ends a lookup.
 func (d *Dispatcher) endLookup(f *flow) {
 	if f.lookup != nil {
@@ -277,7 +293,7 @@
 
 // resolve ends the lookup and forwards the packets that were pending.
 func (d *Dispatcher) resolve(now time.Time, k gdflow.Key, f *flow, at gdflow.Address) {
-	var pending [][]byte
+	var pending []heldPacket
 	if f.lookup != nil {
 		pending = f.lookup.pending
 		if d.OnResolved != nil {
@@ -287,9 +303,11 @@
 	d.endLookup(f)
 	f.state, f.upstream, f.failedLookups = resolved, at, 0
 	r, ok := d.view.Route(k.Service())
-	for _, raw := range pending {
+	for _, p := range pending {
 		if ok {
-			d.forward(now, r, at, Action{Key: k, Packet: raw, Reason: Known})
+			d.forward(now, r, at, Action{
+				Key: k, Packet: p.raw, PacketSeq: p.seq, PacketSize: p.size, Urgent: isUrgent(r), Reason: Known,
+			})
 		}
 	}
 }
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -73,6 +73,38 @@
 	core     gddispatch.Dispatcher
 	down     bool
 	nextTick time.Time // when the next Tick is scheduled, if later than now
+	link     link
+}
+
+// link is an entry host's link to the agents. Messages that would wait for longer than
+// maxQueueing are lost. The zero value has no limit.
+type link struct {
+	bytesPerSecond float64
+	freeAt         time.Time
+	lost           int
+}
+
+// maxQueueing and messageOverhead describe a link: how long a message waits at most, and
+// the size of the headers of each.
+const (
+	maxQueueing     = 50 * time.Millisecond
+	messageOverhead = 100
+)
+
+// transmit returns how long a message takes to be sent, or false if it is lost.
+func (l *link) transmit(now time.Time, size int) (time.Duration, bool) {
+	if l.bytesPerSecond == 0 {
+		return 0, true
+	}
+	if l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	if l.freeAt.Sub(now) > maxQueueing {
+		l.lost++
+		return 0, false
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(size+messageOverhead) / l.bytesPerSecond * float64(time.Second)))
+	return l.freeAt.Sub(now), true
 }
 
 // agent is an agent with its upstream.
@@ -214,9 +246,12 @@
 }
 
 // request sends a request on an open flow.
-func (f *fleet) request(i int, k gdflow.Key) {
+func (f *fleet) request(i int, k gdflow.Key) { f.sendData(i, k, 0, 100) }
+
+// sendData sends a packet with data on an open flow.
+func (f *fleet) sendData(i int, k gdflow.Key, seq uint32, size int) {
 	p := gdflow.NewPacket(k, gdflow.Data)
-	p.Size, p.Ack = 100, f.ackOf(k)
+	p.Seq, p.Size, p.Ack = seq, size, f.ackOf(k)
 	f.send(i, p)
 }
 
@@ -240,11 +275,19 @@
 		case gddispatch.Query:
 			f.messages++
 			to, header, keys := a.To, a.Header, a.Keys
-			f.after(hop, func() { f.query(i, e, to, header, keys) })
+			if d, ok := e.link.transmit(f.now, len(keys)*gdflow.KeySize); ok {
+				f.after(hop+d, func() { f.query(i, e, to, header, keys) })
+			}
 		case gddispatch.Forward:
 			f.messages++
 			p, h, to := f.packet(a.Packet), a.Header, a.To
-			f.after(hop, func() { f.arrive(entryAt(i), to, h, p) })
+			d, ok := time.Duration(0), true
+			if a.Reason != gddispatch.Known || a.PacketSize == 0 { // the others are paced
+				d, ok = e.link.transmit(f.now, p.Size)
+			}
+			if ok {
+				f.after(hop+d, func() { f.arrive(entryAt(i), to, h, p) })
+			}
 		}
 	}
 	next := e.core.NextTick()
--- a/internal/core/gddispatch/hosts.go
+++ b/internal/core/gddispatch/hosts.go
@@ -20,6 +20,8 @@
 // hosts tracks which hosts have stopped responding.
 type hosts struct {
 	m map[[4]byte]*host
+	// silentCount is the number of hosts that have stopped responding.
+	silentCount int
 	// onChange, if set, is called when a host has stopped responding and when it
 	// responds again.
 	onChange func(at gdflow.Address, suspect bool)
@@ -59,6 +61,9 @@
 		return
 	}
 	delete(h.m, at.IP())
+	if o.silent() {
+		h.silentCount--
+	}
 	h.notify(at, o, false)
 }
 
@@ -94,6 +99,7 @@
 		o.suspectUntil = now.Add(suspectDuration)
 	}
 	if o.unanswered == suspectAfter {
+		h.silentCount++
 		h.notify(at, o, true)
 	}
 }
@@ -107,7 +113,7 @@
 	o, ok := h.m[a.IP()]
 	if !ok {
 		if h.m == nil || len(h.m) >= maxHosts {
-			h.m = make(map[[4]byte]*host)
+			h.m, h.silentCount = make(map[[4]byte]*host), 0
 		}
 		o = &host{}
 		h.m[a.IP()] = o
@@ -126,16 +132,6 @@
 	return ok && now.Before(o.suspectUntil)
 }
 
-func (h *hosts) silentHosts() int {
-	n := 0
-	for _, o := range h.m {
-		if o.silent() {
-			n++
-		}
-	}
-	return n
-}
-
 func (h *hosts) suspects(now time.Time) int {
 	n := 0
 	for _, o := range h.m {
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -14,6 +14,9 @@
 	// flow before all others are queried at once: one more than the busy upstreams
 	// that a new flow is offered to.
 	maxSerialQueries = maxBusyOffers + 1
+	// maxQueryPacket is the size of the data in bytes up to which a packet itself is the query
+	// for its flow. It saves a round trip, and costs not much more than the query.
+	maxQueryPacket = 300
 	// maxRetries is how often an upstream is queried again that does not report
 	// whether it holds a flow. The timeout doubles each time: half a second in all,
 	// in which a host that was paused or flooded answers.
@@ -54,7 +57,11 @@
 		if m == nil {
 			break
 		}
-		d.sendPacket(now, r, k, f, m.Address(), Action{Reason: ByRank, Header: gdguard.Header{Confirm: true}})
+		if f.lookup.packet.size > maxQueryPacket {
+			d.queryOne(now, k, f, m)
+		} else {
+			d.sendPacket(now, r, k, f, m.Address(), Action{Reason: ByRank, Header: gdguard.Header{Confirm: true}})
+		}
 		if !d.hosts.suspect(now, m.Address()) {
 			return
 		}
@@ -67,6 +74,13 @@
 	}
 }
 
+// queryOne queries an upstream without the packet, which would only fill the link.
+func (d *Dispatcher) queryOne(now time.Time, k gdflow.Key, f *flow, m *gddiscovery.Member) {
+	f.lookup.attempts = append(f.lookup.attempts, attempt{address: m.Address(), queried: true})
+	d.addQuery(now, k, m)
+	d.setDeadline(k, f.lookup, now.Add(batchDelay+answerTimeout))
+}
+
 // queryOthers queries all upstreams that were not tried yet.
 func (d *Dispatcher) queryOthers(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	tried := len(f.lookup.attempts)
@@ -109,7 +123,7 @@
 	case m == nil:
 	case t.queried:
 		d.addQuery(now, k, m)
-	case l.packet != nil:
+	case d.takeProbe(now, l):
 		d.forwardTo(now, m, l.packetQuery(k))
 	}
 }
@@ -149,10 +163,10 @@
 	l := f.lookup
 	l.attempts = append(l.attempts, attempt{address: at})
 	d.setDeadline(k, l, now.Add(answerTimeout))
-	if l.packet == nil {
+	if !l.packet.held() {
 		return
 	}
-	a.Key, a.Packet, a.Attempts = k, l.packet, len(l.attempts)
+	a.Key, a.Packet, a.Attempts = k, l.packet.raw, len(l.attempts)
 	d.forward(now, r, at, a)
 }
 
@@ -170,13 +184,13 @@
 
 // packetQuery returns the action that sends the packet of the lookup as a query.
 func (l *lookup) packetQuery(k gdflow.Key) Action {
-	return Action{Key: k, Packet: l.packet, Attempts: len(l.attempts), Reason: Broadcast, Header: gdguard.Header{Confirm: true}}
+	return Action{Key: k, Packet: l.packet.raw, Attempts: len(l.attempts), Reason: Broadcast, Header: gdguard.Header{Confirm: true}}
 }
 
 // enqueue queues a packet until the lookup ends.
-func (l *lookup) enqueue(raw []byte) {
-	if l.packet != nil && len(l.pending) < maxPending {
-		l.pending = append(l.pending, append([]byte(nil), raw...))
+func (l *lookup) enqueue(p gdflow.Packet, raw []byte) {
+	if l.packet.held() && len(l.pending) < maxPending {
+		l.pending = append(l.pending, hold(p, raw))
 	}
 }
 
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -20,6 +20,10 @@
 	// in time.
 	minDeferral = 50 * time.Millisecond
 	maxDeferral = 250 * time.Millisecond
+	// maxSilentShare is the share of silent agents above which a flow is not offered to one
+	// after the other: the path from this host is at fault, or all agents are, and the offers
+	// would only add to a full link.
+	maxSilentShare = 0.5
 	// maxUrgentPriority is the last priority that counts as urgent.
 	maxUrgentPriority = 1
 )
@@ -51,6 +55,10 @@
 // offerNext offers the flow to the next upstream.
 func (d *Dispatcher) offerNext(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	l := f.lookup
+	if l.unanswered && d.mostAreSilent() {
+		d.markNotFound(now, k, f) // the caller's next copy is offered again
+		return
+	}
 	hash := k.Hash()
 	var m *gddiscovery.Member
 	if p, ok := d.view.Pool(r.PickService(hash)); ok && l.busyCount() < maxBusyOffers {
@@ -85,6 +93,11 @@
 	d.markNotFound(now, k, f)
 }
 
+// mostAreSilent reports whether most agents have stopped responding.
+func (d *Dispatcher) mostAreSilent() bool {
+	return d.hosts.silentCount >= minSilentAgents && float64(d.hosts.silentCount) > maxSilentShare*float64(len(d.view.Upstreams()))
+}
+
 // isUrgent reports whether the route is of the first priorities.
 func isUrgent(r *gddiscovery.Route) bool { return r.Priority <= maxUrgentPriority }
 
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -34,7 +34,7 @@
 			return false
 		}
 	}
-	return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)
+	return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)
 }
 
 // viewListsAll reports whether the view lists all upstreams that may hold a flow: it is
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -89,14 +89,14 @@
 	l := f.lookup
 	switch {
 	case holding == gdguard.Present:
-		if l.packet != nil {
+		if l.packet.held() {
 			l.pending = slices.Insert(l.pending, 0, l.packet)
 		}
 		d.resolve(now, k, f, t.address)
 		return
 	case holding == gdguard.Absent:
 		t.answered = true
-	case l.packet == nil || !d.probes.take(now, probesPerSecond, probeBurst):
+	case !d.takeProbe(now, l):
 		t.answered, t.unsure = true, true
 	default:
 		t.queried = false
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -152,8 +152,8 @@
 // holder or, for a flow that is being opened, a series of offers.
 type lookup struct {
 	// packet started the lookup. Later packets of the flow are pending until it ends.
-	packet           []byte
-	pending          [][]byte
+	packet           heldPacket
+	pending          []heldPacket
 	attempts         []attempt
 	deadline         time.Time
 	ack              uint32
@@ -166,6 +166,20 @@
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
 }
 
+// heldPacket is a packet that waits until a lookup ends. The zero value is none.
+type heldPacket struct {
+	raw  []byte
+	seq  uint32
+	size int // the length of its payload, in bytes
+}
+
+// hold returns a copy of the packet.
+func hold(p gdflow.Packet, raw []byte) heldPacket {
+	return heldPacket{raw: append([]byte(nil), raw...), seq: p.Seq, size: p.Size}
+}
+
+func (p heldPacket) held() bool { return p.raw != nil }
+
 // attempt is one upstream that was tried.
 type attempt struct {
 	address  gdflow.Address
--- a/internal/core/gdpacer/pacer.go
+++ b/internal/core/gdpacer/pacer.go
@@ -112,7 +112,7 @@
 	inOrder := k.Size == 0 || p.flows[k.Key] == 0
 	switch {
 	case (k.Urgent || k.Size < bulkSize) && inOrder:
-		p.tokens = max(p.tokens-size, -p.limit(maxDebt))
+		p.spend(len(k.Datagram))
 		return Pass
 	case len(p.queue) == 0 && p.tokens >= size:
 		p.tokens -= size
@@ -129,6 +129,16 @@
 	return Queued
 }
 
+// Spend records that other data was sent.
+func (p *Pacer) Spend(now time.Time, size int) {
+	if p.BytesPerSecond > 0 {
+		p.refill(now)
+		p.spend(size)
+	}
+}
+
+func (p *Pacer) spend(size int) { p.tokens = max(p.tokens-float64(size), -p.limit(maxDebt)) }
+
 func (p *Pacer) enqueue(id packetID, k Packet) {
 	if p.flows == nil {
 		p.flows, p.queued = make(map[gdflow.Key]int), make(map[packetID]struct{})
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -184,12 +184,10 @@
 				continue
 			}
 		case gddispatch.SendStatus:
-			b := gdhop.AppendStatus(s.out.Buffer(), a.Header.Service, a.Header.Status)
-			s.out.Queue(b, a.To.WithPort(s.host.HopAddress.Port()).AddrPort())
+			s.queue(now, gdhop.AppendStatus(s.out.Buffer(), a.Header.Service, a.Header.Status), a.To)
 			continue
 		case gddispatch.Query:
-			b := gdhop.AppendQuery(s.out.Buffer(), a.Header.Service, a.Header.Status, a.Keys)
-			s.out.Queue(b, a.To.WithPort(s.host.HopAddress.Port()).AddrPort())
+			s.queue(now, gdhop.AppendQuery(s.out.Buffer(), a.Header.Service, a.Header.Status, a.Keys), a.To)
 			continue
 		case gddispatch.Probe:
 			s.host.requestProbe(a.To, a.Control)
@@ -204,6 +202,12 @@
 	}
 }
 
+// queue queues a message to an agent that is sent whatever else uses the link.
+func (s *sender) queue(now time.Time, message []byte, to gdflow.Address) {
+	s.host.pacer.Spend(now, len(message))
+	s.out.Queue(message, to.WithPort(s.host.HopAddress.Port()).AddrPort())
+}
+
 // forward sends the datagram of a forwarded packet now, or when the pacer allows it.
 func (s *sender) forward(now time.Time, a *gddispatch.Action, datagram []byte) {
 	to := a.To.WithPort(s.host.HopAddress.Port())
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -49,7 +49,7 @@
 		}},
 		{flowStays, "", []string{"replace", "terminate-entry"}, []edit{
 			{lookup, "len(f.lookup.attempts) < maxSerialQueries", "len(f.lookup.attempts) < 1"},
-			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst)", "return false"},
+			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)", "return false"},
 			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || d.nextCandidate(0, r, l) != nil", "len(l.attempts) == 0"},
 		}},
 		{configInTime, "", []string{"config"}, []edit{
