Refuse new flows at a host that gets no view, and pace bulk data in shorter bursts

Bursts of 20 ms of a slow link's bytes delay the small packets behind them: agents' answers took 17 to 28 ms on hosts of 10 Mbit/s where 3 ms are usual. Ruled out: refusing as soon as the first load fails, since a store that comes back within some 100 ms still serves the copies after 200 ms; a reset of data on open flows, which an upstream may hold. Change: 0.3 s after its start a host without a view resets first copies of opening packets, reason not-ready; nothing has run then. The pacer's burst is 10 ms.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -62,6 +62,9 @@
 	// time after a power loss. maxEarly limits them, to 0.3 MB.
 	earlyTTL = 150 * time.Millisecond
 	maxEarly = 256
+	// firstViewWait is how long after its start a host without a view expects to get one: a
+	// load takes a fraction of it, also from a slow source. After that new flows are refused.
+	firstViewWait = 300 * time.Millisecond
 )
 
 // Dispatcher decides at an entry host to which upstream each packet is sent. Its
@@ -69,6 +72,9 @@
 type Dispatcher struct {
 	// LinkBytesPerSecond is the bandwidth of the host's link, or 0 if it is unknown.
 	LinkBytesPerSecond float64
+	// StartedAt is when the host started, or the zero time if it waits for its first view
+	// without a limit.
+	StartedAt time.Time
 	// OnSuspect, if set, is called when a host has stopped responding and when it
 	// responds again.
 	OnSuspect func(host gdflow.Address, suspect bool)
@@ -183,6 +189,9 @@
 	switch {
 	case d.view != nil:
 		d.handleCallerPacket(now, p, raw)
+	case p.Opens() && p.Retransmits() == 0 && !d.StartedAt.IsZero() && now.Sub(d.StartedAt) > firstViewWait:
+		// Only this host has seen the first transmission, so that nothing has run.
+		d.add(Action{Verb: Reset, Key: p.Key(), Reason: NotReady})
 	case len(d.early) < maxEarly:
 		d.early = append(d.early, earlyPacket{received: now, packet: p, raw: append([]byte(nil), raw...)})
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
--- a/internal/core/gddispatch/recovery_test.go
+++ b/internal/core/gddispatch/recovery_test.go
@@ -78,6 +78,34 @@
 	}
 }
 
+// TestNewFlowsAreRefusedWithoutView answers the pattern of a loss of power during an outage
+// of the source: nobody knows the routes, and callers are told at once that their requests
+// have not run.
+func TestNewFlowsAreRefusedWithoutView(t *testing.T) {
+	tests := []struct {
+		name   string
+		after  time.Duration // since the start of the host
+		kind   gdflow.Kind
+		copies uint32 // sent before
+		want   gddispatch.Verb
+	}{
+		{"view may come soon", 100 * time.Millisecond, gdflow.Open, 0, gddispatch.Drop},
+		{"view does not come", 400 * time.Millisecond, gdflow.Open, 0, gddispatch.Reset},
+		{"another host may have offered an earlier copy", 400 * time.Millisecond, gdflow.Open, 1, gddispatch.Drop},
+		{"an upstream may hold the flow", 400 * time.Millisecond, gdflow.Data, 0, gddispatch.Drop},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			d := gddispatch.Dispatcher{StartedAt: start}
+			p := gdflow.NewPacket(callerKey(1), tt.kind)
+			p.Ack = tt.copies
+			a := d.HandleCallerPacket(start.Add(tt.after), p, []byte{1})[0]
+			require.Equal(t, tt.want, a.Verb)
+			require.Equal(t, tt.want == gddispatch.Reset, a.Reason == gddispatch.NotReady)
+		})
+	}
+}
+
 // TestPowerLoss: all hosts restart, and all callers send packets on flows that no
 // upstream holds any more. The load of the lookups must stay limited.
 func TestPowerLoss(t *testing.T) {
--- a/internal/core/gdpacer/pacer.go
+++ b/internal/core/gdpacer/pacer.go
@@ -33,7 +33,7 @@
 	// bulk, in bytes.
 	bulkSize = 600
 	// burst is for how long bulk packets may exceed the rate after a pause.
-	burst = 20 * time.Millisecond
+	burst = 10 * time.Millisecond
 	// maxDelay is how long a bulk packet waits at most: longer than the callers'
 	// retransmission timeout would only add retransmissions.
 	maxDelay = 180 * time.Millisecond
