Say what a lookup without a result lacked, and mend two outputs

Cause: event 515 not-found named neither the revision that a proof waited for nor the upstreams that were silent or unsure; drain-ended gave 498991 h as quiet if no packet had ever come; explain-log answered a FLOW that can't be read as one that no line names. Ruled out: a line for each step of a lookup, which the log's bound would drop when it is needed.

--- a/cmd/godwitdrift/explain_log.go
+++ b/cmd/godwitdrift/explain_log.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -46,6 +47,9 @@
 	if len(args) == 0 {
 		return errors.Errorf("%s: FLOW is missing (see --help)", cmd.FullName())
 	}
+	if err := checkFlow(args[0]); err != nil {
+		return err
+	}
 	t := &gdlogtrace.Trace{Flow: args[0]}
 	if err := readLogs(t, args[1:], c.in); err != nil {
 		return err
@@ -60,6 +64,16 @@
 	return writeOutput(cmd, c.out, out, out.text)
 }
 
+// checkFlow returns an error if the text is neither a flow nor the address of a caller.
+func checkFlow(text string) error {
+	for _, address := range strings.SplitN(text, ">", 2) {
+		if _, err := netip.ParseAddrPort(address); err != nil {
+			return errors.Wrapf(err, "flow %q is not CALLER:PORT>SERVICE:PORT or CALLER:PORT", text)
+		}
+	}
+	return nil
+}
+
 func readLogs(t *gdlogtrace.Trace, files []string, in io.Reader) error {
 	if len(files) == 0 {
 		return t.Read("standard input", in)
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -175,11 +175,28 @@
 
 // markNotFound ends a lookup without a result.
 func (d *Dispatcher) markNotFound(now time.Time, k gdflow.Key, f *flow) {
-	attempts := len(f.lookup.attempts)
+	attempts, missing := len(f.lookup.attempts), d.missing(now, f.lookup)
 	d.endLookup(f)
 	f.state, f.retryAfter = notFound, now.Add(min(notFoundDelay<<f.failedLookups, maxNotFoundDelay))
 	f.failedLookups = min(f.failedLookups+1, maxFailedLookups)
-	d.add(Action{Verb: Drop, Key: k, Reason: NotFound, Attempts: attempts})
+	d.add(Action{Verb: Drop, Key: k, Reason: NotFound, Attempts: attempts, Missing: missing})
+}
+
+// missing returns what the lookup lacks for a result.
+func (d *Dispatcher) missing(now time.Time, l *lookup) Missing {
+	m := Missing{After: now.Sub(l.started)}
+	for _, t := range l.attempts {
+		switch {
+		case !t.answered:
+			m.Silent++
+		case t.unsure:
+			m.Unsure++
+		}
+	}
+	if l.requiredRevision > d.view.Revision() {
+		m.Required = l.requiredRevision
+	}
+	return m
 }
 
 // packetQuery returns the action that sends the packet of the lookup as a query.
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -103,12 +103,25 @@
 	Seq uint32
 	// Attempts is how many upstreams were tried for the flow, including this one.
 	Attempts int
-	Verb     Verb
-	Reason   Reason
+	// Missing is what a lookup without a result lacked, for Drop with NotFound.
+	Missing Missing
+	Verb    Verb
+	Reason  Reason
 	// Opens reports whether the packet opens a flow.
 	Opens bool
 }
 
+// Missing describes why a lookup has neither found an upstream nor proved that there is none.
+type Missing struct {
+	// Silent and Unsure are the upstreams that did not answer, and those that can't tell
+	// without a packet of the flow.
+	Silent, Unsure int
+	// Required is the revision that the view needs, or 0 if it has it.
+	Required gddiscovery.Revision
+	// After is how long the lookup took.
+	After time.Duration
+}
+
 // ReturnInfo describes why an agent returned a packet.
 type ReturnInfo struct {
 	// From is the address of the agent's host. The port has no meaning.
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -198,7 +198,10 @@
 	passed, ok := gdshutdown.Drain{
 		Grace: e.grace, PollInterval: quietPeriod / 5, Start: e.startDrain,
 		Done: func(now time.Time, passed time.Duration) bool {
-			quiet = now.Sub(time.Unix(0, e.lastPacket.Load()))
+			quiet = passed // no packet has ever come
+			if last := e.lastPacket.Load(); last != 0 {
+				quiet = now.Sub(time.Unix(0, last))
+			}
 			return passed > minDrainTime && quiet > quietPeriod
 		},
 	}.Wait(ctx, work)
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -246,6 +246,12 @@
 	default:
 		ev = gdlog.FlowLookedUp
 	}
-	e.metrics.event(now, e.Log, ev, "flow", a.Key, "upstream", a.To, "reason", a.Reason.String(), "tries", a.Attempts,
-		"revision", e.state.Revision(), "age", e.state.Age(now).Milliseconds())
+	fields := []any{
+		"flow", a.Key, "upstream", a.To, "reason", a.Reason.String(), "tries", a.Attempts,
+		"revision", e.state.Revision(), "age", e.state.Age(now).Milliseconds(),
+	}
+	if m := a.Missing; m != (gddispatch.Missing{}) {
+		fields = append(fields, "silent", m.Silent, "unsure", m.Unsure, "required", m.Required, "after", m.After.String())
+	}
+	e.metrics.event(now, e.Log, ev, fields...)
 }
