Split the choice of the next offer from the offer

Change: nextOffer; the fleet of the tests has forward. The same decisions in the same order. Figures: none; the tests of the package pass.

--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -279,15 +279,7 @@
 				f.after(hop+d, func() { f.query(i, e, to, header, keys) })
 			}
 		case gddispatch.Forward:
-			f.messages++
-			p, h, to := f.packet(a.Packet), a.Header, a.To
-			d, ok := time.Duration(0), true
-			if a.Reason != gddispatch.Known || a.PacketSize == 0 { // the others are paced
-				d, ok = e.link.transmit(f.now, p.Size)
-			}
-			if ok {
-				f.after(hop+d, func() { f.arrive(entryAt(i), to, h, p) })
-			}
+			f.forward(i, e, a)
 		}
 	}
 	next := e.core.NextTick()
@@ -302,6 +294,19 @@
 	}
 }
 
+// forward sends a packet to an agent.
+func (f *fleet) forward(i int, e *entry, a gddispatch.Action) {
+	f.messages++
+	p, h, to := f.packet(a.Packet), a.Header, a.To
+	d, ok := time.Duration(0), true
+	if a.Reason != gddispatch.Known || a.PacketSize == 0 { // the others are paced
+		d, ok = e.link.transmit(f.now, p.Size)
+	}
+	if ok {
+		f.after(hop+d, func() { f.arrive(entryAt(i), to, h, p) })
+	}
+}
+
 // query delivers a query to an agent, and the reply to the entry host.
 func (f *fleet) query(i int, e *entry, to gdflow.Address, h gdguard.Header, keys []gdflow.Key) {
 	ag := f.agents[to]
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -59,15 +59,7 @@
 		d.markNotFound(now, k, f) // the caller's next copy is offered again
 		return
 	}
-	hash := k.Hash()
-	var m *gddiscovery.Member
-	if p, ok := d.view.Pool(r.PickService(hash)); ok && l.busyCount() < maxBusyOffers {
-		m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) && !d.hosts.suspect(now, m.Address()) })
-		if m == nil && l.leastLoaded() == nil {
-			m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
-		}
-	}
-	if m != nil {
+	if m := d.nextOffer(now, r, k, l); m != nil {
 		d.sendPacket(now, r, k, f, m.Address(), Action{Opens: true, Reason: ByRank})
 		return
 	}
@@ -93,6 +85,21 @@
 	d.markNotFound(now, k, f)
 }
 
+// nextOffer returns the upstream that is offered the flow next, or nil if enough have
+// refused it or none is left.
+func (d *Dispatcher) nextOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup) *gddiscovery.Member {
+	hash := k.Hash()
+	p, ok := d.view.Pool(r.PickService(hash))
+	if !ok || l.busyCount() >= maxBusyOffers {
+		return nil
+	}
+	m := d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) && !d.hosts.suspect(now, m.Address()) })
+	if m == nil && l.leastLoaded() == nil {
+		m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
+	}
+	return m
+}
+
 // mostAreSilent reports whether most agents have stopped responding.
 func (d *Dispatcher) mostAreSilent() bool {
 	return d.hosts.silentCount >= minSilentAgents && float64(d.hosts.silentCount) > maxSilentShare*float64(len(d.view.Upstreams()))
