--- a/internal/core/gddiscovery/restore.go
+++ b/internal/core/gddiscovery/restore.go
@@ -34,6 +34,9 @@
 // Unconfirmed returns the number of subjects that are kept from an earlier era, and a
 // checksum of them, which is 0 if there are none.
 func (s *State) Unconfirmed() (n int, sum uint64) {
+	if s.revision.Era() == 0 {
+		return 0, 0
+	}
 	for subject, r := range s.records {
 		if s.unconfirmed(r) {
 			n++
