--- a/tools/ablation.sh
+++ b/tools/ablation.sh
@@ -10,7 +10,7 @@
 kit=$1 bench=$2 out=$3 site=$4
 shift 4
 root=$(cd "$(dirname "$0")/.." && pwd)
-jobs=5
+jobs=${JOBS:-5}
 
 # One line each: name | file | sed expression. The expression must change the file.
 mechanisms() {
