Never take an earlier process of the upstream for its new one

An agent took every start time but the last one for that of the new process and ended its slow start. Ruled out: comparing start times, since clocks jump back; ignoring statuses of a new era. Change: an agent remembers the last eight start times; none of them is the new process. Conclusion: without a restore, a status of an older process no longer ends a slow start either.

--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -8,16 +8,28 @@
 // restart is a restart of the upstream that the agent has observed and that no entry
 // host has reported yet. The zero value means none.
 type restart struct {
-	observedAt    time.Time // when the agent observed it
-	after         time.Time // when the previous process was still running, or was unavailable
-	previousStart int64     // when the previous process was started, or 0
+	observedAt time.Time // when the agent observed it
+	after      time.Time // when the previous process was still running, or was unavailable
+	previous   []int64   // when the previous processes were started, as far as known
+}
+
+// maxStarts is how many start times of the upstream are remembered.
+const maxStarts = 8
+
+// noteStart remembers the start time of a process of the upstream.
+func (g *Guard) noteStart(startMilli int64) {
+	if startMilli != 0 && !slices.Contains(g.starts, startMilli) {
+		g.starts = append(g.starts, startMilli)
+		g.starts = g.starts[max(len(g.starts)-maxStarts, 0):]
+	}
 }
 
 // matches reports whether the status of an upstream that was started at the time, in
-// Unix milliseconds, is that of the new process.
+// Unix milliseconds, is that of the new process. A source that was restored from a copy may
+// show any of the previous ones.
 func (r restart) matches(startMilli int64) bool {
-	if r.previousStart != 0 {
-		return startMilli != r.previousStart
+	if len(r.previous) > 0 {
+		return startMilli != 0 && !slices.Contains(r.previous, startMilli)
 	}
 	return startMilli >= r.after.Add(-maxStartSkew).UnixMilli()
 }
@@ -25,9 +37,9 @@
 // noteRestart records that the upstream may have restarted after a time. The entry
 // hosts may not know of it yet, so the agent applies the slow start itself.
 func (g *Guard) noteRestart(now, after time.Time) {
-	r := restart{observedAt: now, after: after, previousStart: g.status.StartUnixMilli}
+	r := restart{observedAt: now, after: after, previous: slices.Clone(g.starts)}
 	if g.exited {
-		r.previousStart = g.exitedStart
+		r.previous = g.exitedStarts
 	}
 	if g.restart.observedAt.IsZero() && !r.matches(g.status.StartUnixMilli) {
 		g.restart = r
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -110,10 +110,12 @@
 	answers        answers
 	leaving        bool
 	exited         bool
-	// exitedAt is when the upstream's process was found to be gone, and exitedStart the
-	// start time of that process.
+	// starts are the latest start times of the upstream's processes.
+	starts []int64
+	// exitedAt is when the upstream's process was found to be gone, and exitedStarts the
+	// start times that were known then.
 	exitedAt      time.Time
-	exitedStart   int64
+	exitedStarts  []int64
 	lastReceived  time.Time // the last packet of the upstream
 	lastPortProbe time.Time
 	actions       []Action
@@ -157,6 +159,7 @@
 	changed := s.AcceptsNew != g.status.AcceptsNew || g.status.Revision == 0
 	g.updateCold(now, s)
 	g.status = s
+	g.noteStart(s.StartUnixMilli)
 	if g.restart.matches(s.StartUnixMilli) {
 		g.restart = restart{}
 	}
--- a/internal/core/gdguard/probe.go
+++ b/internal/core/gdguard/probe.go
@@ -1,6 +1,7 @@
 package gdguard
 
 import (
+	"slices"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
@@ -74,7 +75,7 @@
 		return nil
 	}
 	g.exited, g.ObservedFromStart = true, true
-	g.exitedAt, g.exitedStart = now, g.status.StartUnixMilli
+	g.exitedAt, g.exitedStarts = now, slices.Clone(g.starts)
 	g.flows.Each(func(k gdflow.Key, f *flow) bool {
 		if f.state == open || f.state == halfOpen {
 			g.add(Action{Verb: Reset, Key: k, Seq: f.expectedSeq})
--- a/internal/core/gdguard/start_test.go
+++ b/internal/core/gdguard/start_test.go
@@ -108,6 +108,11 @@
 			g.HandleUpstreamExit(start)
 			return start.Add(time.Second)
 		}, reported(2, start.Add(500*time.Millisecond).UnixMilli(), 0), false},
+		{"a restored source shows the process before the previous one", func(g *gdguard.Guard) time.Time {
+			g.UpdateStatus(start, reported(2, first+1, 0))
+			g.HandleUpstreamExit(start)
+			return start.Add(time.Second)
+		}, reported(gddiscovery.NewRevision(1, 1), first, 0), true},
 		{"nothing happened", func(*gdguard.Guard) time.Time { return start }, reported(2, first, 0), false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
