--- a/internal/core/gddiscovery/restore.go
+++ b/internal/core/gddiscovery/restore.go
@@ -7,9 +7,9 @@
 )
 
 // A source that is restored from a copy has lost its latest changes, and starts a new era.
-// What a host knows from the earlier era and the copy lacks is unconfirmed: it is kept
-// until it is written again or its time to be is over, because the copy does not prove that
-// it has changed.
+// What a host knows from the earlier era and the copy lacks is unconfirmed. It is kept until
+// it is written again or the time for that is over, because the copy does not prove that it
+// was removed.
 
 const (
 	// operatorGrace is how long a failure domain stays out that the restored source does
@@ -51,7 +51,8 @@
 	return !r.change.Removed && r.change.Revision.Era() < s.revision.Era()
 }
 
-// beginEra notes that the state has moved to a new era.
+// beginEra records that the state has moved to a new era. first means that nothing was known
+// before, so that the era may have begun long ago.
 func (s *State) beginEra(now time.Time, first bool) {
 	left := expiryGrace
 	if first {
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -145,7 +145,7 @@
 	return false
 }
 
-// precedes reports whether the record is older than a change of its subject. A
+// precedes reports whether the change of its subject is newer than the record. A
 // configuration with a higher version is newer whatever the revisions: versions never go
 // back, not even in a source that was restored.
 func (r *record) precedes(c Change) bool {
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -157,7 +157,7 @@
 		return false
 	}
 	changed := s.AcceptsNew != g.status.AcceptsNew || g.status.Revision == 0
-	g.updateCold(now, s)
+	g.carryOver(now, s)
 	g.status = s
 	g.noteStart(s.StartUnixMilli)
 	if g.restart.matches(s.StartUnixMilli) {
@@ -167,10 +167,10 @@
 	return changed
 }
 
-// updateCold updates until when the upstream is cold. A status of a later era may come from
+// carryOver updates until when the upstream is cold or refuses new flows. A status of a later era may come from
 // a copy that was made before the upstream drained or became cold, so that it neither ends
 // the slow start nor, for restoreGrace, lets in new flows.
-func (g *Guard) updateCold(now time.Time, s UpstreamStatus) {
+func (g *Guard) carryOver(now time.Time, s UpstreamStatus) {
 	restored := g.status.Revision != 0 && s.Revision.Era() > g.status.Revision.Era()
 	if restored && !g.status.AcceptsNew && s.StartUnixMilli == g.status.StartUnixMilli {
 		g.refusesUntil = now.Add(restoreGrace)
