--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -78,7 +78,7 @@
 		{configNeverBack, "copy-wins", []string{"restore-after-storm"}, []edit{
 			{state, "return v > r.change.version()", "return c.Revision > r.change.Revision"},
 		}},
-		{configInTime, "no-era", []string{"restore-after-storm", "config"}, []edit{
+		{configInTime, "no-era", []string{"restore-after-storm"}, []edit{
 			{"platform/store.go", "n, err := strconv.ParseUint(text, 10, 64)", "n, err := strconv.ParseUint(\"0\", 10, 64)"},
 		}},
 		{keepsRunning, "", []string{"garbage"}, []edit{
