--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -13,7 +13,8 @@
 	previous   []int64   // when the previous processes were started, as far as known
 }
 
-// maxStarts is how many start times of the upstream are remembered.
+// maxStarts is how many start times of the upstream are remembered: more than it has within
+// the age of a copy from which the source may be restored.
 const maxStarts = 8
 
 // noteStart remembers the start time of a process of the upstream.
--- a/internal/rig/gdhostrig/operator.go
+++ b/internal/rig/gdhostrig/operator.go
@@ -149,7 +149,8 @@
 	// operatorReturn is the time from a restore of the store until the operator has written
 	// again what was lost.
 	operatorReturn = 2500 * time.Millisecond
-	// maxRegisterDelay is the maximum time until an upstream has.
+	// maxRegisterDelay is the maximum time from a restore until an upstream has registered
+	// again.
 	maxRegisterDelay = 1900 * time.Millisecond
 )
 
--- a/internal/rig/gdsoak/faults.go
+++ b/internal/rig/gdsoak/faults.go
@@ -180,6 +180,7 @@
 	})
 }
 
+// laterFaults slow, cool and cut off parts of the deployment.
 var laterFaults = []fault{
 	{"slow-upstream", false, func(p *injector, now time.Time) {
 		if all := p.Upstreams(); len(all) > 0 {
