Send the class of a route and the expected wait between entry hosts and agents

Cause: hard load. The parts that decide when room is short need at the agent what the callers of a route need, and at the entry host how long a request would wait. Ruled out: configuration at the agents (they do not read the store); a class with each packet (agents keep it by service address). Change: format 3 of gdhop: packets that open a flow carry objective, timeout, priority, idempotence and a hash of the entry host's failure domain; answers carry the expected wait. Conclusion: interfaces for the parts.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -23,8 +23,11 @@
 import (
 	"cmp"
 	"iter"
+	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"godwitdrift.example/godwitdrift/internal/core/gdcache"
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
@@ -72,6 +75,8 @@
 type Dispatcher struct {
 	// LinkBytesPerSecond is the bandwidth of the host's link, or 0 if it is unknown.
 	LinkBytesPerSecond float64
+	// Domain is the failure domain of the host, which is that of its callers.
+	Domain string
 	// StartedAt is when the host started, or the zero time if it waits for its first view
 	// without a limit.
 	StartedAt time.Time
@@ -330,9 +335,29 @@
 		d.add(a)
 		return
 	}
+	if a.Opens {
+		a.Header.Class, a.Header.Origin = classOf(r), d.origin()
+	}
 	d.forwardTo(now, m, a)
 }
 
+// origin returns the hash of the host's failure domain that is sent with new flows, or 0 if
+// the domain is unknown.
+func (d *Dispatcher) origin() uint16 {
+	if d.Domain == "" {
+		return 0
+	}
+	return max(uint16(xxhash.Sum64String(d.Domain)), 1)
+}
+
+// classOf returns what the route's callers need.
+func classOf(r *gddiscovery.Route) gdguard.RouteClass {
+	return gdguard.RouteClass{
+		Objective: r.LatencyObjective, Timeout: r.Timeout, Idempotent: r.Idempotent,
+		Priority: uint8(min(max(r.Priority, 0), math.MaxUint8)),
+	}
+}
+
 // forwardTo adds the action that forwards a packet to the agent of the upstream.
 func (d *Dispatcher) forwardTo(now time.Time, m *gddiscovery.Member, a Action) {
 	a.Verb, a.To = Forward, m.Address()
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -85,21 +85,6 @@
 	d.markNotFound(now, k, f)
 }
 
-// nextOffer returns the upstream that is offered the flow next, or nil if enough have
-// refused it or none is left.
-func (d *Dispatcher) nextOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup) *gddiscovery.Member {
-	hash := k.Hash()
-	p, ok := d.view.Pool(r.PickService(hash))
-	if !ok || l.busyCount() >= maxBusyOffers {
-		return nil
-	}
-	m := d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) && !d.hosts.suspect(now, m.Address()) })
-	if m == nil && l.leastLoaded() == nil {
-		m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
-	}
-	return m
-}
-
 // mostAreSilent reports whether most agents have stopped responding.
 func (d *Dispatcher) mostAreSilent() bool {
 	return d.hosts.silentCount >= minSilentAgents && float64(d.hosts.silentCount) > maxSilentShare*float64(len(d.view.Upstreams()))
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -128,6 +128,8 @@
 	From gdflow.Address
 	// Load is the number of requests that the agent's upstream is processing.
 	Load int
+	// Wait is how long a new request would wait for a slot of the upstream.
+	Wait time.Duration
 	// Revision is the highest revision that the agent has observed.
 	Revision gddiscovery.Revision
 	Reason   gdguard.Reason
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -45,8 +45,11 @@
 type Header struct {
 	// Service is the hash of the name of the service that the flow is for.
 	Service uint32
-	// Status is set with packets that open a flow.
+	// Status, Class and Origin are set with packets that open a flow. Origin is a hash of the
+	// failure domain of the entry host, which is that of its callers, or 0 if it is unknown.
 	Status UpstreamStatus
+	Class  RouteClass
+	Origin uint16
 	// Forced reports that no upstream with a free slot was found, and Urgent that the
 	// flow is for requests of the first priorities.
 	Forced, Urgent bool
@@ -134,6 +137,9 @@
 // Load returns how many requests the upstream is processing or has queued.
 func (g *Guard) Load() int { return g.work.n }
 
+// ExpectedWait returns how long a new request would wait for a slot of the upstream.
+func (g *Guard) ExpectedWait(time.Time) time.Duration { return 0 }
+
 // Flows returns the number of cached flows.
 func (g *Guard) Flows() int { return g.flows.Len() }
 
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -68,6 +68,19 @@
 	StartUnixMilli int64
 }
 
+// RouteClass describes what the callers of a route need. An entry host reports it to the
+// agent with each packet that opens a flow of the route. The zero value is that of a route
+// whose needs are not known.
+type RouteClass struct {
+	// Objective is the time from the caller's first attempt within which an answer has its
+	// full value, and Timeout the time after which it is worthless. 0 means unknown.
+	Objective, Timeout time.Duration
+	// Priority ranks routes for the case that not all can be served, 0 first.
+	Priority uint8
+	// Idempotent reports that requests may run more than once.
+	Idempotent bool
+}
+
 // MaxQueryFlows is the maximum number of flows in one query, so that the query and its
 // reply fit into a datagram on any link.
 const MaxQueryFlows = 90
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -148,7 +148,7 @@
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
 	e.probes = make(chan probeRequest, maxProbes)
-	e.dispatcher.LinkBytesPerSecond, e.dispatcher.StartedAt = e.LinkBytesPerSecond, time.Now()
+	e.dispatcher.LinkBytesPerSecond, e.dispatcher.StartedAt, e.dispatcher.Domain = e.LinkBytesPerSecond, time.Now(), e.Domain
 	e.pacer.BytesPerSecond, e.paced = pacedShare*e.LinkBytesPerSecond, make(chan struct{}, 1)
 	e.initElection()
 	e.history.Repeats = changeRepeats
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -50,7 +50,7 @@
 	case gdhop.Accepted:
 		out.execute(now, e.dispatcher.HandleAccepted(now, host, m.Key))
 		e.metrics.accepted.Inc(1)
-		e.metrics.event(now, e.Log, gdlog.FlowAccepted, "flow", m.Key, "upstream", host, "load", m.Load)
+		e.metrics.event(now, e.Log, gdlog.FlowAccepted, "flow", m.Key, "upstream", host, "load", m.Load, "wait", m.Wait.String())
 	case gdhop.Held:
 		out.execute(now, e.dispatcher.HandleHeld(now, host, m.Key))
 		e.metrics.event(now, e.Log, gdlog.FlowFound, "flow", m.Key, "upstream", host)
@@ -68,7 +68,7 @@
 			e.metrics.event(now, e.Log, gdlog.PacketReturned, "flow", p.Key(), "upstream", host, "reason", m.Reason.String(),
 				"load", m.Load, "revision", m.Revision)
 		}
-		info := gddispatch.ReturnInfo{From: host, Load: int(m.Load), Revision: m.Revision, Reason: m.Reason}
+		info := gddispatch.ReturnInfo{From: host, Load: int(m.Load), Wait: m.Wait, Revision: m.Revision, Reason: m.Reason}
 		out.execute(now, e.dispatcher.HandleReturned(now, info, p, m.Packet))
 	}
 }
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -181,7 +181,7 @@
 			b := agent.Codec.AppendReset(s.out.Buffer(), a.Key, a.Seq)
 			s.out.Queue(b, a.Key.Caller().WithPort(agent.CallerPort).AddrPort())
 		case gdguard.Return:
-			b := gdhop.AppendReturn(s.out.Buffer(), a.Reason, agent.Guard.Load(), agent.Guard.Revision())
+			b := gdhop.AppendReturn(s.out.Buffer(), a.Reason, agent.Guard.Load(), agent.Guard.ExpectedWait(now), agent.Guard.Revision())
 			s.out.Queue(append(b, raw...), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, gdlog.PacketRefused, "flow", a.Key, "entry", a.Entry, "reason", a.Reason.String(),
 				"opens", p.Opens(), "load", agent.Guard.Load(), "revision", agent.Guard.Revision())
@@ -190,7 +190,7 @@
 			if a.Verb == gdguard.ReportHeld {
 				t, ev = gdhop.Held, gdlog.FlowFound
 			}
-			s.out.Queue(gdhop.AppendFlowNotice(s.out.Buffer(), t, a.Key, agent.Guard.Load()), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
+			s.out.Queue(gdhop.AppendFlowNotice(s.out.Buffer(), t, a.Key, agent.Guard.Load(), agent.Guard.ExpectedWait(now)), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, ev, "flow", a.Key, "entry", a.Entry, "load", agent.Guard.Load())
 		}
 	}
--- a/internal/wire/gdhop/hop.go
+++ b/internal/wire/gdhop/hop.go
@@ -19,6 +19,7 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
 
@@ -30,16 +31,17 @@
 )
 
 // Version is the version of the format.
-const Version = 2
+const Version = 3
 
 // MaxOverhead is the maximum size of the part of a message before the packet, in bytes.
-const MaxOverhead = forwardSize + statusSize
+const MaxOverhead = forwardSize + statusSize + classSize
 
 const (
 	forwardSize = 8
 	statusSize  = 28
-	returnSize  = 13
-	noticeSize  = 4 + gdflow.KeySize
+	classSize   = 12
+	returnSize  = 15
+	noticeSize  = 6 + gdflow.KeySize
 	querySize   = 8 + statusSize
 	holdingSize = gdflow.KeySize + 1
 )
@@ -74,6 +76,9 @@
 	flagUrgent
 )
 
+// flagIdempotent is a flag of the route's class.
+const flagIdempotent = 1
+
 // Message is a decoded message.
 type Message struct {
 	// Packet is the packet of Forward and Return.
@@ -90,15 +95,17 @@
 	// Revision is the highest revision that the agent has observed, for Return and
 	// QueryReply.
 	Revision gddiscovery.Revision
-	// Load is the number of requests in progress at the upstream, for Return, Accepted
-	// and Held.
+	// Load is the number of requests in progress at the upstream, and Wait how long a new one
+	// would wait for a slot, for Return, Accepted and Held.
 	Load   uint16
+	Wait   time.Duration
 	Type   Type
 	Reason gdguard.Reason
 }
 
 // AppendForward appends a Forward message up to its packet. opens means that the packet
-// opens a flow; the message then contains the status of the upstream.
+// opens a flow; the message then contains the status of the upstream and the class of the
+// route.
 func AppendForward(b []byte, h gdguard.Header, opens bool) []byte {
 	var flags byte
 	if opens {
@@ -116,11 +123,31 @@
 	b = append(b, Version, byte(Forward), flags, 0)
 	b = binary.BigEndian.AppendUint32(b, h.Service)
 	if opens {
-		b = appendStatus(b, h.Status)
+		b = appendClass(appendStatus(b, h.Status), h)
 	}
 	return b
 }
 
+func appendClass(b []byte, h gdguard.Header) []byte {
+	var flags byte
+	if h.Class.Idempotent {
+		flags |= flagIdempotent
+	}
+	b = append(b, h.Class.Priority, flags)
+	b = binary.BigEndian.AppendUint16(b, h.Origin)
+	b = appendMillis(b, h.Class.Objective)
+	return appendMillis(b, h.Class.Timeout)
+}
+
+// appendMillis appends a duration in milliseconds. A negative one is encoded as 0.
+func appendMillis(b []byte, d time.Duration) []byte {
+	return binary.BigEndian.AppendUint32(b, uint32(min(max(d, 0)/time.Millisecond, math.MaxUint32)))
+}
+
+func parseMillis(b []byte) time.Duration {
+	return time.Duration(binary.BigEndian.Uint32(b)) * time.Millisecond
+}
+
 // AppendStatus appends a Status message.
 func AppendStatus(b []byte, service uint32, s gdguard.UpstreamStatus) []byte {
 	b = append(b, Version, byte(Status), flagOpens, 0)
@@ -136,22 +163,24 @@
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Revision))
 	b = append(b, flags, s.Slots)
 	b = binary.BigEndian.AppendUint16(b, s.ColdFlowsPerSecond)
-	b = binary.BigEndian.AppendUint32(b, uint32(max(s.ColdLeft, 0)/time.Millisecond))
+	b = appendMillis(b, s.ColdLeft)
 	b = binary.BigEndian.AppendUint64(b, uint64(s.StartUnixMilli))
-	return binary.BigEndian.AppendUint32(b, uint32(max(s.ColdFor, 0)/time.Millisecond))
+	return appendMillis(b, s.ColdFor)
 }
 
 // AppendReturn appends a Return message up to its packet.
-func AppendReturn(b []byte, r gdguard.Reason, load int, revision gddiscovery.Revision) []byte {
+func AppendReturn(b []byte, r gdguard.Reason, load int, wait time.Duration, revision gddiscovery.Revision) []byte {
 	b = append(b, Version, byte(Return), byte(r))
 	b = binary.BigEndian.AppendUint16(b, clamp(load))
+	b = binary.BigEndian.AppendUint16(b, clamp(int(wait/time.Millisecond)))
 	return binary.BigEndian.AppendUint64(b, uint64(revision))
 }
 
 // AppendFlowNotice appends an Accepted or Held message.
-func AppendFlowNotice(b []byte, t Type, k gdflow.Key, load int) []byte {
+func AppendFlowNotice(b []byte, t Type, k gdflow.Key, load int, wait time.Duration) []byte {
 	b = append(b, Version, byte(t))
 	b = binary.BigEndian.AppendUint16(b, clamp(load))
+	b = binary.BigEndian.AppendUint16(b, clamp(int(wait/time.Millisecond)))
 	return k.AppendTo(b)
 }
 
@@ -232,6 +261,13 @@
 		}
 		m.Header.Status = parseStatus(b)
 		b = b[statusSize:]
+		if m.Type == Forward {
+			if len(b) < classSize {
+				return Message{}, shortError(b, classSize)
+			}
+			parseClass(b, &m.Header)
+			b = b[classSize:]
+		}
 	}
 	if m.Type == Status && (flags&flagOpens == 0 || len(b) > 0) {
 		return Message{}, errors.New("decode status message: it carries a packet or no status")
@@ -246,10 +282,17 @@
 		AcceptsNew:         b[8]&flagAcceptsNew != 0,
 		Slots:              b[9],
 		ColdFlowsPerSecond: binary.BigEndian.Uint16(b[10:]),
-		ColdLeft:           time.Duration(binary.BigEndian.Uint32(b[12:])) * time.Millisecond,
+		ColdLeft:           parseMillis(b[12:]),
 		StartUnixMilli:     int64(binary.BigEndian.Uint64(b[16:])),
-		ColdFor:            time.Duration(binary.BigEndian.Uint32(b[24:])) * time.Millisecond,
+		ColdFor:            parseMillis(b[24:]),
+	}
+}
+
+func parseClass(b []byte, h *gdguard.Header) {
+	h.Class = gdguard.RouteClass{
+		Priority: b[0], Idempotent: b[1]&flagIdempotent != 0, Objective: parseMillis(b[4:]), Timeout: parseMillis(b[8:]),
 	}
+	h.Origin = binary.BigEndian.Uint16(b[2:])
 }
 
 func (m Message) parseReturn(b []byte) (Message, error) {
@@ -261,7 +304,8 @@
 		return Message{}, errors.Errorf("decode returned packet: unknown reason %d", b[2])
 	}
 	m.Load = binary.BigEndian.Uint16(b[3:])
-	m.Revision = gddiscovery.Revision(binary.BigEndian.Uint64(b[5:]))
+	m.Wait = time.Duration(binary.BigEndian.Uint16(b[5:])) * time.Millisecond
+	m.Revision = gddiscovery.Revision(binary.BigEndian.Uint64(b[7:]))
 	m.Packet = b[returnSize:]
 	return m, nil
 }
@@ -271,7 +315,8 @@
 		return Message{}, errors.Errorf("decode flow notice: %d bytes, want %d", len(b), noticeSize)
 	}
 	m.Load = binary.BigEndian.Uint16(b[2:])
-	m.Key, _ = gdflow.ParseKey(b[4:])
+	m.Wait = time.Duration(binary.BigEndian.Uint16(b[4:])) * time.Millisecond
+	m.Key, _ = gdflow.ParseKey(b[6:])
 	return m, nil
 }
 
--- a/internal/wire/gdhop/hop_test.go
+++ b/internal/wire/gdhop/hop_test.go
@@ -19,7 +19,10 @@
 
 func TestMessagesRoundTrip(t *testing.T) {
 	packet := []byte("packet")
-	opens := gdguard.Header{Service: 77, Forced: true, Urgent: true, Status: status}
+	opens := gdguard.Header{
+		Service: 77, Forced: true, Urgent: true, Status: status, Origin: 513,
+		Class: gdguard.RouteClass{Objective: 250 * time.Millisecond, Timeout: 2500 * time.Millisecond, Priority: 1, Idempotent: true},
+	}
 	data := gdguard.Header{Service: 77, Confirm: true}
 	tests := []struct {
 		name string
@@ -31,8 +34,8 @@
 		{"status", gdhop.AppendStatus(nil, 77, status), gdhop.Message{
 			Type: gdhop.Status, Header: gdguard.Header{Service: 77, Status: status}, Packet: []byte{},
 		}},
-		{"return", append(gdhop.AppendReturn(nil, gdguard.Busy, 9, 42), packet...), gdhop.Message{
-			Type: gdhop.Return, Reason: gdguard.Busy, Load: 9, Revision: 42, Packet: packet,
+		{"return", append(gdhop.AppendReturn(nil, gdguard.Busy, 9, 30*time.Millisecond, 42), packet...), gdhop.Message{
+			Type: gdhop.Return, Reason: gdguard.Busy, Load: 9, Wait: 30 * time.Millisecond, Revision: 42, Packet: packet,
 		}},
 		{"query", gdhop.AppendQuery(nil, 77, status, []gdflow.Key{key, key}), gdhop.Message{
 			Type: gdhop.Query, Header: gdguard.Header{Service: 77, Status: status}, Keys: []gdflow.Key{key, key},
@@ -40,7 +43,9 @@
 		{"query reply", gdhop.AppendHolding(gdhop.AppendHolding(gdhop.AppendQueryReply(nil, 42), key, gdguard.Absent), key, gdguard.Unsure), gdhop.Message{
 			Type: gdhop.QueryReply, Revision: 42, Keys: []gdflow.Key{key, key}, Holdings: []gdguard.Holding{gdguard.Absent, gdguard.Unsure},
 		}},
-		{"held", gdhop.AppendFlowNotice(nil, gdhop.Held, key, 70000), gdhop.Message{Type: gdhop.Held, Key: key, Load: 65535}},
+		{"held", gdhop.AppendFlowNotice(nil, gdhop.Held, key, 70000, 12*time.Millisecond), gdhop.Message{
+			Type: gdhop.Held, Key: key, Load: 65535, Wait: 12 * time.Millisecond,
+		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -58,17 +63,18 @@
 		b          []byte
 	}{
 		{"empty", "too short for a type", nil},
-		{"other version", "version 9, want 2", []byte{9, 1, 0, 0}},
-		{"unknown type", "unknown type 99", []byte{2, 99}},
-		{"short forward", "shorter than 8", []byte{2, 1, 0}},
+		{"other version", "version 9, want 3", []byte{9, 1, 0, 0}},
+		{"unknown type", "unknown type 99", []byte{3, 99}},
+		{"short forward", "shorter than 8", []byte{3, 1, 0}},
 		{"short status", "shorter than 28", gdhop.AppendStatus(nil, 1, status)[:12]},
+		{"short class", "shorter than 12", gdhop.AppendForward(nil, gdguard.Header{Status: status}, true)[:40]},
 		{"status with a packet", "carries a packet", append(gdhop.AppendStatus(nil, 1, status), 1)},
-		{"unknown reason", "unknown reason 200", append([]byte{2, 3, 200}, make([]byte, 20)...)},
-		{"short query", "shorter than 36", []byte{2, 6, 0}},
+		{"unknown reason", "unknown reason 200", append([]byte{3, 3, 200}, make([]byte, 20)...)},
+		{"short query", "shorter than 36", []byte{3, 6, 0}},
 		{"truncated query", "53 bytes don't match a count of 2 flows", gdhop.AppendQuery(nil, 1, status, []gdflow.Key{key, key})[:53]},
 		{"truncated query reply", "invalid size of 22 bytes", gdhop.AppendHolding(gdhop.AppendQueryReply(nil, 1), key, gdguard.Absent)[:22]},
 		{"unknown holding", "unknown holding 9", gdhop.AppendHolding(gdhop.AppendQueryReply(nil, 1), key, 9)},
-		{"long notice", "flow notice: 17 bytes", append(gdhop.AppendFlowNotice(nil, gdhop.Held, key, 1), 0)},
+		{"long notice", "flow notice: 19 bytes", append(gdhop.AppendFlowNotice(nil, gdhop.Held, key, 1, 0), 0)},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -81,8 +87,8 @@
 func FuzzParse(f *testing.F) {
 	f.Add(append(gdhop.AppendForward(nil, gdguard.Header{Status: status}, true), 1, 2, 3))
 	f.Add(gdhop.AppendStatus(nil, 7, status))
-	f.Add(append(gdhop.AppendReturn(nil, gdguard.Busy, 9, 42), 1))
-	f.Add(gdhop.AppendFlowNotice(nil, gdhop.Accepted, key, 3))
+	f.Add(append(gdhop.AppendReturn(nil, gdguard.Busy, 9, 30*time.Millisecond, 42), 1))
+	f.Add(gdhop.AppendFlowNotice(nil, gdhop.Accepted, key, 3, 0))
 	f.Add(gdhop.AppendQuery(nil, 7, status, []gdflow.Key{key}))
 	f.Add(gdhop.AppendHolding(gdhop.AppendQueryReply(nil, 7), key, gdguard.Present))
 	f.Fuzz(func(t *testing.T, b []byte) {
