Look up flows at the services that a route had, and not only has

The same at each place that concludes from a route: a packet of a resolved flow started a lookup, an attempt at an upstream outside of the route counted as answered, a report of such an upstream's agent was not believed. A delta is sent only if it hides no service of a route, and not over a gap of the sender's own. Update.EachChange says that an update is from a watch of the source. gddispatch/holders.go answers which upstreams can hold a flow; all places ask it. A flow's upstream is known with its service, so that an address which went to another service gets none of its packets, and one of a former service needs no lookup. An unanswered query proves nothing, whatever has its address now. Opening packets still go to services in force only. Three tests of deltas and one of beacons now say that their sender's update comes from a watch (EachChange), as it does; without it the sender has a gap and sends the whole configuration. Nothing else of them changed.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -43,6 +43,8 @@
 	// Upstream is set for a registration. For a removed one it is the last known
 	// value.
 	Upstream *Upstream
+
+	continues bool // no service of a route in between is missing; for a configuration
 }
 
 // version returns the version of the configuration that the change describes, or 0.
@@ -63,6 +65,9 @@
 	Revision Revision
 	// Age is the minimum time since the source held this state.
 	Age time.Duration
+	// EachChange reports that each change after the receiver's revision is there, and not
+	// only the latest of each subject. It is not sent to other hosts.
+	EachChange bool
 	// Full reports that the changes are the full state, so that subjects without a
 	// change were removed.
 	Full bool
--- a/internal/core/gddiscovery/delta.go
+++ b/internal/core/gddiscovery/delta.go
@@ -15,7 +15,8 @@
 
 // ConfigDelta describes a configuration by its differences from earlier ones. It applies
 // to each configuration from the revision Since on: whatever was changed after it is
-// given as it is in the end.
+// given as it is in the end. No route had a service in between that it has neither before
+// nor after.
 type ConfigDelta struct {
 	// Since is the lowest revision of a configuration that the delta applies to.
 	Since Revision
@@ -84,11 +85,13 @@
 	revision Revision
 	config   *Config
 	sum      uint64
+	gap      bool // a configuration before it may have been missed
 }
 
-// retainConfig records a configuration for later deltas.
-func (s *State) retainConfig(revision Revision, c *Config) {
-	s.configs = append(s.configs, configAt{revision: revision, config: c, sum: c.sum()})
+// retainConfig records a configuration for later deltas. gap means that one before it may
+// have been missed.
+func (s *State) retainConfig(revision Revision, c *Config, gap bool) {
+	s.configs = append(s.configs, configAt{revision: revision, config: c, sum: c.sum(), gap: gap})
 	s.configs = s.configs[max(len(s.configs)-maxConfigs, 0):]
 }
 
@@ -104,12 +107,15 @@
 	if c.Config == nil || first < 0 || !uniqueAddresses(c.Config.Routes) {
 		return c
 	}
+	steps := s.configs[first:]
+	if slices.ContainsFunc(steps[1:], func(o configAt) bool { return o.gap }) || hidesService(steps) {
+		return c
+	}
 	d := &ConfigDelta{
 		Since:  s.configs[first].revision,
 		Config: Config{Version: c.Config.Version, IdleTimeout: c.Config.IdleTimeout},
 		Sum:    s.configs[len(s.configs)-1].sum,
 	}
-	steps := s.configs[first:]
 	d.Routes, d.RemovedRoutes = touched(steps, func(c *Config) []Route { return c.Routes }, routeName, equalRoutes)
 	d.Services, d.RemovedServices = touched(steps, func(c *Config) []Service { return c.Services }, serviceName, equalServices)
 	if len(d.Routes) >= len(c.Config.Routes) {
@@ -149,8 +155,8 @@
 	return present, gone
 }
 
-func index[T any](list []T, name func(T) string) map[string]T {
-	m := make(map[string]T, len(list))
+func index[K comparable, T any](list []T, name func(T) K) map[K]T {
+	m := make(map[K]T, len(list))
 	for _, t := range list {
 		m[name(t)] = t
 	}
--- a/internal/core/gddiscovery/delta_test.go
+++ b/internal/core/gddiscovery/delta_test.go
@@ -55,7 +55,7 @@
 	c := first
 	for revision := gddiscovery.Revision(11); revision < 200; revision++ {
 		c = changedConfig(rnd, c, revision)
-		require.True(t, sender.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{c}, Revision: revision}))
+		require.True(t, sender.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{c}, Revision: revision, EachChange: true}))
 		for i, f := range followers {
 			if rnd.IntN(i+1) > 0 {
 				continue // the follower misses this one
@@ -100,7 +100,7 @@
 	a.Routes = append(append([]gddiscovery.Route{}, first.Config.Routes[2:]...), guest, guest)
 	between.Config, last.Config = &a, &b
 	require.True(t, follower.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{between}, Revision: 11}))
-	require.True(t, sender.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{last}, Revision: 12}))
+	require.True(t, sender.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{last}, Revision: 12, EachChange: true}))
 	u := sender.ChangesSince(start, follower.Revision())
 	require.NotNil(t, u.Changes[0].Delta)
 	require.False(t, follower.Apply(start, u))
@@ -118,7 +118,7 @@
 	first := manyRoutes(10)
 	s := loaded(t, first)
 	next := changedConfig(rnd, first, 11)
-	require.True(t, s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{next}, Revision: 11}))
+	require.True(t, s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{next}, Revision: 11, EachChange: true}))
 	require.NotNil(t, s.ChangesSince(start, 0).Changes[0].Config)
 	require.NotNil(t, s.ChangesSince(start, 10).Changes[0].Delta)
 }
--- a/internal/core/gddiscovery/restore.go
+++ b/internal/core/gddiscovery/restore.go
@@ -59,6 +59,7 @@
 		left = witnessTime
 	}
 	s.settledAt = now.Add(left)
+	s.forgetFormerRoutes(now) // hosts that know only the copy may act on an older configuration
 }
 
 // expireUnconfirmed removes the records that were kept from an earlier era and were not
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -15,7 +15,7 @@
 	outageAge = 2500 * time.Millisecond
 	// removedTTL is how long a removed upstream is retained for flows that it may
 	// still hold: the maximum duration of a flow in the users' settings.
-	removedTTL = 60 * time.Second
+	removedTTL = maxFlowDuration
 )
 
 // record is the latest change of one subject.
@@ -39,6 +39,7 @@
 	// before it may be unknown.
 	completeSince Revision
 	configs       []configAt // the latest configurations, oldest first
+	history       routeHistories
 	confirmed     time.Time
 	settledAt     time.Time // until then the state may lack running upstreams
 	loaded        bool
@@ -82,7 +83,11 @@
 			u.Changes = append(u.Changes, Change{Subject: subject, Revision: u.Revision, Removed: true})
 		}
 	}
+	if !s.loaded {
+		s.forgetFormerRoutes(now)
+	}
 	s.loaded, s.completeSince = true, max(s.completeSince, u.Revision)
+	u.EachChange = false
 	return s.merge(now, u)
 }
 
@@ -112,7 +117,7 @@
 		if !ok {
 			return false
 		}
-		c.Config, c.Delta = cfg, nil
+		c.Config, c.Delta, c.continues = cfg, nil, true
 	}
 	return true
 }
@@ -122,12 +127,8 @@
 		s.records = make(map[Subject]*record)
 	}
 	outage := !s.confirmed.IsZero() && now.Sub(s.confirmed) > outageAge
-	changed := s.view == nil
-	for _, c := range u.Changes {
-		if s.put(now, c, outage) {
-			changed = true
-		}
-	}
+	complete := s.history.completeSince
+	changed := s.putAll(now, u, outage) || s.view == nil
 	if u.Revision >= s.revision {
 		if u.Revision.Era() > s.revision.Era() {
 			s.beginEra(now, s.view == nil)
@@ -137,7 +138,7 @@
 			s.confirmed = at
 		}
 	}
-	changed = s.expireUnconfirmed(now) || changed
+	changed = s.expireUnconfirmed(now) || changed || complete != s.history.completeSince
 	if s.expire(now) || changed {
 		s.view = s.buildView()
 		return true
@@ -145,6 +146,16 @@
 	return false
 }
 
+// putAll applies changes. It reports whether one of them was new.
+func (s *State) putAll(now time.Time, u Update, outage bool) bool {
+	changed := false
+	for _, c := range u.Changes {
+		c.continues = c.continues || u.EachChange
+		changed = s.put(now, c, outage) || changed
+	}
+	return changed
+}
+
 // precedes reports whether the change of its subject is newer than the record. A
 // configuration with a higher version is newer whatever the revisions: versions never go
 // back, not even in a source that was restored.
@@ -168,6 +179,7 @@
 		return false
 	}
 	r := &record{change: c, updatedAt: now}
+	r.change.continues = false // it says how this host got the change
 	if !c.Removed {
 		r.written = c.Revision
 	}
@@ -176,11 +188,22 @@
 	}
 	s.records[c.Subject] = r
 	if c.Config != nil {
-		s.retainConfig(c.Revision, c.Config)
+		s.replaceConfig(now, old, c)
 	}
 	return true
 }
 
+// replaceConfig records the configuration that a change brings, and what it replaces.
+func (s *State) replaceConfig(now time.Time, old *record, c Change) {
+	if !c.continues {
+		s.forgetFormerRoutes(now)
+	}
+	if old != nil {
+		s.recordFormerRoutes(now, old.change.Config, c.Config)
+	}
+	s.retainConfig(c.Revision, c.Config, !c.continues)
+}
+
 // succeed takes over from the record that this one replaces what the change does not say.
 func (r *record) succeed(old *record, outage bool) {
 	if !r.change.Removed {
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -17,6 +17,8 @@
 	services   map[string]*Pool
 	domainsOut map[string]struct{}
 	upstreams  []*Member
+	byAddress  map[gdflow.Address]*Member
+	history    routeHistories
 	revision   Revision
 }
 
@@ -94,6 +96,9 @@
 // Upstreams returns all upstreams, including those that were removed recently.
 func (v *View) Upstreams() []*Member { return v.upstreams }
 
+// UpstreamAt returns the upstream at the address, or nil.
+func (v *View) UpstreamAt(a gdflow.Address) *Member { return v.byAddress[a] }
+
 // DomainsOut returns the number of failure domains that are out.
 func (v *View) DomainsOut() int { return len(v.domainsOut) }
 
@@ -123,14 +128,15 @@
 }
 
 func (s *State) buildView() *View {
-	v := &View{config: s.latestConfig(), revision: s.revision, domainsOut: make(map[string]struct{})}
+	v := &View{config: s.latestConfig(), revision: s.revision, domainsOut: make(map[string]struct{}), history: s.history}
 	for subject, r := range s.records {
 		if subject.Kind == Evacuation && !r.change.Removed {
 			v.domainsOut[subject.Name] = struct{}{}
 		}
 	}
 	v.routes, v.services = s.routing(v.config)
-	for _, m := range s.latestUpstreams() {
+	v.byAddress = s.latestUpstreams()
+	for _, m := range sorted(v.byAddress) {
 		_, m.domainOut = v.domainsOut[m.upstream.Domain]
 		v.upstreams = append(v.upstreams, m)
 		p, ok := v.services[m.upstream.Service]
@@ -173,7 +179,7 @@
 }
 
 // latestUpstreams returns one upstream per address, the latest that was there.
-func (s *State) latestUpstreams() []*Member {
+func (s *State) latestUpstreams() map[gdflow.Address]*Member {
 	byAddress := make(map[gdflow.Address]*Member)
 	for subject, r := range s.records {
 		u := r.change.Upstream
@@ -188,6 +194,11 @@
 			byAddress[u.Address] = m
 		}
 	}
+	return byAddress
+}
+
+// sorted returns the upstreams in an order that does not depend on the host.
+func sorted(byAddress map[gdflow.Address]*Member) []*Member {
 	members := make([]*Member, 0, len(byAddress))
 	for _, m := range byAddress {
 		members = append(members, m)
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -22,7 +22,6 @@
 
 import (
 	"cmp"
-	"iter"
 	"math"
 	"time"
 
@@ -235,18 +234,18 @@
 func (d *Dispatcher) handleData(now time.Time, r *gddiscovery.Route, f *flow, p gdflow.Packet, raw []byte) {
 	switch f.state {
 	case resolved:
-		m := d.memberAt(r, f.upstream)
+		m := d.memberOf(f.upstream)
 		if m == nil {
 			// The address was reassigned to another service, or is no longer in the view.
 			d.startLookup(now, f, lookingUp, p, raw)
 			d.queryNext(now, r, p.Key(), f)
 			return
 		}
-		if d.noteRetransmission(now, f, p) && d.givesUp(now, r, f.upstream) {
+		if d.noteRetransmission(now, f, p) && d.givesUp(now, r, f.upstream.address) {
 			// A request that can't be delivered has no answer. The caller's
 			// acknowledgements of an answer are forwarded as before.
 			f.state = gone
-			d.add(Action{Verb: Reset, Key: p.Key(), To: f.upstream, Seq: p.Ack, Reason: Unreachable})
+			d.add(Action{Verb: Reset, Key: p.Key(), To: f.upstream.address, Seq: p.Ack, Reason: Unreachable})
 			return
 		}
 		d.forwardTo(now, m, Action{
@@ -257,8 +256,7 @@
 			d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 			return
 		}
-		at := f.lookup.last().address
-		d.forward(now, r, at, Action{Key: p.Key(), Packet: raw, Reason: Waiting, Header: gdguard.Header{Confirm: true}})
+		d.forward(now, r, f.lookup.last().holder, Action{Key: p.Key(), Packet: raw, Reason: Waiting, Header: gdguard.Header{Confirm: true}})
 	case lookingUp:
 		f.lookup.enqueue(p, raw)
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
@@ -306,7 +304,7 @@
 }
 
 // resolve ends the lookup and forwards the packets that were pending.
-func (d *Dispatcher) resolve(now time.Time, k gdflow.Key, f *flow, at gdflow.Address) {
+func (d *Dispatcher) resolve(now time.Time, k gdflow.Key, f *flow, at holder) {
 	var pending []heldPacket
 	if f.lookup != nil {
 		pending = f.lookup.pending
@@ -326,12 +324,12 @@
 	}
 }
 
-// forward adds the action that forwards a packet to the agent of the upstream at
-// the address.
-func (d *Dispatcher) forward(now time.Time, r *gddiscovery.Route, to gdflow.Address, a Action) {
-	m := d.memberAt(r, to)
-	if m == nil {
-		a.Verb, a.To, a.Reason = Drop, to, NotFound
+// forward adds the action that forwards a packet to the agent of the upstream. A packet that
+// opens a flow goes only to a service of the configuration in force.
+func (d *Dispatcher) forward(now time.Time, r *gddiscovery.Route, to holder, a Action) {
+	m := d.memberOf(to)
+	if m == nil || a.Opens && !inForce(r, m) {
+		a.Verb, a.To, a.Reason = Drop, to.address, NotFound
 		d.add(a)
 		return
 	}
@@ -374,33 +372,6 @@
 	d.add(a)
 }
 
-// members yields the upstreams of the route.
-func (d *Dispatcher) members(r *gddiscovery.Route) iter.Seq[*gddiscovery.Member] {
-	return func(yield func(*gddiscovery.Member) bool) {
-		for i := range r.Shares {
-			p, ok := d.view.Pool(r.Shares[i].Service)
-			if !ok {
-				continue
-			}
-			for _, m := range p.Members() {
-				if !yield(m) {
-					return
-				}
-			}
-		}
-	}
-}
-
-// memberAt returns the upstream at the address, or nil if it is not one of the route's.
-func (d *Dispatcher) memberAt(r *gddiscovery.Route, at gdflow.Address) *gddiscovery.Member {
-	for m := range d.members(r) {
-		if m.Address() == at {
-			return m
-		}
-	}
-	return nil
-}
-
 // headerFor returns the header of a message to an agent without a packet.
 func (d *Dispatcher) headerFor(now time.Time, p *gddiscovery.Pool, m *gddiscovery.Member) gdguard.Header {
 	return gdguard.Header{Service: p.Hash(), Status: d.statusOf(now, p, m)}
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -42,7 +42,7 @@
 func (d *Dispatcher) handleNotHeld(now time.Time, r *gddiscovery.Route, info ReturnInfo, p gdflow.Packet, f *flow, raw []byte) {
 	switch f.state {
 	case resolved:
-		if f.upstream.IP() != info.From.IP() {
+		if f.upstream.address.IP() != info.From.IP() {
 			d.forward(now, r, f.upstream, Action{Key: p.Key(), Packet: raw, Reason: Known})
 			return
 		}
@@ -69,7 +69,7 @@
 // reported that it does not hold the flow.
 func (d *Dispatcher) startLookupAfter(now time.Time, r *gddiscovery.Route, info ReturnInfo, p gdflow.Packet, f *flow, raw []byte) {
 	d.startLookup(now, f, lookingUp, p, raw)
-	f.lookup.attempts = append(f.lookup.attempts, attempt{address: info.From, answered: true})
+	f.lookup.attempts = append(f.lookup.attempts, attempt{holder: holder{address: info.From}, answered: true})
 	d.queryNext(now, r, p.Key(), f)
 }
 
@@ -89,27 +89,13 @@
 	d.init()
 	d.noteAnswer(now, from)
 	f, ok := d.flows.Get(now, k)
-	if !ok || d.view == nil || f.state == resolved && (minState == opening || f.upstream.IP() == from.IP()) {
+	if !ok || d.view == nil || f.state == resolved && (minState == opening || f.upstream.address.IP() == from.IP()) {
 		return nil
 	}
-	d.resolve(now, k, f, d.upstreamOn(k, from))
+	d.resolve(now, k, f, d.holderOn(f, from))
 	return d.actions
 }
 
-// upstreamOn returns the address of the upstream on the host.
-func (d *Dispatcher) upstreamOn(k gdflow.Key, host gdflow.Address) gdflow.Address {
-	r, ok := d.view.Route(k.Service())
-	if !ok {
-		return host
-	}
-	for m := range d.members(r) {
-		if m.Address().IP() == host.IP() {
-			return m.Address()
-		}
-	}
-	return host
-}
-
 // NextTick returns when Tick is due, or the zero time if there is nothing to do.
 func (d *Dispatcher) NextTick() time.Time {
 	next := earliest(d.queries.due, d.pingAt)
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -52,8 +52,8 @@
 // answers can prove that the flow is gone.
 func (d *Dispatcher) queryNext(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	hash := k.Hash()
-	for len(f.lookup.attempts) < maxSerialQueries {
-		m := d.nextCandidate(hash, r, f.lookup)
+	for limit := d.maxSerial(now, hash, r); len(f.lookup.attempts) < limit; {
+		m := d.nextLikely(now, hash, r, f.lookup)
 		if m == nil {
 			break
 		}
@@ -66,7 +66,7 @@
 			return
 		}
 	}
-	if d.nextCandidate(hash, r, f.lookup) != nil && d.mayBroadcast(now, r) {
+	if !d.triedAll(now, r, f.lookup) && d.mayBroadcast(now, r) {
 		d.queryOthers(now, r, k, f)
 	}
 	if !now.Before(f.lookup.deadline) || f.lookup.allAnswered() {
@@ -76,7 +76,7 @@
 
 // queryOne queries an upstream without the packet, which would only fill the link.
 func (d *Dispatcher) queryOne(now time.Time, k gdflow.Key, f *flow, m *gddiscovery.Member) {
-	f.lookup.attempts = append(f.lookup.attempts, attempt{address: m.Address(), queried: true})
+	f.lookup.attempts = append(f.lookup.attempts, attempt{holder: d.holderOf(m), queried: true})
 	d.addQuery(now, k, m)
 	d.setDeadline(k, f.lookup, now.Add(batchDelay+answerTimeout))
 }
@@ -84,10 +84,10 @@
 // queryOthers queries all upstreams that were not tried yet.
 func (d *Dispatcher) queryOthers(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	tried := len(f.lookup.attempts)
-	for m := range d.members(r) {
+	for m := range d.holders(now, r) {
 		known := slices.ContainsFunc(f.lookup.attempts[:tried], func(t attempt) bool { return t.address.IP() == m.Address().IP() })
 		if !known {
-			f.lookup.attempts = append(f.lookup.attempts, attempt{address: m.Address(), queried: true})
+			f.lookup.attempts = append(f.lookup.attempts, attempt{holder: d.holderOf(m), queried: true})
 			d.addQuery(now, k, m)
 		}
 	}
@@ -98,7 +98,7 @@
 // there are none or they were queried often enough.
 func (d *Dispatcher) retryQueries(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	l := f.lookup
-	if l.allAnswered() && l.viewPolls < maxViewPolls && d.nextCandidate(0, r, l) == nil && d.viewBehind(l) {
+	if l.allAnswered() && l.viewPolls < maxViewPolls && d.triedAll(now, r, l) && d.viewBehind(l) {
 		l.viewPolls++
 		d.setDeadline(k, l, now.Add(viewPollInterval))
 		return
@@ -111,14 +111,14 @@
 	d.setDeadline(k, l, now.Add(answerTimeout<<l.retries))
 	for i := range l.attempts {
 		if t := &l.attempts[i]; !t.answered {
-			d.repeatQuery(now, r, k, l, t)
+			d.repeatQuery(now, k, l, t)
 		}
 	}
 }
 
 // repeatQuery queries an unresponsive upstream again.
-func (d *Dispatcher) repeatQuery(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup, t *attempt) {
-	m := d.memberAt(r, t.address)
+func (d *Dispatcher) repeatQuery(now time.Time, k gdflow.Key, l *lookup, t *attempt) {
+	m := d.memberOf(t.holder)
 	switch {
 	case m == nil:
 	case t.queried:
@@ -138,36 +138,20 @@
 	d.timers = slices.Insert(d.timers, i, timer{key: k, at: at})
 }
 
-// nextCandidate returns the next upstream that may hold the flow. Those of the
-// service that the flow would be routed to now come first.
-func (d *Dispatcher) nextCandidate(hash uint64, r *gddiscovery.Route, l *lookup) *gddiscovery.Member {
-	all := func(*gddiscovery.Member) bool { return true }
-	chosen := r.PickService(hash)
-	if p, ok := d.view.Pool(chosen); ok {
-		if m := d.bestRanked(hash, p, l, all); m != nil {
-			return m
-		}
-	}
-	for _, share := range r.Shares {
-		if p, ok := d.view.Pool(share.Service); ok && share.Service != chosen {
-			if m := d.bestRanked(hash, p, l, all); m != nil {
-				return m
-			}
-		}
-	}
-	return nil
-}
-
 // sendPacket sends the packet of the lookup to an upstream and starts the timeout.
 func (d *Dispatcher) sendPacket(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow, at gdflow.Address, a Action) {
 	l := f.lookup
-	l.attempts = append(l.attempts, attempt{address: at})
+	to := holder{address: at}
+	if m := d.view.UpstreamAt(at); m != nil {
+		to = d.holderOf(m)
+	}
+	l.attempts = append(l.attempts, attempt{holder: to})
 	d.setDeadline(k, l, now.Add(answerTimeout))
 	if !l.packet.held() {
 		return
 	}
 	a.Key, a.Packet, a.Attempts = k, l.packet.raw, len(l.attempts)
-	d.forward(now, r, at, a)
+	d.forward(now, r, to, a)
 }
 
 // maxFailedLookups is the number of failed lookups after which the delay no longer doubles.
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -22,14 +22,14 @@
 	removalGrace = 2 * time.Second
 )
 
-// mayBroadcast reports whether all upstreams of the route may be queried: their
+// mayBroadcast reports whether all upstreams that can hold a flow of the route may be queried: their
 // answers can prove that the flow is gone, because none is known to be unresponsive
 // unless its host can't be reached, and the rate limit of such lookups is not exceeded.
 func (d *Dispatcher) mayBroadcast(now time.Time, r *gddiscovery.Route) bool {
 	if !d.viewListsAll(now) {
 		return false
 	}
-	for m := range d.members(r) {
+	for m := range d.holders(now, r) {
 		if d.hosts.suspect(now, m.Address()) && !removedLongAgo(now, m) && !d.givesUp(now, r, m.Address()) {
 			return false
 		}
@@ -67,11 +67,12 @@
 // and the route's requests may be sent again; and the view is recent enough to list them
 // all.
 func (d *Dispatcher) provesGone(now time.Time, r *gddiscovery.Route, l *lookup) bool {
-	if len(l.attempts) == 0 || !d.viewListsAll(now) || d.nextCandidate(0, r, l) != nil {
+	if len(l.attempts) == 0 || !d.viewListsAll(now) || !d.triedAll(now, r, l) {
 		return false
 	}
 	for _, t := range l.attempts {
-		if m := d.memberAt(r, t.address); (!t.answered || t.unsure) && m != nil && !removedLongAgo(now, m) && !d.givesUp(now, r, t.address) {
+		// Who has the address now does not matter: the query was not answered.
+		if m := d.view.UpstreamAt(t.address); (!t.answered || t.unsure) && m != nil && !removedLongAgo(now, m) && !d.givesUp(now, r, t.address) {
 			return false
 		}
 	}
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -92,7 +92,7 @@
 		if l.packet.held() {
 			l.pending = slices.Insert(l.pending, 0, l.packet)
 		}
-		d.resolve(now, k, f, t.address)
+		d.resolve(now, k, f, t.holder)
 		return
 	case holding == gdguard.Absent:
 		t.answered = true
@@ -101,7 +101,7 @@
 	default:
 		t.queried = false
 		d.setDeadline(k, l, now.Add(answerTimeout))
-		d.forward(now, r, t.address, l.packetQuery(k))
+		d.forward(now, r, t.holder, l.packetQuery(k))
 	}
 	if l.allAnswered() {
 		d.queryNext(now, r, k, f)
--- a/internal/core/gddispatch/reach.go
+++ b/internal/core/gddispatch/reach.go
@@ -68,7 +68,7 @@
 	}
 	end := p.Seq + uint32(p.Size)
 	if f.hasData && int32(end-f.callerEnd) <= 0 {
-		d.probeHost(now, f.upstream)
+		d.probeHost(now, f.upstream.address)
 		return true
 	}
 	f.callerEnd, f.hasData = end, true
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -156,7 +156,7 @@
 type flow struct {
 	lookup        *lookup
 	retryAfter    time.Time // for notFound: no lookup before this time
-	upstream      gdflow.Address
+	upstream      holder
 	callerEnd     uint32 // the sequence number after the last byte that the caller has sent
 	hasData       bool   // callerEnd is set
 	failedLookups uint8  // consecutive lookups that did not find the holder
@@ -197,7 +197,7 @@
 
 // attempt is one upstream that was tried.
 type attempt struct {
-	address  gdflow.Address
+	holder
 	load     int
 	answered bool
 	busy     bool
--- a/internal/wire/gdfeed/feed_test.go
+++ b/internal/wire/gdfeed/feed_test.go
@@ -173,7 +173,7 @@
 	for _, s := range []*gddiscovery.State{&reader, &follower} {
 		require.True(t, s.Load(now, gddiscovery.Update{Changes: []gddiscovery.Change{first}, Revision: 90}))
 	}
-	require.True(t, reader.Apply(now, gddiscovery.Update{Changes: []gddiscovery.Change{next}, Revision: 500}))
+	require.True(t, reader.Apply(now, gddiscovery.Update{Changes: []gddiscovery.Change{next}, Revision: 500, EachChange: true}))
 	b := beacon()
 	b.BaseRevision, b.Update = 90, reader.ChangesSince(now, 90)
 	data, err := gdfeed.EncodeBeacons(b)
