Know the history of routes from the start where the source has had one configuration

Cause: a host that started took all upstreams for possible holders for 75 s, also where no configuration had ever been replaced, and its proofs waited for upstreams of all services. Ruled out: a history in messages between hosts, which changes their format. Change: the source says with each item whether it is the first value of its key (created is revision); if the first configuration that a host learns is that, nothing was missed. Not after a restore.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -43,6 +43,8 @@
 	// Upstream is set for a registration. For a removed one it is the last known
 	// value.
 	Upstream *Upstream
+	// First reports that the subject had no other value before. It is not sent to other hosts.
+	First bool
 
 	continues bool // no service of a route in between is missing; for a configuration
 }
--- a/internal/core/gddiscovery/former.go
+++ b/internal/core/gddiscovery/former.go
@@ -30,7 +30,8 @@
 // once a view has it.
 type routeHistories struct {
 	former map[gdflow.Address][]formerRoute
-	// completeSince is the time since which no configuration was missed.
+	// completeSince is the time since which no configuration was missed. The zero time means
+	// that there was none before the first one known.
 	completeSince time.Time
 }
 
--- a/internal/core/gddiscovery/former_test.go
+++ b/internal/core/gddiscovery/former_test.go
@@ -182,3 +182,16 @@
 	watched(sender, now, third)
 	require.NotNil(t, sender.ChangesSince(now, 12).Changes[0].Delta, "from what it knows on")
 }
+
+// TestFirstConfiguration: a host that starts knows the history of the routes if the source has
+// had no other configuration, unless the source was restored.
+func TestFirstConfiguration(t *testing.T) {
+	for _, era := range []uint64{0, 1} {
+		c := split(gddiscovery.NewRevision(era, 10), "a")
+		c.First = true
+		var s gddiscovery.State
+		require.True(t, s.Load(start, gddiscovery.Update{Changes: []gddiscovery.Change{c}, Revision: gddiscovery.NewRevision(era, 12)}))
+		require.Equal(t, era == 0, s.View().KnowsFormerRoutes(start))
+		require.False(t, s.ChangesSince(start, 0).Changes[0].First)
+	}
+}
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -179,7 +179,7 @@
 		return false
 	}
 	r := &record{change: c, updatedAt: now}
-	r.change.continues = false // it says how this host got the change
+	r.change.First, r.change.continues = false, false // they are about this host and its source
 	if !c.Removed {
 		r.written = c.Revision
 	}
@@ -195,7 +195,10 @@
 
 // replaceConfig records the configuration that a change brings, and what it replaces.
 func (s *State) replaceConfig(now time.Time, old *record, c Change) {
-	if !c.continues {
+	switch {
+	case c.First && old == nil:
+		s.history.completeSince = time.Time{}
+	case !c.continues:
 		s.forgetFormerRoutes(now)
 	}
 	if old != nil {
