Send no packet to a service that the route is not known to have had

Cause: review of holders. Ruled out: no packets there at all: a flow that is half-open at a service of a version that this host has skipped would not be found (TestFlowsSurviveChangesOfTheirRoute, two cases). Change: queries only, unless the agent reports the flow as half-open (new value of a holding). Conclusion: such a flow waits until the agent knows or the history is known.

--- a/internal/core/gddispatch/holders.go
+++ b/internal/core/gddispatch/holders.go
@@ -36,6 +36,17 @@
 	}
 }
 
+// hadService reports whether the service, by its hash, is one that the route is known to have or
+// to have had. Upstreams of others get queries for its flows, but no packets.
+func (d *Dispatcher) hadService(now time.Time, r *gddiscovery.Route, service uint32) bool {
+	for p := range d.services(now, r) {
+		if p.Hash() == service {
+			return true
+		}
+	}
+	return false
+}
+
 // versions yields the route and its former versions, the latest first.
 func (d *Dispatcher) versions(now time.Time, r *gddiscovery.Route) iter.Seq[*gddiscovery.Route] {
 	return func(yield func(*gddiscovery.Route) bool) {
--- a/internal/core/gddispatch/holders_test.go
+++ b/internal/core/gddispatch/holders_test.go
@@ -359,3 +359,25 @@
 	require.Empty(t, f.resets)
 	require.Equal(t, splitFlows, f.served()-before)
 }
+
+// TestNoPacketForAServiceOutsideTheRoute: all agents have restarted, so that only packets show
+// which upstream holds a flow, and the host does not know which services the route had. A packet
+// for booking reaches no upstream of gallery.
+func TestNoPacketForAServiceOutsideTheRoute(t *testing.T) {
+	f := &splitFleet{fleet: newFleet(t, 0, splitUpstreams, 3), revision: 100, version: 1}
+	require.True(t, f.state.Load(f.now, splitUpdate(onlyBooking)))
+	f.view = f.state.View()
+	for i := range splitUpstreams {
+		f.addAgent(i, false).guard.Service = serviceOf(i)
+	}
+	f.addEntry(0)
+	for i := range splitFlows {
+		f.request(0, callerKey(i))
+		f.run(20 * time.Millisecond)
+	}
+	f.run(2 * time.Second)
+	for i := splitUpstreams / 2; i < splitUpstreams; i++ {
+		require.Empty(t, f.agents[upstreamAt(i)].misdelivered)
+	}
+	require.Empty(t, f.resets, "an agent of gallery that does not know proves nothing")
+}
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -96,7 +96,7 @@
 		return
 	case holding == gdguard.Absent:
 		t.answered = true
-	case !d.takeProbe(now, l):
+	case holding == gdguard.Unsure && !d.hadService(now, r, t.service), !d.takeProbe(now, l):
 		t.answered, t.unsure = true, true
 	default:
 		t.queried = false
--- a/internal/core/gdguard/holding.go
+++ b/internal/core/gdguard/holding.go
@@ -51,6 +51,8 @@
 		return Absent
 	case known && f.state == open:
 		return Present
+	case known && f.state == halfOpen:
+		return HalfOpen
 	case !known && (g.exited || g.knowsAllFlows(now)):
 		return Absent
 	}
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -97,11 +97,14 @@
 	Absent
 	// Present: the upstream holds the flow.
 	Present
+	// HalfOpen: the upstream accepted the flow. Only a packet of the caller can show whether
+	// it uses this upstream or another one that accepted a copy of the opening packet.
+	HalfOpen
 
 	holdings
 )
 
-var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present"}
+var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present", HalfOpen: "half-open"}
 
 func (h Holding) String() string {
 	if h >= holdings {
