Let flows in by their expected wait, and refuse at once

Change: gdwait estimates the wait of a request from the observed time in a slot; demand and the formula of gdadmit move there, whose policy tables are unchanged. Agents let a flow in that can begin within a third of its objective; entry hosts ask the one with the least wait, remember waits for 50 ms, defer up to a quarter of the objective while one expects room, and refuse at once otherwise. The stand-in of the fleet tests served each packet of an upload as a request of 20 ms (16 for one upload), which made its upstreams really overloaded in TestUploadsReturnOverSlowLink; it now serves an upload as one request, and the test's demand stays (all 100 flows accepted).

--- a/internal/core/gdadmit/controller.go
+++ b/internal/core/gdadmit/controller.go
@@ -7,6 +7,7 @@
 	"godwitdrift.example/godwitdrift/config"
 	"godwitdrift.example/godwitdrift/internal/core/gdconf"
 	"godwitdrift.example/godwitdrift/internal/core/gdselector"
+	"godwitdrift.example/godwitdrift/internal/core/gdwait"
 )
 
 const (
@@ -66,7 +67,7 @@
 	running         []job
 	streams         map[uint64]struct{}
 	slotTime        average
-	demand          demand
+	demand          gdwait.Demand
 	actions         []Action
 }
 
@@ -79,7 +80,7 @@
 		c.relayOrRefuse(now, j, reason)
 		return c.endEvent(now)
 	}
-	c.demand.add(now, r.priority)
+	c.demand.Add(now, r.priority)
 	if c.waiting.len() >= c.maxQueue() && !c.canStartNow(now) && !c.evictFor(now, j) {
 		c.relayOrRefuse(now, j, ReasonQueueFull)
 		return c.endEvent(now)
--- a/internal/core/gdadmit/estimate.go
+++ b/internal/core/gdadmit/estimate.go
@@ -1,6 +1,10 @@
 package gdadmit
 
-import "time"
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdwait"
+)
 
 const (
 	// minRetryAfter and maxRetryAfter bound the retry time of a refusal before random
@@ -10,30 +14,24 @@
 )
 
 // wait estimates the time until the start of a request with the given number of
-// waiting requests ahead of it. More urgent requests that arrive in the meantime go
-// first, so it assumes only the share of the upstream that they leave.
+// waiting requests ahead of it.
 func (c *Controller[L]) wait(now time.Time, ahead, priority int) time.Duration {
 	limit := c.limit(now)
 	if limit == 0 {
 		return c.Limiter.PausedUntil().Sub(now) + time.Duration(ahead)*c.slotTime.value
 	}
 	ahead += max(len(c.running)-limit, 0)
-	d := c.nextSlotFree(now) + time.Duration(ahead)*c.slotTime.value/time.Duration(limit)
-	return time.Duration(float64(d) / (1 - c.urgentShare(now, limit, priority)))
-}
-
-// urgentShare estimates the share of the upstream that more urgent arrivals use.
-func (c *Controller[L]) urgentShare(now time.Time, limit, priority int) float64 {
-	share := c.demand.moreUrgentRate(now, priority) * c.slotTime.value.Seconds() / float64(limit)
-	return min(share, maxUrgentShare)
+	return gdwait.Queue{
+		NextFree: c.nextSlotFree(now), Ahead: time.Duration(ahead) * c.slotTime.value, Slots: limit,
+		UrgentShare: gdwait.UrgentShare(c.demand.MoreUrgentRate(now, priority), c.slotTime.value, limit),
+	}.Wait()
 }
 
-// nextSlotFree estimates the time until the first running request ends. An overdue
-// request is expected to take as long again as it is overdue.
+// nextSlotFree estimates the time until the first running request ends.
 func (c *Controller[L]) nextSlotFree(now time.Time) time.Duration {
 	var first time.Duration
 	for i, j := range c.running {
-		left := (c.slotTime.value - now.Sub(j.started)).Abs()
+		left := gdwait.SlotTimeLeft(c.slotTime.value, now.Sub(j.started))
 		if i == 0 || left < first {
 			first = left
 		}
--- a/internal/core/gddispatch/choice.go
+++ b/internal/core/gddispatch/choice.go
@@ -16,7 +16,7 @@
 		return nil
 	}
 	m := d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) && !d.hosts.suspect(now, m.Address()) })
-	if m == nil && l.leastLoaded() == nil {
+	if m == nil && l.leastLoaded(now) == nil {
 		m = d.bestRanked(hash, p, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
 	}
 	return m
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -352,7 +352,7 @@
 	case gdguard.Deliver:
 		f.deliver(ag, p)
 	case gdguard.Return:
-		info := gddispatch.ReturnInfo{From: ag.at.WithPort(7720), Load: ag.guard.Load(), Revision: ag.guard.Revision(), Reason: a.Reason}
+		info := gddispatch.ReturnInfo{From: ag.at.WithPort(7720), Load: ag.guard.Load(), Wait: a.Wait, Revision: ag.guard.Revision(), Reason: a.Reason}
 		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleReturned(f.now, info, p, f.raw(p))) })
 	case gdguard.ReportAccepted:
 		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleAccepted(f.now, ag.at.WithPort(7720), a.Key)) })
@@ -382,7 +382,7 @@
 		for _, a := range append([]gdguard.Action(nil), ag.guard.HandleUpstreamPacket(f.now, back)...) {
 			f.actGuard(ag, a, p)
 		}
-	case p.Size > 0:
+	case p.Size > 0 && p.Seq == 0: // later packets belong to the same request
 		ag.requests++
 		ag.running++
 		ag.maxRunning = max(ag.maxRunning, ag.running)
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -1,6 +1,7 @@
 package gddispatch
 
 import (
+	"cmp"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
@@ -12,14 +13,15 @@
 	// maxBusyOffers is how many busy upstreams are tried before the least loaded
 	// one is asked to accept the flow nevertheless.
 	maxBusyOffers = 3
-	// reofferInterval is the delay after which a flow is offered again if all
-	// upstreams were overloaded: about the duration of a request.
+	// reofferInterval is the delay after which a flow of a route without an objective is
+	// offered again if all upstreams were overloaded, and deferral how long that is repeated.
 	reofferInterval = 20 * time.Millisecond
-	// minDeferral and maxDeferral limit how long such a flow is deferred. Between
-	// them the limit is the route's latency objective, after which no answer could be
-	// in time.
-	minDeferral = 50 * time.Millisecond
-	maxDeferral = 250 * time.Millisecond
+	deferral        = 50 * time.Millisecond
+	// deferralDivisor limits how long a flow waits at this host for room to a quarter of the
+	// objective.
+	deferralDivisor = 4
+	// minReoffer is the minimum delay after which a flow is offered again.
+	minReoffer = 5 * time.Millisecond
 	// maxSilentShare is the share of silent agents above which a flow is not offered to one
 	// after the other: the path from this host is at fault, or all agents are, and the offers
 	// would only add to a full link.
@@ -49,6 +51,8 @@
 		}
 	}
 	d.startLookup(now, f, opening, p, raw)
+	f.lookup.copied = p.Retransmits() > 0
+	d.recallBusy(now, r, p.Key(), f.lookup)
 	d.offerNext(now, r, p.Key(), f)
 }
 
@@ -63,8 +67,8 @@
 		d.sendPacket(now, r, k, f, m.Address(), Action{Opens: true, Reason: ByRank})
 		return
 	}
-	if t := l.leastLoaded(); t != nil {
-		if l.forced {
+	if t := l.leastLoaded(now); t != nil {
+		if l.forced || t.recalled && d.knownFull(now, r, t) {
 			d.deferOffer(now, r, k, f)
 			return
 		}
@@ -79,7 +83,7 @@
 	if l.allAnswered() && !l.unanswered {
 		// Each upstream has refused, so the request has not run. An unresponsive
 		// one may have accepted the flow.
-		d.refuse(k, f, NoUpstream)
+		d.refuse(k, f, Action{Reason: NoUpstream})
 		return
 	}
 	d.markNotFound(now, k, f)
@@ -95,27 +99,33 @@
 
 // refuse ends the offers and resets the flow at the caller. No upstream has
 // accepted it.
-func (d *Dispatcher) refuse(k gdflow.Key, f *flow, reason Reason) {
-	attempts := len(f.lookup.attempts)
+func (d *Dispatcher) refuse(k gdflow.Key, f *flow, a Action) {
+	a.Verb, a.Key, a.Attempts = Reset, k, f.lookup.asked()
 	d.endLookup(f)
 	f.state = 0
-	d.add(Action{Verb: Reset, Key: k, Reason: reason, Attempts: attempts})
+	d.add(a)
 }
 
-// deferOffer defers a flow for which all upstreams are overloaded, or refuses it
-// when it has been deferred for the route's latency objective.
+// deferOffer defers a flow for which all upstreams are overloaded, or refuses it if none of
+// them expects room in time.
 func (d *Dispatcher) deferOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	l := f.lookup
-	if now.Sub(l.started) >= min(max(r.LatencyObjective, minDeferral), maxDeferral) {
-		if l.unanswered {
-			d.markNotFound(now, k, f)
-			return
+	at, until := now.Add(reofferInterval), l.started.Add(deferral)
+	if o := objectiveOf(r); o > 0 {
+		at, until = l.roomAt(now, o), l.started.Add(o/deferralDivisor)
+		if at.Before(now.Add(minReoffer)) {
+			at = now.Add(minReoffer)
 		}
-		d.refuse(k, f, Overloaded)
-		return
 	}
-	l.deferred = true
-	d.setDeadline(k, l, now.Add(reofferInterval))
+	switch {
+	case !at.After(until):
+		l.deferred = true
+		d.setDeadline(k, l, at)
+	case l.unanswered:
+		d.markNotFound(now, k, f)
+	default:
+		d.refuse(k, f, Action{Reason: Overloaded, Wait: l.leastLoaded(now).waited.left(now)})
+	}
 }
 
 // reoffer offers a deferred flow to all upstreams again.
@@ -123,6 +133,7 @@
 	f.lookup.deferred, f.lookup.forced = false, false
 	f.lookup.attempts = f.lookup.attempts[:0]
 	if r, ok := d.view.Route(k.Service()); ok {
+		d.recallBusy(now, r, k, f.lookup)
 		d.offerNext(now, r, k, f)
 	}
 }
@@ -141,6 +152,9 @@
 		return
 	}
 	t.answered, t.load, t.busy = true, info.Load, info.Reason == gdguard.Busy
+	if t.busy && objectiveOf(r) > 0 {
+		t.waited = d.waits.note(now, info, r.Priority, f.lookup.forced && t == f.lookup.last())
+	}
 	if t == f.lookup.last() {
 		d.offerNext(now, r, k, f)
 	}
@@ -156,13 +170,26 @@
 	return n
 }
 
-// leastLoaded returns the busy upstream with the least load, or nil.
-func (l *lookup) leastLoaded() *attempt {
+// leastLoaded returns the busy upstream whose slots are free first, or nil. Of several, it is
+// the one with the least load.
+func (l *lookup) leastLoaded(now time.Time) *attempt {
 	var best *attempt
 	for i := range l.attempts {
-		if t := &l.attempts[i]; t.busy && (best == nil || t.load < best.load) {
+		t := &l.attempts[i]
+		if t.busy && (best == nil || cmp.Or(cmp.Compare(t.waited.left(now), best.waited.left(now)), t.load-best.load) < 0) {
 			best = t
 		}
 	}
 	return best
 }
+
+// asked returns how many upstreams were asked.
+func (l *lookup) asked() int {
+	n := 0
+	for _, t := range l.attempts {
+		if !t.recalled {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -103,6 +103,8 @@
 	Seq uint32
 	// Attempts is how many upstreams were tried for the flow, including this one.
 	Attempts int
+	// Wait is, for Overloaded, the least wait for a slot of the upstreams that were tried.
+	Wait time.Duration
 	// Missing is what a lookup without a result lacked, for Drop with NotFound.
 	Missing Missing
 	Verb    Verb
@@ -179,6 +181,7 @@
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
+	copied           bool                 // the packet is a copy, so that an upstream may have accepted the first one
 }
 
 // heldPacket is a packet that waits until a lookup ends. The zero value is none.
@@ -199,8 +202,10 @@
 type attempt struct {
 	address  gdflow.Address
 	load     int
+	waited   toldWait // for a busy upstream
 	answered bool
 	busy     bool
+	recalled bool // it was not asked, since it is known to be busy
 	queried  bool // it was queried without a packet
 	unsure   bool // it can't answer without a packet, and the limit of such packets was reached
 }
--- /dev/null
+++ b/internal/core/gddispatch/waits.go
@@ -0,0 +1,89 @@
+package gddispatch
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdwait"
+)
+
+const (
+	// waitTTL is how long the wait is remembered that an agent has told, if it is not over
+	// before. The next flow after that probes the upstream.
+	waitTTL = 50 * time.Millisecond
+	// maxWaits limits the waits that are remembered.
+	maxWaits = 1 << 14
+)
+
+// toldWait is how long a request would wait for a slot of an upstream, as its agent has told.
+type toldWait struct {
+	wait     time.Duration
+	at       time.Time
+	load     int
+	priority int
+	// final reports that the agent refused to queue a flow of the priority.
+	final bool
+}
+
+// until returns when a slot was expected to be free.
+func (t toldWait) until() time.Time { return t.at.Add(t.wait) }
+
+// left returns what is left of the wait.
+func (t toldWait) left(now time.Time) time.Duration { return max(t.until().Sub(now), 0) }
+
+// waits has the waits of upstreams by host.
+type waits map[[4]byte]toldWait
+
+// note records the wait that an agent has told with its refusal.
+func (w *waits) note(now time.Time, info ReturnInfo, priority int, final bool) toldWait {
+	if *w == nil || len(*w) >= maxWaits {
+		*w = make(waits)
+	}
+	t := toldWait{wait: max(info.Wait, 0), at: now, load: info.Load, priority: priority, final: final}
+	(*w)[info.From.IP()] = t
+	return t
+}
+
+// get returns the wait that is remembered of the upstream, or false if it may have a free slot.
+func (w waits) get(now time.Time, at gdflow.Address) (toldWait, bool) {
+	t, ok := w[at.IP()]
+	if !ok || t.left(now) == 0 || now.Sub(t.at) >= waitTTL {
+		return toldWait{}, false
+	}
+	return t, true
+}
+
+// objectiveOf returns the time within which the route's answers have their full value, or 0 if
+// it is unknown.
+func objectiveOf(r *gddiscovery.Route) time.Duration {
+	return gdwait.Objective(r.LatencyObjective, r.Timeout)
+}
+
+// recallBusy notes the upstreams that would be asked for a free slot as busy, without asking
+// them, if all of them are known to be.
+func (d *Dispatcher) recallBusy(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup) {
+	if l.copied || objectiveOf(r) == 0 {
+		return
+	}
+	for m := d.nextOffer(now, r, k, l); m != nil; m = d.nextOffer(now, r, k, l) {
+		t, ok := d.waits.get(now, m.Address())
+		if !ok {
+			l.attempts = l.attempts[:0]
+			return
+		}
+		l.attempts = append(l.attempts, attempt{address: m.Address(), load: t.load, waited: t, answered: true, busy: true, recalled: true})
+	}
+}
+
+// knownFull reports whether an upstream that is known to be busy would not queue a flow of the
+// route now.
+func (d *Dispatcher) knownFull(now time.Time, r *gddiscovery.Route, t *attempt) bool {
+	return t.waited.final && r.Priority >= t.waited.priority && t.waited.left(now) > gdwait.LatestStart(objectiveOf(r))
+}
+
+// roomAt returns when the first of the busy upstreams is expected to queue a flow with the
+// objective.
+func (l *lookup) roomAt(now time.Time, objective time.Duration) time.Time {
+	return l.leastLoaded(now).waited.until().Add(-gdwait.LatestStart(objective))
+}
--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -4,15 +4,21 @@
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdwait"
 )
 
 const (
 	// forcedDepth and urgentDepth limit the load per slot of an upstream that accepts
-	// a flow although no upstream has a free slot. At these limits the last request
-	// waits for two or three times its processing time, which the users' latency
-	// objectives permit.
+	// a flow of a route without an objective although no upstream has a free slot.
 	forcedDepth = 3
 	urgentDepth = 4
+	// newcomerDivisor: a flow that will be late is let in while a newcomer could begin
+	// within a quarter of the objective.
+	newcomerDivisor = 4
+	// firstCopyAfter and secondCopyAfter are when callers send copies of an opening
+	// packet that was not answered.
+	firstCopyAfter  = 200 * time.Millisecond
+	secondCopyAfter = 600 * time.Millisecond
 )
 
 // handleOpen decides on a packet that opens a flow.
@@ -24,34 +30,104 @@
 		g.add(Action{Verb: Deliver, Key: p.Key()})
 		return
 	}
-	if r := g.refusal(now, h); r != 0 {
-		g.returnPacket(p.Key(), entry, r)
+	g.classes.note(now, p.Key().Service(), h.Class)
+	if r, wait := g.refusal(now, h, p); r != 0 {
+		g.add(Action{Verb: Return, Key: p.Key(), Entry: entry, Reason: r, Wait: wait})
 		return
 	}
 	g.cold.spend(now)
 	g.answers.sent(now)
 	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack}
-	g.work.offer(now, f)
+	g.work.offer(g.requestOn(now, p.Key(), f))
 	g.flows.Put(now, p.Key(), f)
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
 
-// refusal returns why the upstream can't accept a new flow, or 0.
-func (g *Guard) refusal(now time.Time, h Header) Reason {
+// refusal returns why the upstream can't accept a new flow, or 0, and how long its request
+// would wait.
+func (g *Guard) refusal(now time.Time, h Header, p gdflow.Packet) (Reason, time.Duration) {
 	unavailable := g.unavailable(now)
 	switch {
 	case unavailable != 0 && !g.answers.probe(now):
-		return unavailable
+		return unavailable, 0
 	case g.leaving:
-		return Leaving
+		return Leaving, 0
 	case !g.status.AcceptsNew || now.Before(g.refusesUntil):
-		return Draining
+		return Draining, 0
 	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
-		return Cold
-	case g.work.n >= int(g.status.Slots)*maxLoadPerSlot(h):
-		return Busy
+		return Cold, 0
+	case g.work.n < g.slots():
+		return 0, 0
 	}
-	return 0
+	wait := g.waitFor(now, h.Class.Priority)
+	if g.mayQueue(now, h, lostTime(p), wait) {
+		return 0, wait
+	}
+	return Busy, wait
+}
+
+// mayQueue reports whether a flow that finds no free slot is let in.
+func (g *Guard) mayQueue(now time.Time, h Header, lost, wait time.Duration) bool {
+	objective := gdwait.Objective(h.Class.Objective, h.Class.Timeout)
+	switch {
+	case objective == 0:
+		return g.work.n < g.slots()*maxLoadPerSlot(h)
+	case !h.Forced:
+		return false // an upstream with a free slot goes first
+	case wait <= gdwait.LatestStart(objective-lost):
+		return true
+	case wait > gdwait.LatestStart(h.Class.Timeout-lost):
+		return false
+	}
+	urgent := g.work.wait.UrgentWait(now, h.Class.Priority, g.ahead(now, h.Class.Priority))
+	return urgent <= objective/newcomerDivisor || !g.anyInTime(now)
+}
+
+// anyInTime reports whether a request of any route here can be answered within its objective.
+func (g *Guard) anyInTime(now time.Time) bool {
+	for service := range g.classes {
+		c, ok := g.classes.get(now, service)
+		if ok && g.work.wait.SlotTime(now, service) <= gdwait.Objective(c.Objective, c.Timeout) {
+			return true
+		}
+	}
+	return false
+}
+
+// waitFor returns how long a new request of the priority would wait for a slot.
+func (g *Guard) waitFor(now time.Time, priority uint8) time.Duration {
+	g.work.wait.SetUpstream(g.slots(), g.isCold(now))
+	return g.work.wait.Wait(now, priority, g.ahead(now, priority))
+}
+
+// ExpectedWait returns how long a new request of the least priority would wait for a slot of
+// the upstream.
+func (g *Guard) ExpectedWait(now time.Time) time.Duration { return g.waitFor(now, unknownPriority) }
+
+// ahead returns the requests that have not reached the upstream and that go before a new one
+// of the priority.
+func (g *Guard) ahead(now time.Time, priority uint8) gdwait.Load {
+	var l gdwait.Load
+	for _, r := range g.work.offered {
+		if r.expected() && r.priority <= priority {
+			l = l.Plus(gdwait.Load{Requests: 1, Time: g.work.wait.SlotTime(now, r.service)})
+		}
+	}
+	return l
+}
+
+// slots returns the number of slots of the upstream. One that claims to have none is tried.
+func (g *Guard) slots() int { return max(int(g.status.Slots), 1) }
+
+// lostTime returns how long ago the caller sent the first copy of the opening packet.
+func lostTime(p gdflow.Packet) time.Duration {
+	switch p.Retransmits() {
+	case 0:
+		return 0
+	case 1:
+		return firstCopyAfter
+	}
+	return secondCopyAfter
 }
 
 // unavailable returns why the upstream gets no flows but probes, or 0.
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -108,6 +108,7 @@
 	restart        restart
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
+	classes        classes
 	cold           budget
 	probed         []probedFlow
 	answers        answers
@@ -137,9 +138,6 @@
 // Load returns how many requests the upstream is processing or has queued.
 func (g *Guard) Load() int { return g.work.n }
 
-// ExpectedWait returns how long a new request would wait for a slot of the upstream.
-func (g *Guard) ExpectedWait(time.Time) time.Duration { return 0 }
-
 // Flows returns the number of cached flows.
 func (g *Guard) Flows() int { return g.flows.Len() }
 
@@ -227,7 +225,7 @@
 		g.reportHolding(now, p.Key(), f)
 	}
 	if f.extends(p) {
-		g.work.begin(now, f)
+		g.work.begin(g.requestOn(now, p.Key(), f))
 	}
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
@@ -276,7 +274,10 @@
 		}
 	}
 	g.reportLatency(now, f, p)
-	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
+	switch {
+	case p.Size > 0:
+		g.work.answered(now, f)
+	case p.Kind == gdflow.Reset || p.Kind == gdflow.Finish:
 		g.work.end(f)
 	}
 }
--- a/internal/core/gdguard/probe.go
+++ b/internal/core/gdguard/probe.go
@@ -83,6 +83,6 @@
 		return true
 	})
 	g.flows.Clear()
-	g.work = workload{}
+	g.work.clear()
 	return g.actions
 }
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -139,6 +139,8 @@
 	Key gdflow.Key
 	// Entry is the entry host's address, for Return, ReportAccepted and ReportHeld.
 	Entry gdflow.Address
+	// Wait is, for a Return with Busy, how long the request would wait for a slot.
+	Wait time.Duration
 	// Seq is the sequence number of a Reset.
 	Seq    uint32
 	Verb   Verb
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -66,7 +66,7 @@
 		e.metrics.countReturn(m.Reason)
 		if p.Opens() {
 			e.metrics.event(now, e.Log, gdlog.PacketReturned, "flow", p.Key(), "upstream", host, "reason", m.Reason.String(),
-				"load", m.Load, "revision", m.Revision)
+				"load", m.Load, "wait", m.Wait.String(), "revision", m.Revision)
 		}
 		info := gddispatch.ReturnInfo{From: host, Load: int(m.Load), Wait: m.Wait, Revision: m.Revision, Reason: m.Reason}
 		out.execute(now, e.dispatcher.HandleReturned(now, info, p, m.Packet))
@@ -250,6 +250,9 @@
 		"flow", a.Key, "upstream", a.To, "reason", a.Reason.String(), "tries", a.Attempts,
 		"revision", e.state.Revision(), "age", e.state.Age(now).Milliseconds(),
 	}
+	if a.Reason == gddispatch.Overloaded {
+		fields = append(fields, "wait", a.Wait.String())
+	}
 	if m := a.Missing; m != (gddispatch.Missing{}) {
 		fields = append(fields, "silent", m.Silent, "unsure", m.Unsure, "required", m.Required, "after", m.After.String())
 	}
--- a/internal/process/gdpacketagent/counters.go
+++ b/internal/process/gdpacketagent/counters.go
@@ -18,7 +18,7 @@
 	delivered, answered       tally.Counter
 	resets, opened            tally.Counter
 	returns, holdings         []tally.Counter
-	answerTime                tally.Histogram
+	answerTime, expectedWait  tally.Histogram
 	logLimit                  gdloglimit.Limiter
 }
 
@@ -28,6 +28,7 @@
 	c.delivered, c.answered = scope.Counter("packets_delivered"), scope.Counter("packets_answered")
 	c.resets, c.opened = scope.Counter("flows_reset"), scope.Counter("flows_opened")
 	c.answerTime = scope.Histogram("answer_seconds", gdmetric.LatencyBuckets())
+	c.expectedWait = scope.Histogram("expected_wait_seconds", gdmetric.LatencyBuckets())
 	for h := range gdguard.NumHoldings() {
 		tagged := scope.Tagged(map[string]string{"holding": gdguard.Holding(h).String()})
 		c.holdings = append(c.holdings, tagged.Counter("flows_asked"))
@@ -46,6 +47,9 @@
 		c.answered.Inc(1)
 	case gdguard.Return:
 		c.returns[a.Reason].Inc(1)
+		if a.Reason == gdguard.Busy {
+			c.expectedWait.RecordDuration(a.Wait)
+		}
 	case gdguard.Reset:
 		c.resets.Inc(1)
 	case gdguard.ReportAccepted:
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -181,10 +181,10 @@
 			b := agent.Codec.AppendReset(s.out.Buffer(), a.Key, a.Seq)
 			s.out.Queue(b, a.Key.Caller().WithPort(agent.CallerPort).AddrPort())
 		case gdguard.Return:
-			b := gdhop.AppendReturn(s.out.Buffer(), a.Reason, agent.Guard.Load(), agent.Guard.ExpectedWait(now), agent.Guard.Revision())
+			b := gdhop.AppendReturn(s.out.Buffer(), a.Reason, agent.Guard.Load(), a.Wait, agent.Guard.Revision())
 			s.out.Queue(append(b, raw...), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, gdlog.PacketRefused, "flow", a.Key, "entry", a.Entry, "reason", a.Reason.String(),
-				"opens", p.Opens(), "load", agent.Guard.Load(), "revision", agent.Guard.Revision())
+				"opens", p.Opens(), "load", agent.Guard.Load(), "wait", a.Wait.String(), "revision", agent.Guard.Revision())
 		case gdguard.ReportAccepted, gdguard.ReportHeld:
 			t, ev := gdhop.Accepted, gdlog.FlowAccepted
 			if a.Verb == gdguard.ReportHeld {
