--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -74,6 +74,8 @@
 		return g.work.n < g.slots()*maxLoadPerSlot(h)
 	case !h.Forced:
 		return false // an upstream with a free slot goes first
+	case !g.work.wait.HasRoom(now, h.Class.Priority, g.ahead(now, h.Class.Priority).Requests):
+		return false
 	case wait <= gdwait.LatestStart(objective-lost):
 		return true
 	case wait > gdwait.LatestStart(h.Class.Timeout-lost):
--- a/internal/core/gdwait/estimator.go
+++ b/internal/core/gdwait/estimator.go
@@ -14,7 +14,9 @@
 }
 
 // Plus returns the sum of two loads.
-func (l Load) Plus(m Load) Load { return Load{Requests: l.Requests + m.Requests, Time: l.Time + m.Time} }
+func (l Load) Plus(m Load) Load {
+	return Load{Requests: l.Requests + m.Requests, Time: l.Time + m.Time}
+}
 
 // Estimator estimates how long requests wait for a slot of one upstream. R identifies a
 // request. The zero value is an idle upstream with one slot. It is not safe for concurrent use.
@@ -26,12 +28,14 @@
 	queued  []request[R] // those in the upstream's queue, in the order of their delivery
 	kinds   kinds
 	demand  Demand
+	full    fullQueue
 }
 
 type request[R comparable] struct {
 	id       R
 	kind     gdflow.Address
 	priority uint8
+	at       time.Time // its delivery
 	began    time.Time
 }
 
@@ -49,18 +53,23 @@
 func (e *Estimator[R]) Deliver(now time.Time, id R, kind gdflow.Address, priority uint8) {
 	e.latest = now
 	e.demand.Add(now, int(priority))
-	e.queued = append(e.queued, request[R]{id: id, kind: kind, priority: priority})
+	e.queued = append(e.queued, request[R]{id: id, kind: kind, priority: priority, at: now})
 	e.start()
 }
 
 // Answered records that the answer to a request begins, and so its slot is free. A request
-// that is still queued here, such as one that the upstream rejected, tells nothing of the
-// time in a slot.
+// that is still queued here tells nothing of the time in a slot. If its answer comes at once,
+// the upstream's queue is full.
 func (e *Estimator[R]) Answered(now time.Time, id R) {
 	e.latest = now
 	if i := index(e.running, id); i >= 0 {
 		r := e.running[i]
 		e.kinds.add(now, r.kind, e.state, now.Sub(r.began))
+	} else if i := index(e.queued, id); i >= 0 {
+		r := e.queued[i]
+		if now.Sub(r.at) < e.SlotTime(now, r.kind)/rejectionDivisor {
+			e.full = fullQueue{at: now, requests: len(e.running) + i}
+		}
 	}
 	e.Remove(id)
 }
@@ -120,8 +129,10 @@
 }
 
 func (e *Estimator[R]) wait(now time.Time, priority uint8, ahead Load) time.Duration {
-	slots := max(e.slots, 1)
-	idle := max(slots-len(e.running), 0)
+	slots, each := max(e.slots, 1), e.kinds.expected(now, gdflow.Address{}, e.state)
+	idle, excess := max(slots-len(e.running), 0), max(len(e.running)-slots, 0)
+	ahead.Time += time.Duration(excess) * each // the upstream has lost slots
+	share := UrgentShare(e.demand.MoreUrgentRate(now, int(priority)), each, slots)
 	if ahead.Requests < idle {
 		return 0
 	}
@@ -133,12 +144,11 @@
 	}
 	if idle > 0 {
 		// Requests that go first are about to take the idle slots.
-		each := ahead.Time / time.Duration(ahead.Requests)
+		each = ahead.Time / time.Duration(ahead.Requests)
 		ahead.Time -= each * time.Duration(idle)
 		if first || each < next {
 			next = each
 		}
 	}
-	share := UrgentShare(e.demand.MoreUrgentRate(now, int(priority)), e.kinds.expected(now, gdflow.Address{}, e.state), slots)
 	return Queue{NextFree: next, Ahead: ahead.Time, Slots: slots, UrgentShare: share}.Wait()
 }
