Refuse flows at once, without deferring them at the entry host

Change: a flow of a route with an objective that the least busy upstream refuses to queue is reset at once. Without an objective the deferral stays (50 ms, as before).

--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -17,11 +17,6 @@
 	// offered again if all upstreams were overloaded, and deferral how long that is repeated.
 	reofferInterval = 20 * time.Millisecond
 	deferral        = 50 * time.Millisecond
-	// deferralDivisor limits how long a flow waits at this host for room to a quarter of the
-	// objective.
-	deferralDivisor = 4
-	// minReoffer is the minimum delay after which a flow is offered again.
-	minReoffer = 5 * time.Millisecond
 	// maxSilentShare is the share of silent agents above which a flow is not offered to one
 	// after the other: the path from this host is at fault, or all agents are, and the offers
 	// would only add to a full link.
@@ -106,21 +101,15 @@
 	d.add(a)
 }
 
-// deferOffer defers a flow for which all upstreams are overloaded, or refuses it if none of
-// them expects room in time.
+// deferOffer defers a flow for which all upstreams are overloaded, or refuses it. With an
+// objective, the agents queue the flows that they can serve in time, and the rest is better off
+// with an answer at once.
 func (d *Dispatcher) deferOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	l := f.lookup
-	at, until := now.Add(reofferInterval), l.started.Add(deferral)
-	if o := objectiveOf(r); o > 0 {
-		at, until = l.roomAt(now, o), l.started.Add(o/deferralDivisor)
-		if at.Before(now.Add(minReoffer)) {
-			at = now.Add(minReoffer)
-		}
-	}
 	switch {
-	case !at.After(until):
+	case objectiveOf(r) == 0 && now.Sub(l.started) < deferral:
 		l.deferred = true
-		d.setDeadline(k, l, at)
+		d.setDeadline(k, l, now.Add(reofferInterval))
 	case l.unanswered:
 		d.markNotFound(now, k, f)
 	default:
@@ -133,7 +122,6 @@
 	f.lookup.deferred, f.lookup.forced = false, false
 	f.lookup.attempts = f.lookup.attempts[:0]
 	if r, ok := d.view.Route(k.Service()); ok {
-		d.recallBusy(now, r, k, f.lookup)
 		d.offerNext(now, r, k, f)
 	}
 }
--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -81,9 +81,3 @@
 func (d *Dispatcher) knownFull(now time.Time, r *gddiscovery.Route, t *attempt) bool {
 	return t.waited.final && r.Priority >= t.waited.priority && t.waited.left(now) > gdwait.LatestStart(objectiveOf(r))
 }
-
-// roomAt returns when the first of the busy upstreams is expected to queue a flow with the
-// objective.
-func (l *lookup) roomAt(now time.Time, objective time.Duration) time.Time {
-	return l.leastLoaded(now).waited.until().Add(-gdwait.LatestStart(objective))
-}
--- a/internal/core/gddispatch/waits_test.go
+++ b/internal/core/gddispatch/waits_test.go
@@ -37,7 +37,7 @@
 		require.Equal(t, flows, f.served()+len(f.resets), "each flow is served or refused")
 		require.Greater(t, float64(f.served()), 0.97*float64(flows)/load, "the slots are full")
 		require.Less(t, f.slowest, objective)
-		require.Less(t, f.latestReset, objective/4+10*hop)
+		require.Less(t, f.latestReset, objective/4)
 		require.Less(t, float64(f.messages)/float64(flows), 12.0)
 	}
 }
@@ -50,7 +50,7 @@
 	flows := offered(f, 3)
 	require.Equal(t, flows, f.served()+len(f.resets), "each flow is served or refused")
 	require.Greater(t, float64(f.served()), 0.9*float64(flows)/3)
-	require.Less(t, f.latestReset, objective/4+10*hop)
+	require.Less(t, f.latestReset, objective/4)
 }
 
 // TestDecisionsWithRoomDependOnNoObjective: with a load of 0.2 each flow goes to the upstream to
@@ -124,7 +124,7 @@
 }
 
 // TestToldWaits: what an entry host does with the waits that agents tell. The objective is 120 ms,
-// so that a flow is queued that begins within 40 ms, and deferred for 30 ms at most.
+// so that a flow is queued that begins within 40 ms.
 func TestToldWaits(t *testing.T) {
 	const ms = time.Millisecond
 	t.Run("the least wait is asked to queue the flow", func(t *testing.T) {
@@ -135,14 +135,15 @@
 		require.Equal(t, e.asked[1], e.asked[3])
 		require.Nil(t, e.reset)
 	})
-	t.Run("a flow waits for room that is near", func(t *testing.T) {
+	t.Run("the next flow is offered as soon as one expects room", func(t *testing.T) {
 		e := newTold(t)
 		e.open(start, 1, 0, 80*ms, 50*ms, 70*ms, 55*ms)
-		require.Nil(t, e.reset)
-		require.Equal(t, start.Add(15*ms), e.d.NextTick().Round(ms))
-		e.act(e.d.Tick(start.Add(15 * ms)))
-		require.Len(t, e.asked, 5, "only the one that expects room is asked")
-		require.Equal(t, e.asked[1], e.asked[4])
+		require.Equal(t, 55*ms, e.reset.Wait)
+		e.open(start.Add(5*ms), 2, 0)
+		require.Empty(t, e.asked)
+		e.open(start.Add(20*ms), 2, 0)
+		require.Len(t, e.asked, 1)
+		require.True(t, e.forced, "only the one that expects room is asked")
 	})
 	t.Run("nobody expects room, also for the next flow", func(t *testing.T) {
 		e := newTold(t)
