--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -82,7 +82,7 @@
 		return false
 	}
 	urgent := g.work.wait.UrgentWait(now, h.Class.Priority, g.ahead(now, h.Class.Priority))
-	return urgent <= objective/newcomerDivisor || !g.anyInTime(now)
+	return urgent <= max(gdwait.LatestStart(objective-lost), objective/newcomerDivisor) || !g.anyInTime(now)
 }
 
 // anyInTime reports whether a request of any route here can be answered within its objective.
--- a/internal/core/gdguard/admission_test.go
+++ b/internal/core/gdguard/admission_test.go
@@ -58,6 +58,7 @@
 		{"a longer objective", 10, 2, true, gdguard.RouteClass{Objective: 400 * ms, Timeout: time.Second, Priority: 2}, 0, true, 0},
 		{"an objective longer than the deadline", 10, 2, true, gdguard.RouteClass{Objective: 400 * ms, Timeout: 120 * ms, Priority: 2}, 0, false, 100 * ms},
 		{"late because of less urgent ones", 9, 2, true, gdguard.RouteClass{Objective: 120 * ms, Timeout: 600 * ms, Priority: 1}, 0, true, 0},
+		{"late because of those as urgent", 9, 2, true, gdguard.RouteClass{Objective: 120 * ms, Timeout: 600 * ms, Priority: 2}, 0, false, 90 * ms},
 		{"no slots", 0, 0, false, feed, 0, true, 0},
 		{"no slots, and busy", 1, 0, false, feed, 0, false, 20 * ms},
 		{"no objective: three a slot", 5, 2, true, gdguard.RouteClass{}, 0, true, 0},
