Limit new flows at an agent that starts while the source was restored

The agent that had just started remembered nothing, and let in 21 flows and more in a second. Ruled out: a flag of the entry host that its view is still settling; it would tell how long ago the era began, but changes the wire format. What the agent knows is that the first status of its life is of a later era than any it has seen. Ruled out as too weak: that the upstream answers one flow that the agent has not let in; it may have started a second ago beside the agent before. Change: an agent that started less than two seconds ago and sees a status of a later era, of a process older than itself, applies the slow start's limit for two seconds. The limit ends earlier when a newer process is reported, or when the upstream has answered more flows than a cold one can have accepted. Conclusion: the cost is two seconds of slow start at an agent that restarts after any restore and holds few flows; only the flag would avoid that.

--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
 // restart is a restart of the upstream that the agent has observed and that no entry
@@ -47,13 +49,50 @@
 	}
 }
 
+// copiedStatus is the status of a process that may have been replaced: the source was
+// restored from a copy, and the agent started too late to know. The zero value means none.
+type copiedStatus struct {
+	until      time.Time // the running process has registered by then
+	startMilli int64     // when the process of the status was started
+}
+
+// noteEra records that the status is the first one of a later era, if the agent has just
+// started: the upstream may have restarted while no agent ran, and the source may have lost
+// that. An agent can't tell how long ago the era began.
+func (g *Guard) noteEra(now time.Time, s UpstreamStatus) {
+	begins := s.Revision.Era() > g.status.Revision.Era() && now.Sub(g.AgentStarted) < restoreGrace
+	startedLater := s.StartUnixMilli >= g.AgentStarted.Add(-maxStartSkew).UnixMilli()
+	switch {
+	case begins && !startedLater:
+		g.copied = copiedStatus{until: now.Add(restoreGrace), startMilli: s.StartUnixMilli}
+	case startedLater || s.StartUnixMilli > g.copied.startMilli:
+		g.copied = copiedStatus{}
+	}
+}
+
+// noteInherited counts a flow that the upstream holds and that this agent has not let in.
+func (g *Guard) noteInherited(known bool, f *flow, p gdflow.Packet) {
+	if (!known || f.state == unknown) && p.Kind != gdflow.Accept && p.Kind != gdflow.Reset {
+		g.inherited++
+	}
+}
+
+// holdsMoreThanCold reports whether the upstream held more flows before the agent's start
+// than a cold one can have accepted.
+func (g *Guard) holdsMoreThanCold() bool {
+	return float64(g.inherited) > float64(g.status.ColdFlowsPerSecond)*(g.status.ColdFor+time.Second).Seconds()
+}
+
 // isCold reports whether the upstream is cold: according to its status, or since the
-// agent has observed a restart that was not reported to it.
+// agent has observed a restart that was not reported to it, or can't rule one out.
 func (g *Guard) isCold(now time.Time) bool {
 	until := g.coldUntil
 	if r := g.restart; !r.observedAt.IsZero() && r.observedAt.Add(g.status.ColdFor).After(until) {
 		until = r.observedAt.Add(g.status.ColdFor)
 	}
+	if g.copied.until.After(until) && !g.holdsMoreThanCold() {
+		until = g.copied.until
+	}
 	return g.status.ColdFlowsPerSecond > 0 && now.Before(until)
 }
 
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -106,6 +106,8 @@
 	coldUntil      time.Time
 	refusesUntil   time.Time // the upstream may accept no new flows although its status says so
 	restart        restart
+	copied         copiedStatus
+	inherited      int // flows of the upstream that this agent has not let in
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
 	cold           budget
@@ -164,6 +166,7 @@
 	}
 	changed := s.AcceptsNew != g.status.AcceptsNew || g.status.Revision == 0
 	g.carryOver(now, s)
+	g.noteEra(now, s)
 	g.status = s
 	g.noteStart(s.StartUnixMilli)
 	if g.restart.matches(s.StartUnixMilli) {
@@ -253,6 +256,7 @@
 		g.handleReturned(now, f, p)
 		return g.actions
 	}
+	g.noteInherited(known, f, p)
 	if !known {
 		f = &flow{state: open}
 		g.flows.Put(now, p.Key(), f)
--- a/internal/core/gdguard/restore_test.go
+++ b/internal/core/gdguard/restore_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
 
@@ -52,3 +53,62 @@
 		})
 	}
 }
+
+// TestAgentThatStartedDuringRestoreLimitsNewFlows: agent and upstream restarted, the source
+// was restored from a copy before the upstream was written as cold, and the copy shows the
+// process before. Load: 50 new flows at once.
+func TestAgentThatStartedDuringRestoreLimitsNewFlows(t *testing.T) {
+	const flows, perSecond, coldFor = 50, 2, time.Second
+	hourAgo := start.Add(-time.Hour).UnixMilli()
+	status := func(revision gddiscovery.Revision, startMilli int64) gdguard.Header {
+		h := header(revision)
+		h.Forced = true
+		h.Status.Slots, h.Status.StartUnixMilli = 100, startMilli
+		h.Status.ColdFor, h.Status.ColdFlowsPerSecond = coldFor, perSecond
+		return h
+	}
+	copied := gddiscovery.NewRevision(1, 60)
+	unlimited := status(copied, hourAgo)
+	unlimited.Status.ColdFlowsPerSecond = 0
+	tests := []struct {
+		name   string
+		first  gdguard.Header
+		at     time.Duration // after the agent's start
+		held   int           // flows that the upstream answers without the agent having let them in
+		second gdguard.Header
+		later  time.Duration // from the first status to the second one
+		want   int
+	}{
+		{"the copy shows the process before", status(copied, hourAgo), time.Second, 0, status(copied, hourAgo), 0, perSecond},
+		{"the copy shows no start time", status(copied, 0), time.Second, 0, status(copied, 0), 0, perSecond},
+		{"the era begins after the first status", status(104, hourAgo), time.Second, 0, status(copied, hourAgo), 0, perSecond},
+		{"some flows of before", status(copied, hourAgo), time.Second, perSecond, status(copied, hourAgo), 0, perSecond},
+		{"more flows than a cold upstream can hold", status(copied, hourAgo), time.Second, 2*perSecond + 1, status(copied, hourAgo), 0, flows},
+		{"the time to register again is over", status(copied, hourAgo), time.Second, 0, status(copied, hourAgo), 2 * time.Second, flows},
+		{"another process is reported", status(copied, hourAgo), time.Second, 0, status(copied+1, hourAgo+1), 0, flows},
+		{"the process of the agent's start is reported", status(copied, start.Add(-50*time.Millisecond).UnixMilli()), time.Second, 0, status(copied, start.Add(-50*time.Millisecond).UnixMilli()), 0, flows},
+		{"no restore", status(104, hourAgo), time.Second, 0, status(105, hourAgo), 0, flows},
+		{"the agent has run for longer", status(copied, hourAgo), 2 * time.Second, 0, status(copied, hourAgo), 0, flows},
+		{"no slow start", unlimited, time.Second, 0, unlimited, 0, flows},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			g := &gdguard.Guard{Service: "booking", AgentStarted: start}
+			now := start.Add(tt.at)
+			for i := range tt.held {
+				g.HandleUpstreamPacket(now, packet(1000+i, gdflow.Data, 1, 1, 10))
+				g.HandleUpstreamPacket(now, packet(1000+i, gdflow.Data, 11, 1, 10))
+			}
+			g.UpdateStatus(now, tt.first)
+			now = now.Add(tt.later)
+			accepted := 0
+			for i := range flows {
+				if only(t, g.HandleEntryPacket(now, entry, tt.second, openPacket(i))).Verb == gdguard.Deliver {
+					accepted++
+				}
+				g.HandleUpstreamPacket(now, packet(i, gdflow.Accept, 7, 1, 0))
+			}
+			require.Equal(t, tt.want, accepted)
+		})
+	}
+}
