Tell a flow on a reused port from the flow before it

Cause: a caller that used a port again within the flow caches' time got the old flow's treatment. The entry host sent the opening packet to the old flow's upstream, whatever that takes now, and the agent delivered it without any check: to a draining, cold or full upstream, or one in a domain that is out. Cause, second: an upstream that returns a request on a flow which it has ended, or dropped as idle, was taken for one that has restarted, so that one late request limited an upstream to its slow start for four seconds. Ruled out: forgetting a flow when both ends have finished it: an entry host sees the caller's packets only, and a caller may also go without finishing. Change: both remember the sequence number of the opening packet. Another one opens a new flow, which goes through all checks; a copy is treated as before. Where the opening packet was not seen, its distance to the caller's data tells. An agent concludes a restart from a returned request only on a flow that the upstream has not ended and that was not idle. Conclusion: late packets of the old flow itself pass to the caller as before; the two ends tell them apart by their sequence numbers.

--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -31,6 +31,10 @@
 // handleOpen handles a packet that opens a flow, or a retransmission of one.
 func (d *Dispatcher) handleOpen(now time.Time, r *gddiscovery.Route, f *flow, p gdflow.Packet, raw []byte) {
 	const secondCopy = 2
+	if f.opening.ReplacedBy(p, f.callerEnd, f.hasData) {
+		d.endLookup(f)
+		*f = flow{}
+	}
 	switch f.state {
 	case resolved:
 		if p.Retransmits() < secondCopy {
@@ -48,6 +52,7 @@
 			return
 		}
 	}
+	f.opening = gdflow.OpeningOf(p)
 	d.startLookup(now, f, opening, p, raw)
 	d.offerNext(now, r, p.Key(), f)
 }
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -157,6 +157,7 @@
 	lookup        *lookup
 	retryAfter    time.Time // for notFound: no lookup before this time
 	upstream      gdflow.Address
+	opening       gdflow.Opening
 	callerEnd     uint32 // the sequence number after the last byte that the caller has sent
 	hasData       bool   // callerEnd is set
 	failedLookups uint8  // consecutive lookups that did not find the holder
--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -19,7 +19,8 @@
 func (g *Guard) handleOpen(now time.Time, entry gdflow.Address, h Header, p gdflow.Packet) {
 	g.UpdateStatus(now, h)
 	f, known := g.flows.Get(now, p.Key())
-	if known && f.state >= pending {
+	reopened := known && f.opening.ReplacedBy(p, f.callerEnd, f.hasData)
+	if known && f.state >= pending && !reopened {
 		f.entry = entry
 		g.add(Action{Verb: Deliver, Key: p.Key()})
 		return
@@ -30,7 +31,10 @@
 	}
 	g.cold.spend(now)
 	g.answers.sent(now)
-	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack}
+	if reopened {
+		g.work.end(f)
+	}
+	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack, opening: gdflow.OpeningOf(p)}
 	g.work.offer(now, f)
 	g.flows.Put(now, p.Key(), f)
 	g.add(Action{Verb: Deliver, Key: p.Key()})
--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -19,6 +19,10 @@
 // the age of a copy from which the source may be restored.
 const maxStarts = 8
 
+// minIdleTimeout is the time without packets after which an upstream may have dropped a
+// flow: two thirds of the longest idle timeout in the users' settings.
+const minIdleTimeout = 10 * time.Second
+
 // noteStart remembers the start time of a process of the upstream.
 func (g *Guard) noteStart(startMilli int64) {
 	if startMilli != 0 && !slices.Contains(g.starts, startMilli) {
@@ -49,6 +53,18 @@
 	}
 }
 
+// used records a packet of the caller.
+func (f *flow) used(now time.Time) {
+	f.wasIdle = f.wasIdle || !f.usedAt.IsZero() && now.Sub(f.usedAt) >= minIdleTimeout
+	f.usedAt = now
+}
+
+// answered records a packet of the upstream.
+func (f *flow) answered(now time.Time, p gdflow.Packet) {
+	f.finished = f.finished || p.Kind == gdflow.Finish || p.Kind == gdflow.Reset
+	f.wasIdle, f.usedAt = false, now
+}
+
 // copiedStatus is the status of a process that may have been replaced: the source was
 // restored from a copy, and the agent started too late to know. The zero value means none.
 type copiedStatus struct {
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -75,6 +75,7 @@
 
 type flow struct {
 	entry       gdflow.Address
+	opening     gdflow.Opening
 	state       state
 	reportHeld  bool
 	processing  bool
@@ -84,6 +85,9 @@
 	expectedSeq uint32    // the next sequence number that the caller expects
 	callerEnd   uint32    // the sequence number after the last byte that the caller has sent
 	hasData     bool      // the caller has sent data, so that callerEnd is set
+	usedAt      time.Time // when the last packet was observed
+	finished    bool      // the upstream has ended it
+	wasIdle     bool      // the upstream may have dropped it
 }
 
 // Guard is the packet filter of an agent. Its exported fields must be set before the
@@ -226,6 +230,7 @@
 		f.state = open
 	}
 	f.entry, f.expectedSeq = entry, p.Ack
+	f.used(now)
 	if h.Confirm {
 		g.reportHolding(now, p.Key(), f)
 	}
@@ -250,7 +255,7 @@
 	g.answers.received()
 	f, known := g.flows.Get(now, p.Key())
 	if p.Returned {
-		if f != nil && f.state == open && f.processing {
+		if f != nil && f.state == open && f.processing && !f.finished && !f.wasIdle {
 			g.noteRestart(now, f.requestAt) // it lost a flow on which it was processing a request
 		}
 		g.handleReturned(now, f, p)
@@ -279,6 +284,7 @@
 			g.add(Action{Verb: ReportHeld, Key: p.Key(), Entry: f.entry})
 		}
 	}
+	f.answered(now, p)
 	g.reportLatency(now, f, p)
 	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
 		g.work.end(f)
