--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -210,7 +210,7 @@
 	r, ok := d.view.Route(p.Key().Service())
 	if !ok {
 		d.flows.Delete(p.Key())
-		d.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: NoRoute})
+		d.resetUnlessReset(p, NoRoute)
 		return
 	}
 	f := d.flow(now, p.Key())
@@ -263,7 +263,7 @@
 		f.lookup.enqueue(p, raw)
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 	case gone:
-		d.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
+		d.resetUnlessReset(p, FlowGone)
 	case notFound:
 		if now.Before(f.retryAfter) {
 			d.add(Action{Verb: Drop, Key: p.Key(), Reason: NotFound})
@@ -276,11 +276,21 @@
 	}
 }
 
+// resetUnlessReset resets the flow at the caller, unless the packet itself is a reset: the
+// answer to one could come back to an entry host and go on without end.
+func (d *Dispatcher) resetUnlessReset(p gdflow.Packet, reason Reason) {
+	a := Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: reason}
+	if p.Kind == gdflow.Reset {
+		a.Verb = Drop
+	}
+	d.add(a)
+}
+
 // startLookup starts a lookup of the flow's upstream.
 func (d *Dispatcher) startLookup(now time.Time, f *flow, st state, p gdflow.Packet, raw []byte) {
 	d.endLookup(f)
 	f.state = st
-	f.lookup = &lookup{ack: p.Ack, started: now}
+	f.lookup = &lookup{ack: p.Ack, started: now, ofReset: p.Kind == gdflow.Reset}
 	d.lookups++
 	if d.lookups <= maxBufferedPackets {
 		f.lookup.packet = hold(p, raw)
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -57,7 +57,7 @@
 			d.queryNext(now, r, p.Key(), f)
 		}
 	case gone:
-		d.add(Action{Verb: Reset, Key: p.Key(), Seq: p.Ack, Reason: FlowGone})
+		d.resetUnlessReset(p, FlowGone)
 	case notFound:
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: NotFound})
 	default:
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -56,10 +56,13 @@
 		d.markNotFound(now, k, f)
 		return
 	}
-	attempts, seq := len(f.lookup.attempts), f.lookup.ack
+	a := Action{Verb: Reset, Key: k, Seq: f.lookup.ack, Reason: FlowGone, Attempts: len(f.lookup.attempts)}
+	if f.lookup.ofReset {
+		a.Verb = Drop
+	}
 	d.endLookup(f)
 	f.state = gone
-	d.add(Action{Verb: Reset, Key: k, Seq: seq, Reason: FlowGone, Attempts: attempts})
+	d.add(a)
 }
 
 // provesGone reports whether the lookup has proved that no upstream holds the flow:
--- a/internal/core/gddispatch/reuse_test.go
+++ b/internal/core/gddispatch/reuse_test.go
@@ -47,3 +47,21 @@
 	data.Seq, data.Size = opens.Seq+1, 100
 	require.Equal(t, second.To, d.HandleCallerPacket(now, data, []byte{1})[0].To)
 }
+
+// TestResetIsNotAnswered: the reset of a caller, or one of another host that comes back to
+// an entry host because the caller's address was forged, causes no further reset.
+func TestResetIsNotAnswered(t *testing.T) {
+	none := gdflow.NewKey(callerKey(1).Caller(), gdflow.AddressFrom([4]byte{198, 18, 0, 9}, 443))
+	for name, k := range map[string]gdflow.Key{"no route": none, "flow is gone": callerKey(1)} {
+		for _, kind := range []gdflow.Kind{gdflow.Data, gdflow.Reset} {
+			f := newFleet(t, 1, 3, 3)
+			f.send(0, gdflow.NewPacket(k, kind))
+			f.run(time.Second)
+			require.Equal(t, kind == gdflow.Data, len(f.resets) == 1, "%s, kind %d", name, kind)
+			clear(f.resets)
+			f.send(0, gdflow.NewPacket(k, kind))
+			f.run(time.Second)
+			require.Equal(t, kind == gdflow.Data, len(f.resets) == 1, "%s, kind %d, again", name, kind)
+		}
+	}
+}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -179,6 +179,7 @@
 	requiredRevision gddiscovery.Revision // the revision that a view needs to prove that the flow is gone, or 0
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
+	ofReset          bool                 // the packet is a reset, which is not answered by one
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
 }
 
