--- a/internal/process/gdentry/hostile_test.go
+++ b/internal/process/gdentry/hostile_test.go
@@ -138,3 +138,20 @@
 	}
 	return b
 }
+
+// TestStopBetweenAcceptanceAndRequest: entry host and agent are told to stop while a flow is
+// offered to an upstream. The request that its caller then sends is served and answered.
+func TestStopBetweenAcceptanceAndRequest(t *testing.T) {
+	d := deploy(t)
+	d.callerSends(d.packet(true, syn, 10, 0, ""))
+	require.Equal(t, d.packet(true, syn, 10, 0, ""), d.read(d.upstream))
+	d.stop()
+	require.Eventually(t, func() bool { return !d.entry.Ready() }, eventTimeout, time.Millisecond)
+	d.upstreamSends(d.packet(false, syn|ack, 1000, 11, ""))
+	require.Equal(t, d.packet(false, syn|ack, 1000, 11, ""), d.read(d.caller))
+	d.callerSends(d.packet(true, ack, 11, 1001, "request"))
+	require.Equal(t, d.packet(true, ack, 11, 1001, "request"), d.read(d.upstream))
+	d.upstreamSends(d.packet(false, ack, 1001, 18, "answer"))
+	require.Equal(t, d.packet(false, ack, 1001, 18, "answer"), d.read(d.caller))
+	require.NoError(t, <-d.ended)
+}
--- a/internal/process/gdrequest/server_test.go
+++ b/internal/process/gdrequest/server_test.go
@@ -69,6 +69,12 @@
 	t.Cleanup(backend.Close)
 	target, err := url.Parse(backend.URL)
 	require.NoError(t, err)
+	return startAt(t, d, target)
+}
+
+// startAt starts a server for the first upstream of the deployment, at the address.
+func startAt(t *testing.T, d config.Deployment, target *url.URL) (*gdrequest.Server, *fakePeers) {
+	t.Helper()
 	peers := &fakePeers{}
 	s := &gdrequest.Server{
 		Self: self, Incarnation: 7, Config: fixedConfig{gdfixture.View(d)}, Target: target, Peers: peers,
--- a/internal/process/gdsocket/reach.go
+++ b/internal/process/gdsocket/reach.go
@@ -27,11 +27,11 @@
 type Reachability uint8
 
 const (
-	// Unknown: this process did not run for most of the probe.
+	// Unknown means that this process did not run for most of the probe.
 	Unknown Reachability = iota
-	// Responsive: the host has responded.
+	// Responsive means that the host has responded.
 	Responsive
-	// Unresponsive: the host has not responded in time.
+	// Unresponsive means that the host has not responded in time.
 	Unresponsive
 )
 
