--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -159,6 +159,7 @@
 	lookup        *lookup
 	retryAfter    time.Time // for notFound: no lookup before this time
 	upstream      holder
+	opening       gdflow.Opening
 	callerEnd     uint32 // the sequence number after the last byte that the caller has sent
 	hasData       bool   // callerEnd is set
 	failedLookups uint8  // consecutive lookups that did not find the holder
@@ -180,6 +181,7 @@
 	requiredRevision gddiscovery.Revision // the revision that a view needs to prove that the flow is gone, or 0
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
+	ofReset          bool                 // the packet is a reset, which is not answered by one
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
 	copied           bool                 // the packet is a copy, so that an upstream may have accepted the first one
 }
--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
 // restart is a restart of the upstream that the agent has observed and that no entry
@@ -17,6 +19,10 @@
 // the age of a copy from which the source may be restored.
 const maxStarts = 8
 
+// minIdleTimeout is the time without packets after which an upstream may have dropped a
+// flow: two thirds of the longest idle timeout in the users' settings.
+const minIdleTimeout = 10 * time.Second
+
 // noteStart remembers the start time of a process of the upstream.
 func (g *Guard) noteStart(startMilli int64) {
 	if startMilli != 0 && !slices.Contains(g.starts, startMilli) {
@@ -47,13 +53,62 @@
 	}
 }
 
+// used records a packet of the caller.
+func (f *flow) used(now time.Time) {
+	f.wasIdle = f.wasIdle || !f.usedAt.IsZero() && now.Sub(f.usedAt) >= minIdleTimeout
+	f.usedAt = now
+}
+
+// answered records a packet of the upstream.
+func (f *flow) answered(now time.Time, p gdflow.Packet) {
+	f.finished = f.finished || p.Kind == gdflow.Finish || p.Kind == gdflow.Reset
+	f.wasIdle, f.usedAt = false, now
+}
+
+// copiedStatus is the status of a process that may have been replaced: the source was
+// restored from a copy, and the agent started too late to know. The zero value means none.
+type copiedStatus struct {
+	until      time.Time // the running process has registered by then
+	startMilli int64     // when the process of the status was started
+}
+
+// noteEra records that the status is the first one of a later era, if the agent has just
+// started: the upstream may have restarted while no agent ran, and the source may have lost
+// that. An agent can't tell how long ago the era began.
+func (g *Guard) noteEra(now time.Time, s UpstreamStatus) {
+	begins := s.Revision.Era() > g.status.Revision.Era() && now.Sub(g.AgentStarted) < restoreGrace
+	startedLater := s.StartUnixMilli >= g.AgentStarted.Add(-maxStartSkew).UnixMilli()
+	switch {
+	case begins && !startedLater:
+		g.copied = copiedStatus{until: now.Add(restoreGrace), startMilli: s.StartUnixMilli}
+	case startedLater || s.StartUnixMilli > g.copied.startMilli:
+		g.copied = copiedStatus{}
+	}
+}
+
+// noteInherited counts a flow that the upstream holds and that this agent has not let in.
+func (g *Guard) noteInherited(known bool, f *flow, p gdflow.Packet) {
+	if (!known || f.state == unknown) && p.Kind != gdflow.Accept && p.Kind != gdflow.Reset {
+		g.inherited++
+	}
+}
+
+// holdsMoreThanCold reports whether the upstream held more flows before the agent's start
+// than a cold one can have accepted.
+func (g *Guard) holdsMoreThanCold() bool {
+	return float64(g.inherited) > float64(g.status.ColdFlowsPerSecond)*(g.status.ColdFor+time.Second).Seconds()
+}
+
 // isCold reports whether the upstream is cold: according to its status, or since the
-// agent has observed a restart that was not reported to it.
+// agent has observed a restart that was not reported to it, or can't rule one out.
 func (g *Guard) isCold(now time.Time) bool {
 	until := g.coldUntil
 	if r := g.restart; !r.observedAt.IsZero() && r.observedAt.Add(g.status.ColdFor).After(until) {
 		until = r.observedAt.Add(g.status.ColdFor)
 	}
+	if g.copied.until.After(until) && !g.holdsMoreThanCold() {
+		until = g.copied.until
+	}
 	return g.status.ColdFlowsPerSecond > 0 && now.Before(until)
 }
 
