--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -30,7 +30,7 @@
 	}
 	g.cold.spend(now)
 	g.answers.sent(now)
-	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack}
+	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack, origin: h.Origin}
 	g.work.offer(now, f)
 	g.flows.Put(now, p.Key(), f)
 	g.add(Action{Verb: Deliver, Key: p.Key()})
@@ -48,7 +48,7 @@
 		return Draining
 	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
 		return Cold
-	case g.work.n >= int(g.status.Slots)*maxLoadPerSlot(h):
+	case g.loadAhead(h.Class) >= int(g.status.Slots)*maxLoadPerSlot(h):
 		return Busy
 	}
 	return 0
--- /dev/null
+++ b/internal/core/gdguard/backlog.go
@@ -0,0 +1,300 @@
+package gdguard
+
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbacklog"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+const (
+	// lookahead is how many requests beyond its slots the upstream gets, so that no slot
+	// idles between an answer and the next delivery.
+	lookahead = 1
+	// objectiveParts is the inverse of the part of its objective for which a request may
+	// be kept back.
+	objectiveParts = 4
+	// maxKeptPackets and maxKeptBytes limit what is kept back for one upstream.
+	maxKeptPackets = 512
+	maxKeptBytes   = 512 << 10
+	// levels is the number of priorities that are counted separately. Less urgent ones
+	// count as the last of them.
+	levels = 8
+	// limitTTL is how long an observed limit of the upstream holds.
+	limitTTL = 2 * time.Second
+)
+
+// Cause is the reason why a request is no longer kept back.
+type Cause uint8
+
+// The causes. Their String values are used as metric labels and in the log.
+const (
+	// SlotFree: the upstream has room.
+	SlotFree Cause = iota
+	// BoundReached: it was kept for the part of its objective that is permitted.
+	BoundReached
+	// Stopping: the agent shuts down.
+	Stopping
+	// Overflow: too much is kept.
+	Overflow
+	// FlowEnded: the caller or the upstream has ended the flow.
+	FlowEnded
+	// FlowLost: the upstream does not hold the flow.
+	FlowLost
+	// UpstreamExited: the upstream's process is gone.
+	UpstreamExited
+
+	causes
+)
+
+var causeNames = [causes]string{
+	SlotFree: "slot-free", BoundReached: "bound-reached", Stopping: "stopping", Overflow: "overflow",
+	FlowEnded: "flow-ended", FlowLost: "flow-lost", UpstreamExited: "upstream-exited",
+}
+
+// NumCauses returns the number of causes, for arrays of counters.
+func NumCauses() int { return int(causes) }
+
+// NumLevels returns the number of priorities that are counted separately. Less urgent ones
+// count as the last of them.
+func NumLevels() int { return levels }
+
+func (c Cause) String() string {
+	if c >= causes {
+		return "unknown"
+	}
+	return causeNames[c]
+}
+
+// Release describes a request that is no longer kept back.
+type Release struct {
+	// Key is the request's flow.
+	Key gdflow.Key
+	// Ahead is how many kept requests went before it when it was kept back.
+	Ahead int
+	// KeptFor is how long it was kept back.
+	KeptFor time.Duration
+	// Priority is that of its route, and Share its share rank.
+	Priority, Share uint8
+	Cause           Cause
+}
+
+// waiting is what the guard needs to deliver a kept request.
+type waiting struct {
+	key   gdflow.Key
+	f     *flow
+	ahead int
+}
+
+type keptRequest = gdbacklog.Request[waiting]
+
+// limit is the number of requests in progress at which the upstream was seen to refuse
+// one. The zero value means none.
+type limit struct {
+	n     int
+	until time.Time
+}
+
+func (l *limit) note(now time.Time, n int) {
+	if now.After(l.until) || n < l.n {
+		l.n = n
+	}
+	l.until = now.Add(limitTTL)
+}
+
+// Kept returns the number of requests that are kept back.
+func (g *Guard) Kept() int { return g.backlog.Len() }
+
+// KeptAhead returns how many requests of the priority and of more urgent ones are kept
+// back. Load includes them all.
+func (g *Guard) KeptAhead(priority uint8) int { return g.backlog.Ahead(priority) }
+
+// loadAhead returns the load that a new request of the class finds: without the kept requests
+// that are less urgent.
+func (g *Guard) loadAhead(c RouteClass) int {
+	if c == (RouteClass{}) {
+		return g.work.n
+	}
+	return g.work.n - g.backlog.Len() + g.backlog.Ahead(c.Priority)
+}
+
+// NextTick returns when Tick is to be called, or the zero time if nothing is kept back.
+// It changes with each other call.
+func (g *Guard) NextTick() time.Time { return g.backlog.NextDue() }
+
+// Tick releases kept requests as time has passed.
+func (g *Guard) Tick(now time.Time) []Action {
+	g.init(now)
+	g.work.expire(now)
+	g.releaseKept(now)
+	return g.actions
+}
+
+func level(priority uint8) uint8 { return min(priority, levels-1) }
+
+// hasRoom reports whether the upstream is to get a request of the level. Less urgent
+// requests in progress don't matter, unless the upstream would refuse the request.
+func (g *Guard) hasRoom(now time.Time, level uint8) bool {
+	room := int(g.status.Slots) + lookahead
+	if !now.After(g.limit.until) && g.work.upTo(levels-1) >= max(g.limit.n, room) {
+		return false
+	}
+	return g.work.upTo(level) < room
+}
+
+// begin decides on a packet with data beyond all that was delivered on the flow: it
+// begins a request, unless one is in progress. It reports whether the request is kept back.
+func (g *Guard) begin(now time.Time, f *flow, p gdflow.Packet, earlier earlierData) bool {
+	if f.processing && !f.offered {
+		return false
+	}
+	class, known := g.classes.get(now, p.Key().Service())
+	f.level = levels - 1
+	if known {
+		f.level = level(class.Priority)
+	}
+	keeps := known && class.Objective > 0 && g.status.Slots > 0 && !g.leaving && f.begins(p, earlier)
+	if !keeps || g.hasRoom(now, f.level) {
+		g.work.begin(now, f)
+		return false
+	}
+	if !g.backlog.HasRoom(p.Size) {
+		g.reportRelease(now, Release{Key: p.Key(), Priority: class.Priority, Cause: Overflow})
+		g.work.begin(now, f)
+		return false
+	}
+	g.work.keep(f)
+	order := gdbacklog.Order{Priority: class.Priority, KeptAt: now, Due: now.Add(class.Objective / objectiveParts)}
+	f.earlier = earlier
+	f.kept = g.backlog.Keep(waiting{key: p.Key(), f: f, ahead: g.backlog.Ahead(class.Priority)}, order, p)
+	g.add(Action{Verb: Keep, Key: p.Key(), Kept: g.backlog.LastID()})
+	return true
+}
+
+// begins reports whether it is certain that the packet begins a request: the caller has
+// received the first bytes of the previous answer, or it is the first data of the flow.
+func (f *flow) begins(p gdflow.Packet, earlier earlierData) bool {
+	if f.answered && int32(p.Ack-f.answerSeq) <= 0 {
+		return false
+	}
+	return f.state == open && (f.observed || earlier.any)
+}
+
+// earlierData is the data of a flow that was delivered before a kept request.
+type earlierData struct {
+	end uint32
+	any bool
+}
+
+// has reports whether all data of the packet was delivered before.
+func (e earlierData) has(p gdflow.Packet) bool {
+	return e.any && int32(p.Seq+uint32(p.Size)-e.end) <= 0
+}
+
+// handleBehind decides on a caller's packet of a flow whose request is kept back.
+func (g *Guard) handleBehind(now time.Time, f *flow, p gdflow.Packet) {
+	switch {
+	case p.Kind == gdflow.Reset:
+		g.dropKept(now, f.kept, FlowEnded)
+	case p.Kind != gdflow.Finish && (p.Size == 0 || f.earlier.has(p)):
+	case f.kept.Has(p):
+		g.add(Action{Verb: Drop, Key: p.Key()})
+		return
+	case g.backlog.HasRoom(p.Size):
+		f.extends(p)
+		g.backlog.Append(f.kept, p)
+		g.add(Action{Verb: Keep, Key: p.Key(), Kept: g.backlog.LastID()})
+		return
+	default:
+		f.extends(p)
+		g.release(now, f.kept, Overflow)
+	}
+	g.add(Action{Verb: Deliver, Key: p.Key()})
+}
+
+// releaseKept delivers the kept requests for which there is room, and those that may not be
+// kept any longer.
+func (g *Guard) releaseKept(now time.Time) {
+	cause := SlotFree
+	if g.leaving {
+		cause = Stopping
+	}
+	for r := g.backlog.First(); r != nil && (g.leaving || g.hasRoom(now, level(r.Priority))); r = g.backlog.First() {
+		g.release(now, r, cause)
+	}
+	for r := g.backlog.Due(now); r != nil; r = g.backlog.Due(now) {
+		g.release(now, r, BoundReached)
+	}
+}
+
+// release delivers a kept request.
+func (g *Guard) release(now time.Time, r *keptRequest, c Cause) {
+	k, f := r.Value.key, r.Value.f
+	g.remove(now, r, c)
+	cached, known := g.flows.Get(now, k)
+	if !known { // it was evicted
+		g.flows.Put(now, k, f)
+	}
+	if !known || cached == f {
+		g.work.begin(now, f)
+	}
+	for _, p := range r.Packets {
+		g.add(Action{Verb: Deliver, Key: k, Kept: p.ID})
+	}
+}
+
+// remove removes a kept request, which has not begun.
+func (g *Guard) remove(now time.Time, r *keptRequest, c Cause) {
+	g.backlog.Remove(r)
+	g.work.end(r.Value.f)
+	r.Value.f.kept = nil
+	g.reportRelease(now, Release{
+		Key: r.Value.key, Priority: r.Priority, Share: r.Share, Ahead: r.Value.ahead, KeptFor: now.Sub(r.KeptAt), Cause: c,
+	})
+}
+
+func (g *Guard) reportRelease(now time.Time, r Release) {
+	if g.OnRelease != nil {
+		g.OnRelease(now, r)
+	}
+}
+
+// dropKept drops a kept request.
+func (g *Guard) dropKept(now time.Time, r *keptRequest, c Cause) {
+	g.remove(now, r, c)
+	for _, p := range r.Packets {
+		g.add(Action{Verb: Drop, Key: r.Value.key, Kept: p.ID})
+	}
+}
+
+// returnKept returns the packets of a kept request to the entry host, because the
+// upstream does not hold the flow.
+func (g *Guard) returnKept(now time.Time, r *keptRequest) {
+	g.remove(now, r, FlowLost)
+	for _, p := range r.Packets {
+		g.add(Action{Verb: Return, Key: r.Value.key, Entry: r.Value.f.entry, Reason: NotHeld, Kept: p.ID})
+	}
+}
+
+// endKept decides on the kept request of a flow of which the upstream has sent the packet.
+func (g *Guard) endKept(now time.Time, f *flow, p gdflow.Packet) {
+	switch {
+	case f == nil || f.kept == nil:
+	case p.Returned:
+		g.returnKept(now, f.kept)
+	case p.Kind == gdflow.Finish || p.Kind == gdflow.Reset:
+		g.release(now, f.kept, FlowEnded)
+	}
+}
+
+// noteRefusal records the upstream's limit if it has answered a request although as many
+// earlier ones as it has slots are in progress: the request had no slot.
+func (g *Guard) noteRefusal(now time.Time, f *flow) {
+	if n := g.work.before(f); g.status.Slots > 0 && n >= int(g.status.Slots) {
+		g.limit.note(now, n)
+		g.refused++
+	}
+}
+
+// Refused returns how many requests the upstream has refused because its queue was full.
+func (g *Guard) Refused() int64 { return g.refused }
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -22,6 +22,7 @@
 import (
 	"time"
 
+	"godwitdrift.example/godwitdrift/internal/core/gdbacklog"
 	"godwitdrift.example/godwitdrift/internal/core/gdcache"
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
@@ -84,6 +85,13 @@
 	expectedSeq uint32    // the next sequence number that the caller expects
 	callerEnd   uint32    // the sequence number after the last byte that the caller has sent
 	hasData     bool      // the caller has sent data, so that callerEnd is set
+	observed    bool      // the agent has seen the flow since its start
+	answered    bool      // the upstream has answered a request, so that answerSeq is set
+	answerSeq   uint32    // the first sequence number of the latest answer
+	level       uint8     // the priority of the current request, at most levels-1
+	origin      uint16    // Header.Origin of the packet that opened the flow
+	kept        *keptRequest
+	earlier     earlierData // what was delivered before the kept request
 }
 
 // Guard is the packet filter of an agent. Its exported fields must be set before the
@@ -100,6 +108,9 @@
 	// OnAnswer, if set, is called with the time from the delivery of a request to the
 	// first bytes of its answer.
 	OnAnswer func(took time.Duration)
+	// OnRelease, if set, is called with each request that is no longer kept back, and with
+	// each that is delivered at once because too much is kept.
+	OnRelease func(now time.Time, r Release)
 
 	observingSince time.Time
 	status         UpstreamStatus
@@ -108,6 +119,10 @@
 	restart        restart
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
+	backlog        gdbacklog.Backlog[waiting]
+	classes        classes
+	limit          limit
+	refused        int64
 	cold           budget
 	probed         []probedFlow
 	answers        answers
@@ -128,13 +143,21 @@
 	if g.observingSince.IsZero() {
 		g.observingSince = now
 		g.flows = gdcache.Cache[gdflow.Key, *flow]{MinTTL: flowTTL, MaxPerGeneration: maxFlows, OnEvict: g.evicted}
+		g.backlog = gdbacklog.Backlog[waiting]{MaxPackets: maxKeptPackets, MaxBytes: maxKeptBytes}
 	}
 	g.actions = g.actions[:0]
 }
 
-func (g *Guard) evicted(_ gdflow.Key, f *flow) { g.work.end(f) }
+func (g *Guard) evicted(_ gdflow.Key, f *flow) {
+	if f.kept != nil {
+		g.backlog.Expedite(f.kept)
+		return
+	}
+	g.work.end(f)
+}
 
-// Load returns how many requests the upstream is processing or has queued.
+// Load returns how many requests the upstream is processing or has queued, and how many
+// are kept back.
 func (g *Guard) Load() int { return g.work.n }
 
 // ExpectedWait returns how long a new request would wait for a slot of the upstream.
@@ -149,7 +172,8 @@
 // Status returns the latest status of the upstream.
 func (g *Guard) Status() UpstreamStatus { return g.status }
 
-// Leave makes the guard refuse new flows because the agent is shutting down.
+// Leave makes the guard refuse new flows and keep back no requests, because the agent is
+// shutting down. The next Tick releases those that are kept.
 func (g *Guard) Leave() { g.leaving = true }
 
 func (g *Guard) serves(h Header) bool { return h.Service == gddiscovery.ServiceHash(g.Service) }
@@ -191,10 +215,12 @@
 	g.init(now)
 	g.work.expire(now)
 	g.settleProbed(now)
+	g.releaseKept(now)
 	switch {
 	case !g.serves(h):
 		g.returnPacket(p.Key(), entry, WrongService)
 	case p.Opens():
+		g.classes.note(now, p.Key().Service(), h.Class)
 		g.handleOpen(now, entry, h, p)
 	default:
 		g.handleData(now, entry, h, p)
@@ -220,14 +246,19 @@
 		return
 	}
 	if f.state == halfOpen {
-		f.state = open
+		f.state, f.observed = open, true
 	}
 	f.entry, f.expectedSeq = entry, p.Ack
 	if h.Confirm {
 		g.reportHolding(now, p.Key(), f)
 	}
-	if f.extends(p) {
-		g.work.begin(now, f)
+	if f.kept != nil {
+		g.handleBehind(now, f, p)
+		return
+	}
+	earlier := earlierData{end: f.callerEnd, any: f.hasData}
+	if f.extends(p) && g.begin(now, f, p, earlier) {
+		return
 	}
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
@@ -247,10 +278,12 @@
 	g.answers.received()
 	f, known := g.flows.Get(now, p.Key())
 	if p.Returned {
-		if f != nil && f.state == open && f.processing {
+		if f != nil && f.state == open && f.processing && f.kept == nil {
 			g.noteRestart(now, f.requestAt) // it lost a flow on which it was processing a request
 		}
 		g.handleReturned(now, f, p)
+		g.endKept(now, f, p)
+		g.releaseKept(now)
 		return g.actions
 	}
 	if !known {
@@ -259,6 +292,8 @@
 	}
 	g.trackAnswer(now, f, p)
 	g.add(Action{Verb: SendToCaller, Key: p.Key()})
+	g.endKept(now, f, p)
+	g.releaseKept(now)
 	return g.actions
 }
 
@@ -275,6 +310,9 @@
 			g.add(Action{Verb: ReportHeld, Key: p.Key(), Entry: f.entry})
 		}
 	}
+	if f.kept != nil {
+		return // what the upstream sends belongs to an earlier request
+	}
 	g.reportLatency(now, f, p)
 	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
 		g.work.end(f)
@@ -283,7 +321,12 @@
 
 // reportLatency reports the time from a request to the first bytes of its answer.
 func (g *Guard) reportLatency(now time.Time, f *flow, p gdflow.Packet) {
-	if g.OnAnswer != nil && p.Size > 0 && f.processing && !f.offered {
+	if p.Size == 0 || !f.processing || f.offered {
+		return
+	}
+	f.answered, f.answerSeq = true, p.Seq
+	g.noteRefusal(now, f)
+	if g.OnAnswer != nil {
 		g.OnAnswer(now.Sub(f.requestAt))
 	}
 }
@@ -295,7 +338,9 @@
 		return
 	}
 	entry := f.entry
-	g.work.end(f)
+	if f.kept == nil {
+		g.work.end(f)
+	}
 	if p.Opens() {
 		g.flows.Delete(p.Key())
 		g.returnPacket(p.Key(), entry, Full)
--- a/internal/core/gdguard/load.go
+++ b/internal/core/gdguard/load.go
@@ -19,10 +19,14 @@
 
 // workload counts the requests of the upstream: those that were delivered and whose
 // answer has not begun, and those that are expected on flows that were offered to it.
+//
+// n includes the requests that are kept back. inProgress counts those that were delivered, by
+// level.
 type workload struct {
-	n       int
-	running []request
-	offered []request
+	n          int
+	inProgress [levels]int
+	running    []request
+	offered    []request
 }
 
 type request struct {
@@ -49,14 +53,50 @@
 		w.n++
 	}
 	f.processing, f.offered, f.requestAt = true, false, now
+	w.inProgress[f.level]++
 	w.running = append(w.running, request{f: f, at: now})
 }
 
 func (w *workload) end(f *flow) {
-	if f.processing {
-		f.processing, f.offered = false, false
-		w.n--
+	if !f.processing {
+		return
+	}
+	if !f.offered && f.kept == nil {
+		w.inProgress[f.level]--
+	}
+	f.processing, f.offered = false, false
+	w.n--
+}
+
+// keep counts a request that is kept back, unless it was counted when the flow was offered.
+func (w *workload) keep(f *flow) {
+	if !f.processing {
+		w.n++
+	}
+	f.processing, f.offered, f.requestAt = true, false, time.Time{}
+}
+
+// upTo returns how many requests of the level and of more urgent ones are in progress.
+func (w *workload) upTo(level uint8) int {
+	n := 0
+	for _, i := range w.inProgress[:level+1] {
+		n += i
+	}
+	return n
+}
+
+// before returns how many requests in progress were delivered before that of the flow.
+func (w *workload) before(f *flow) int {
+	n := 0
+	for _, r := range w.running {
+		switch {
+		case r.f == f && r.current():
+			return n
+		case r.current():
+			n++
+		}
 	}
+	return 0
 }
 
 // oldest returns the start time of the oldest request in progress.
--- a/internal/core/gdguard/probe.go
+++ b/internal/core/gdguard/probe.go
@@ -82,7 +82,10 @@
 		}
 		return true
 	})
+	for r := g.backlog.First(); r != nil; r = g.backlog.First() {
+		g.dropKept(now, r, UpstreamExited)
+	}
 	g.flows.Clear()
-	g.work = workload{}
+	g.work, g.limit = workload{}, limit{}
 	return g.actions
 }
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -131,6 +131,8 @@
 	Drop
 	// Reset resets the flow at the caller: the upstream's process is gone.
 	Reset
+	// Keep keeps the packet back under the action's Kept.
+	Keep
 )
 
 // Action is an instruction to the caller of the Guard.
@@ -139,6 +141,9 @@
 	Key gdflow.Key
 	// Entry is the entry host's address, for Return, ReportAccepted and ReportHeld.
 	Entry gdflow.Address
+	// Kept identifies the kept packet that Keep stores and that Deliver, Return and Drop
+	// remove. With 0 they concern the packet at hand.
+	Kept uint64
 	// Seq is the sequence number of a Reset.
 	Seq    uint32
 	Verb   Verb
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -140,6 +140,9 @@
 		"The reason says why. If it is often not-found, look for unresponsive hosts.")
 	PacketRefused = declare(516, Info, "packet refused by the agent", "Nothing: the entry host tries the next upstream.")
 	FlowAccepted  = declare(517, Info, "flow accepted by an upstream", nothing)
+	// RequestReleased is written when the agent no longer keeps a request back.
+	RequestReleased = declare(519, Info, "request that was kept back released",
+		"Nothing if it is rare. If the outcome is often bound-reached, the service needs more upstreams.")
 )
 
 // Events 600 to 699: the upstream.
--- a/internal/process/gdpacketagent/agent.go
+++ b/internal/process/gdpacketagent/agent.go
@@ -75,6 +75,8 @@
 	fromUpstream *net.UDPConn
 	toUpstream   *net.UDPConn
 	probe        chan struct{}
+	wake         chan struct{} // a request is kept back
+	kept         packetStore
 	serving      atomic.Bool // all sockets are open
 	leaving      atomic.Bool
 	metrics      counters
@@ -107,7 +109,8 @@
 		a.Guard.AgentStarted = time.Now()
 	}
 	a.Guard.OnAnswer = a.metrics.answerTime.RecordDuration
-	a.probe = make(chan struct{}, 1)
+	a.Guard.OnRelease = a.noteRelease
+	a.probe, a.wake = make(chan struct{}, 1), make(chan struct{}, 1)
 	if !a.Guard.ObservedFromStart {
 		a.requestProbe() // it may be down while the agent restarts
 	}
@@ -118,6 +121,7 @@
 	g.Go(func() error { return a.readUpstream(work) })
 	g.Go(func() error { a.watchUpstream(work); return nil })
 	g.Go(func() error { a.probeUpstream(work); return nil })
+	g.Go(func() error { a.releaseDue(work); return nil })
 	g.Go(func() error {
 		defer stop()
 		a.drain(ctx, work)
@@ -157,9 +161,13 @@
 	a.leaving.Store(true)
 	a.mu.Lock()
 	a.Guard.Leave()
-	flows := a.Guard.Flows()
+	flows, kept := a.Guard.Flows(), a.Guard.Kept()
+	out := a.newSender()
+	now := time.Now()
+	out.execute(now, gdflow.Packet{}, nil, a.Guard.Tick(now))
 	a.mu.Unlock()
-	a.Log.Event(gdlog.DrainStarted, "flows", flows)
+	out.flush()
+	a.Log.Event(gdlog.DrainStarted, "flows", flows, "kept", kept)
 }
 
 func (a *Agent) load() int {
--- /dev/null
+++ b/internal/process/gdpacketagent/backlog.go
@@ -0,0 +1,87 @@
+package gdpacketagent
+
+import (
+	"context"
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
+	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
+)
+
+// minTickInterval is the minimum time between two passes over the requests that are due.
+const minTickInterval = time.Millisecond
+
+// packetStore has copies of the packets that the guard keeps back. The guard limits their
+// number.
+type packetStore struct {
+	packets map[uint64][]byte
+}
+
+func (s *packetStore) put(id uint64, raw []byte) {
+	if s.packets == nil {
+		s.packets = make(map[uint64][]byte)
+	}
+	s.packets[id] = append([]byte(nil), raw...)
+}
+
+// take returns the packet and removes it.
+func (s *packetStore) take(id uint64) []byte {
+	b := s.packets[id]
+	delete(s.packets, id)
+	return b
+}
+
+// wakeReleaseDue wakes releaseDue if a request is kept back. It is called with mu locked.
+func (a *Agent) wakeReleaseDue() {
+	if a.Guard.NextTick().IsZero() {
+		return
+	}
+	select {
+	case a.wake <- struct{}{}:
+	default:
+	}
+}
+
+// releaseDue delivers the kept requests that may not be kept any longer, while there are
+// any.
+func (a *Agent) releaseDue(ctx context.Context) {
+	out := a.newSender()
+	t := time.NewTimer(0)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake:
+		}
+		for ctx.Err() == nil {
+			a.mu.Lock()
+			at := a.Guard.NextTick()
+			a.mu.Unlock()
+			if at.IsZero() {
+				break
+			}
+			t.Reset(max(time.Until(at), minTickInterval))
+			select {
+			case <-ctx.Done():
+				return
+			case <-t.C:
+			case <-a.wake: // another one may be due earlier
+				continue
+			}
+			a.mu.Lock()
+			now := time.Now()
+			out.execute(now, gdflow.Packet{}, nil, a.Guard.Tick(now))
+			a.mu.Unlock()
+			out.flush()
+		}
+	}
+}
+
+// noteRelease records a request that is no longer kept back. It is called with mu locked.
+func (a *Agent) noteRelease(now time.Time, r gdguard.Release) {
+	a.metrics.countRelease(r)
+	a.metrics.event(now, a.Log, gdlog.RequestReleased, "flow", r.Key, "priority", r.Priority, "share-rank", r.Share,
+		"ahead", r.Ahead, "kept-for", r.KeptFor.String(), "outcome", r.Cause.String(), "load", a.Guard.Load())
+}
--- a/internal/process/gdpacketagent/counters.go
+++ b/internal/process/gdpacketagent/counters.go
@@ -1,6 +1,7 @@
 package gdpacketagent
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -19,6 +20,9 @@
 	resets, opened            tally.Counter
 	returns, holdings         []tally.Counter
 	answerTime                tally.Histogram
+	kept                      tally.Counter
+	released                  [][]tally.Counter // by level and cause
+	keptTime                  []tally.Histogram // by level
 	logLimit                  gdloglimit.Limiter
 }
 
@@ -32,6 +36,16 @@
 		tagged := scope.Tagged(map[string]string{"holding": gdguard.Holding(h).String()})
 		c.holdings = append(c.holdings, tagged.Counter("flows_asked"))
 	}
+	c.kept = scope.Counter("packets_kept")
+	for l := range gdguard.NumLevels() {
+		tagged := scope.Tagged(map[string]string{"priority": strconv.Itoa(l)})
+		c.keptTime = append(c.keptTime, tagged.Histogram("kept_seconds", gdmetric.LatencyBuckets()))
+		byCause := make([]tally.Counter, gdguard.NumCauses())
+		for i := range byCause {
+			byCause[i] = tagged.Tagged(map[string]string{"reason": gdguard.Cause(i).String()}).Counter("requests_released")
+		}
+		c.released = append(c.released, byCause)
+	}
 	for r := range gdguard.NumReasons() {
 		tagged := scope.Tagged(map[string]string{"reason": gdguard.Reason(r).String()})
 		c.returns = append(c.returns, tagged.Counter("packets_returned"))
@@ -50,9 +64,17 @@
 		c.resets.Inc(1)
 	case gdguard.ReportAccepted:
 		c.opened.Inc(1)
+	case gdguard.Keep:
+		c.kept.Inc(1)
 	}
 }
 
+func (c *counters) countRelease(r gdguard.Release) {
+	l := min(int(r.Priority), len(c.released)-1)
+	c.released[l][r.Cause].Inc(1)
+	c.keptTime[l].RecordDuration(r.KeptFor)
+}
+
 // event logs an event, unless the rate limit of the log is exceeded.
 func (c *counters) event(now time.Time, log gdlog.Logger, ev gdlog.Event, keysAndValues ...any) {
 	c.logLimit.Event(now, log, ev, keysAndValues...)
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -121,7 +121,13 @@
 	flows := a.Guard.Flows()
 	actions := a.Guard.HandleUpstreamExit(now)
 	if len(actions) > 0 {
-		a.Log.Event(gdlog.UpstreamExited, "flows", flows, "resets", len(actions))
+		resets := 0
+		for i := range actions {
+			if actions[i].Verb == gdguard.Reset {
+				resets++
+			}
+		}
+		a.Log.Event(gdlog.UpstreamExited, "flows", flows, "resets", resets)
 	}
 	out.execute(now, gdflow.Packet{}, nil, actions)
 	a.mu.Unlock()
@@ -138,6 +144,7 @@
 			if a.Guard.ShouldProbe(now) {
 				a.requestProbe()
 			}
+			a.wakeReleaseDue()
 		},
 		OnReadError: func() { a.metrics.failedReads.Inc(1) },
 	}
@@ -166,9 +173,14 @@
 func (s *sender) execute(now time.Time, p gdflow.Packet, raw []byte, actions []gdguard.Action) {
 	agent := s.agent
 	for i := range actions {
-		a := &actions[i]
+		a, raw := &actions[i], raw
 		agent.metrics.countAction(a)
+		if a.Kept != 0 && a.Verb != gdguard.Keep {
+			raw = agent.kept.take(a.Kept)
+		}
 		switch a.Verb {
+		case gdguard.Keep:
+			agent.kept.put(a.Kept, raw)
 		case gdguard.Deliver:
 			if _, err := agent.toUpstream.Write(raw); err != nil {
 				// The refusal of an earlier packet may be reported here instead of in watchUpstream.
@@ -184,7 +196,7 @@
 			b := gdhop.AppendReturn(s.out.Buffer(), a.Reason, agent.Guard.Load(), agent.Guard.ExpectedWait(now), agent.Guard.Revision())
 			s.out.Queue(append(b, raw...), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, gdlog.PacketRefused, "flow", a.Key, "entry", a.Entry, "reason", a.Reason.String(),
-				"opens", p.Opens(), "load", agent.Guard.Load(), "revision", agent.Guard.Revision())
+				"opens", a.Kept == 0 && p.Opens(), "load", agent.Guard.Load(), "revision", agent.Guard.Revision())
 		case gdguard.ReportAccepted, gdguard.ReportHeld:
 			t, ev := gdhop.Accepted, gdlog.FlowAccepted
 			if a.Verb == gdguard.ReportHeld {
--- a/internal/process/gdpacketagent/state.go
+++ b/internal/process/gdpacketagent/state.go
@@ -17,6 +17,10 @@
 	Flows int  `json:"flows"`
 	Load  int  `json:"load"`
 	Ready bool `json:"ready"`
+	// Kept counts the requests that are kept back, which are part of Load, and Refused those
+	// that the upstream refused because its queue was full.
+	Kept    int   `json:"kept"`
+	Refused int64 `json:"refused"`
 }
 
 // State returns the current state.
@@ -27,5 +31,6 @@
 	return State{
 		Revision: st.Revision, AcceptsNew: st.AcceptsNew, Slots: st.Slots,
 		Flows: a.Guard.Flows(), Load: a.Guard.Load(), Ready: a.Ready(),
+		Kept: a.Guard.Kept(), Refused: a.Guard.Refused(),
 	}
 }
