--- /dev/null
+++ b/internal/core/gdbacklog/backlog_test.go
@@ -0,0 +1,59 @@
+package gdbacklog_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbacklog"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
+
+var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
+
+func packet(size int) gdflow.Packet {
+	return gdflow.Packet{Kind: gdflow.Data, Size: size}
+}
+
+// TestOrder: by priority, then by share, then by the end of the bound, then by arrival.
+func TestOrder(t *testing.T) {
+	b := &gdbacklog.Backlog[int]{MaxPackets: 10, MaxBytes: 1000}
+	for i, o := range []gdbacklog.Order{
+		{Priority: 1, Due: start},
+		{Share: 1, Due: start.Add(3)},
+		{Due: start.Add(2)},
+		{Due: start.Add(1)},
+		{Due: start.Add(2)},
+	} {
+		b.Keep(i, o, packet(1))
+	}
+	require.Equal(t, []int{4, 5, 5}, []int{b.Ahead(0), b.Ahead(1), b.Len()})
+	require.Equal(t, start, b.NextDue())
+	require.Equal(t, 0, b.Due(start).Value)
+	b.Expedite(b.Due(start)) // it keeps its place in the order
+	var got []int
+	for r := b.First(); r != nil; r = b.First() {
+		got = append(got, r.Value)
+		b.Remove(r)
+		b.Remove(r)
+	}
+	require.Equal(t, []int{3, 2, 4, 1, 0}, got)
+	require.Zero(t, b.NextDue())
+	require.Zero(t, b.Packets())
+}
+
+// TestLimits: packets and bytes are limited, and removed requests make room.
+func TestLimits(t *testing.T) {
+	b := &gdbacklog.Backlog[int]{MaxPackets: 3, MaxBytes: 100}
+	r := b.Keep(0, gdbacklog.Order{}, packet(60))
+	require.True(t, b.HasRoom(40))
+	require.False(t, b.HasRoom(41))
+	b.Append(r, packet(10))
+	b.Append(r, packet(10))
+	require.False(t, b.HasRoom(0))
+	require.True(t, r.Has(packet(10)))
+	require.False(t, r.Has(packet(11)))
+	b.Remove(r)
+	require.True(t, b.HasRoom(100))
+}
--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -105,6 +105,9 @@
 // Kept returns the number of requests that are kept back.
 func (g *Guard) Kept() int { return g.backlog.Len() }
 
+// KeptPackets returns the number of their packets.
+func (g *Guard) KeptPackets() int { return g.backlog.Packets() }
+
 // KeptAhead returns how many requests of the priority and of more urgent ones are kept
 // back. Load includes them all.
 func (g *Guard) KeptAhead(priority uint8) int { return g.backlog.Ahead(priority) }
--- a/internal/process/gdpacketagent/agent_test.go
+++ b/internal/process/gdpacketagent/agent_test.go
@@ -33,6 +33,7 @@
 	stop                    context.CancelFunc
 	ended                   chan error
 	key                     gdflow.Key
+	header                  gdguard.Header // what forward sends besides its arguments
 }
 
 func listen(t *testing.T, ip string, port uint16) *net.UDPConn {
@@ -97,7 +98,8 @@
 // forward sends a packet to the agent, as an entry host does.
 func (f *fixture) forward(service string, status gdguard.UpstreamStatus, packet []byte, opens bool) {
 	f.t.Helper()
-	h := gdguard.Header{Service: gddiscovery.ServiceHash(service), Status: status}
+	h := f.header
+	h.Service, h.Status = gddiscovery.ServiceHash(service), status
 	_, err := f.entry.WriteToUDPAddrPort(append(gdhop.AppendForward(nil, h, opens), packet...), f.agent.HopAddress)
 	require.NoError(f.t, err)
 }
@@ -202,6 +204,43 @@
 	f.finish()
 }
 
+// TestKeptRequest: two slots have three requests in progress, so that the next one is kept
+// back. It reaches the upstream byte for byte at the end of its bound, or when the agent
+// stops, which waits for its answer.
+func TestKeptRequest(t *testing.T) {
+	for _, tc := range []struct {
+		cause     gdguard.Cause
+		objective time.Duration
+	}{{gdguard.BoundReached, 40 * time.Millisecond}, {gdguard.Stopping, time.Hour}} {
+		t.Run(tc.cause.String(), func(t *testing.T) {
+			f := start(t)
+			f.header = gdguard.Header{Forced: true, Class: gdguard.RouteClass{Objective: tc.objective, Priority: 1}}
+			var answers [][]byte
+			for i := range 4 {
+				f.key = gdflow.NewKey(f.key.Caller().WithPort(uint16(40001+i)), f.key.Service())
+				f.open()
+				answers = append(answers, f.packet(false, platformsim.Ack, 1001, 18, "answer"))
+				request := f.packet(true, platformsim.Ack, 11, 1001, "request")
+				f.forward("booking", gdguard.UpstreamStatus{}, request, false)
+				if i == 3 && tc.cause == gdguard.Stopping {
+					require.Eventually(t, func() bool { return f.agent.State(time.Now()).Kept == 1 }, eventTimeout, time.Millisecond)
+					f.stop()
+				}
+				got, _ := f.read(f.upstream)
+				require.Equal(t, request, got)
+			}
+			require.Equal(t, 4, f.agent.State(time.Now()).Load)
+			for _, b := range answers {
+				f.upstreamSends(b)
+				got, _ := f.read(f.caller)
+				require.Equal(t, b, got)
+			}
+			f.finish()
+			require.Contains(t, metricsText(f.metrics), `requests_released{priority="1",reason="`+tc.cause.String()+`"} 1`)
+		})
+	}
+}
+
 // metricsText returns the text of the metrics endpoint.
 func metricsText(m *gdmetric.Metrics) string {
 	w := httptest.NewRecorder()
--- a/internal/process/gdpacketagent/backlog.go
+++ b/internal/process/gdpacketagent/backlog.go
@@ -1,6 +1,7 @@
 package gdpacketagent
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -14,22 +15,21 @@
 
 // packetStore has copies of the packets that the guard keeps back. The guard limits their
 // number.
-type packetStore struct {
-	packets map[uint64][]byte
-}
+type packetStore map[uint64][]byte
 
-func (s *packetStore) put(id uint64, raw []byte) {
-	if s.packets == nil {
-		s.packets = make(map[uint64][]byte)
+// exchange stores the packet at hand if the action keeps it back. Otherwise it returns the
+// packet that the action concerns, and removes a kept one.
+func (s packetStore) exchange(a *gdguard.Action, raw []byte) []byte {
+	switch {
+	case a.Kept == 0:
+		return raw
+	case a.Verb == gdguard.Keep:
+		s[a.Kept] = bytes.Clone(raw)
+		return raw
 	}
-	s.packets[id] = append([]byte(nil), raw...)
-}
-
-// take returns the packet and removes it.
-func (s *packetStore) take(id uint64) []byte {
-	b := s.packets[id]
-	delete(s.packets, id)
-	return b
+	raw = s[a.Kept]
+	delete(s, a.Kept)
+	return raw
 }
 
 // wakeReleaseDue wakes releaseDue if a request is kept back. It is called with mu locked.
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -118,16 +118,10 @@
 // upstreamExited resets the flows of an upstream whose process is gone.
 func (a *Agent) upstreamExited(now time.Time, out *sender) {
 	a.mu.Lock()
-	flows := a.Guard.Flows()
+	flows, kept := a.Guard.Flows(), a.Guard.KeptPackets()
 	actions := a.Guard.HandleUpstreamExit(now)
 	if len(actions) > 0 {
-		resets := 0
-		for i := range actions {
-			if actions[i].Verb == gdguard.Reset {
-				resets++
-			}
-		}
-		a.Log.Event(gdlog.UpstreamExited, "flows", flows, "resets", resets)
+		a.Log.Event(gdlog.UpstreamExited, "flows", flows, "resets", len(actions)-kept)
 	}
 	out.execute(now, gdflow.Packet{}, nil, actions)
 	a.mu.Unlock()
@@ -173,20 +167,12 @@
 func (s *sender) execute(now time.Time, p gdflow.Packet, raw []byte, actions []gdguard.Action) {
 	agent := s.agent
 	for i := range actions {
-		a, raw := &actions[i], raw
+		a := &actions[i]
 		agent.metrics.countAction(a)
-		if a.Kept != 0 && a.Verb != gdguard.Keep {
-			raw = agent.kept.take(a.Kept)
-		}
+		raw := agent.kept.exchange(a, raw)
 		switch a.Verb {
-		case gdguard.Keep:
-			agent.kept.put(a.Kept, raw)
 		case gdguard.Deliver:
-			if _, err := agent.toUpstream.Write(raw); err != nil {
-				// The refusal of an earlier packet may be reported here instead of in watchUpstream.
-				agent.metrics.failedWrites.Inc(1)
-				agent.requestProbe()
-			}
+			s.deliver(raw)
 		case gdguard.SendToCaller:
 			s.out.Queue(append(s.out.Buffer(), raw...), a.Key.Caller().WithPort(agent.CallerPort).AddrPort())
 		case gdguard.Reset:
@@ -208,6 +194,15 @@
 	}
 }
 
+// deliver sends a packet to the upstream.
+func (s *sender) deliver(raw []byte) {
+	if _, err := s.agent.toUpstream.Write(raw); err != nil {
+		// The refusal of an earlier packet may be reported here instead of in watchUpstream.
+		s.agent.metrics.failedWrites.Inc(1)
+		s.agent.requestProbe()
+	}
+}
+
 // replyToQuery replies to an entry host's query about flows.
 func (s *sender) replyToQuery(now time.Time, entry gdflow.Address, m gdhop.Message) {
 	b := gdhop.AppendQueryReply(s.out.Buffer(), s.agent.Guard.Revision())
