Keep requests back at the agent, by priority, while the upstream has no slot soon

Ruled out: keeping each request for its bound. So a request is kept only if it can have a slot within half of its objective. Shares by caller and domain are not built yet.

--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -8,77 +8,17 @@
 )
 
 const (
-	// lookahead is how many requests beyond its slots the upstream gets, so that no slot
-	// idles between an answer and the next delivery.
-	lookahead = 1
 	// objectiveParts is the inverse of the part of its objective for which a request may
 	// be kept back.
 	objectiveParts = 4
+	// lateParts is the inverse of the part of its objective within which a request must
+	// get a slot to be kept back. The rest is for its processing and for what the estimate lacks.
+	lateParts = 2
 	// maxKeptPackets and maxKeptBytes limit what is kept back for one upstream.
 	maxKeptPackets = 512
 	maxKeptBytes   = 512 << 10
-	// levels is the number of priorities that are counted separately. Less urgent ones
-	// count as the last of them.
-	levels = 8
-	// limitTTL is how long an observed limit of the upstream holds.
-	limitTTL = 2 * time.Second
 )
 
-// Cause is the reason why a request is no longer kept back.
-type Cause uint8
-
-// The causes. Their String values are used as metric labels and in the log.
-const (
-	// SlotFree: the upstream has room.
-	SlotFree Cause = iota
-	// BoundReached: it was kept for the part of its objective that is permitted.
-	BoundReached
-	// Stopping: the agent shuts down.
-	Stopping
-	// Overflow: too much is kept.
-	Overflow
-	// FlowEnded: the caller or the upstream has ended the flow.
-	FlowEnded
-	// FlowLost: the upstream does not hold the flow.
-	FlowLost
-	// UpstreamExited: the upstream's process is gone.
-	UpstreamExited
-
-	causes
-)
-
-var causeNames = [causes]string{
-	SlotFree: "slot-free", BoundReached: "bound-reached", Stopping: "stopping", Overflow: "overflow",
-	FlowEnded: "flow-ended", FlowLost: "flow-lost", UpstreamExited: "upstream-exited",
-}
-
-// NumCauses returns the number of causes, for arrays of counters.
-func NumCauses() int { return int(causes) }
-
-// NumLevels returns the number of priorities that are counted separately. Less urgent ones
-// count as the last of them.
-func NumLevels() int { return levels }
-
-func (c Cause) String() string {
-	if c >= causes {
-		return "unknown"
-	}
-	return causeNames[c]
-}
-
-// Release describes a request that is no longer kept back.
-type Release struct {
-	// Key is the request's flow.
-	Key gdflow.Key
-	// Ahead is how many kept requests went before it when it was kept back.
-	Ahead int
-	// KeptFor is how long it was kept back.
-	KeptFor time.Duration
-	// Priority is that of its route, and Share its share rank.
-	Priority, Share uint8
-	Cause           Cause
-}
-
 // waiting is what the guard needs to deliver a kept request.
 type waiting struct {
 	key   gdflow.Key
@@ -88,20 +28,6 @@
 
 type keptRequest = gdbacklog.Request[waiting]
 
-// limit is the number of requests in progress at which the upstream was seen to refuse
-// one. The zero value means none.
-type limit struct {
-	n     int
-	until time.Time
-}
-
-func (l *limit) note(now time.Time, n int) {
-	if now.After(l.until) || n < l.n {
-		l.n = n
-	}
-	l.until = now.Add(limitTTL)
-}
-
 // Kept returns the number of requests that are kept back.
 func (g *Guard) Kept() int { return g.backlog.Len() }
 
@@ -133,18 +59,6 @@
 	return g.actions
 }
 
-func level(priority uint8) uint8 { return min(priority, levels-1) }
-
-// hasRoom reports whether the upstream is to get a request of the level. Less urgent
-// requests in progress don't matter, unless the upstream would refuse the request.
-func (g *Guard) hasRoom(now time.Time, level uint8) bool {
-	room := int(g.status.Slots) + lookahead
-	if !now.After(g.limit.until) && g.work.upTo(levels-1) >= max(g.limit.n, room) {
-		return false
-	}
-	return g.work.upTo(level) < room
-}
-
 // begin decides on a packet with data beyond all that was delivered on the flow: it
 // begins a request, unless one is in progress. It reports whether the request is kept back.
 func (g *Guard) begin(now time.Time, f *flow, p gdflow.Packet, earlier earlierData) bool {
@@ -156,22 +70,35 @@
 	if known {
 		f.level = level(class.Priority)
 	}
-	keeps := known && class.Objective > 0 && g.status.Slots > 0 && !g.leaving && f.begins(p, earlier)
-	if !keeps || g.hasRoom(now, f.level) {
+	if !known || class.Objective == 0 || g.leaving || !f.begins(p, earlier) || g.hasRoom(now, f.level) {
 		g.work.begin(now, f)
 		return false
 	}
-	if !g.backlog.HasRoom(p.Size) {
-		g.reportRelease(now, Release{Key: p.Key(), Priority: class.Priority, Cause: Overflow})
-		g.work.begin(now, f)
+	if !g.backlog.HasRoom(p.Size) || g.slotWait(class.Priority) > class.Objective/lateParts {
+		g.overflow(now, f, p, class.Priority)
 		return false
 	}
+	f.earlier = earlier
+	g.keep(now, f, p, class)
+	return true
+}
+
+// overflow delivers a request that is not kept back because too much is kept or the wait is
+// too long, behind those that go before it.
+func (g *Guard) overflow(now time.Time, f *flow, p gdflow.Packet, priority uint8) {
+	for r := g.backlog.First(); r != nil && r.Priority <= priority; r = g.backlog.First() {
+		g.release(now, r, Overflow)
+	}
+	g.work.begin(now, f)
+	g.reportRelease(now, Release{Key: p.Key(), Priority: priority, Cause: Overflow})
+}
+
+// keep keeps back a request that begins with the packet.
+func (g *Guard) keep(now time.Time, f *flow, p gdflow.Packet, class RouteClass) {
 	g.work.keep(f)
 	order := gdbacklog.Order{Priority: class.Priority, KeptAt: now, Due: now.Add(class.Objective / objectiveParts)}
-	f.earlier = earlier
 	f.kept = g.backlog.Keep(waiting{key: p.Key(), f: f, ahead: g.backlog.Ahead(class.Priority)}, order, p)
 	g.add(Action{Verb: Keep, Key: p.Key(), Kept: g.backlog.LastID()})
-	return true
 }
 
 // begins reports whether it is certain that the packet begins a request: the caller has
@@ -289,15 +216,3 @@
 		g.release(now, f.kept, FlowEnded)
 	}
 }
-
-// noteRefusal records the upstream's limit if it has answered a request although as many
-// earlier ones as it has slots are in progress: the request had no slot.
-func (g *Guard) noteRefusal(now time.Time, f *flow) {
-	if n := g.work.before(f); g.status.Slots > 0 && n >= int(g.status.Slots) {
-		g.limit.note(now, n)
-		g.refused++
-	}
-}
-
-// Refused returns how many requests the upstream has refused because its queue was full.
-func (g *Guard) Refused() int64 { return g.refused }
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -122,6 +122,7 @@
 	backlog        gdbacklog.Backlog[waiting]
 	classes        classes
 	limit          limit
+	interval       interval
 	refused        int64
 	cold           budget
 	probed         []probedFlow
@@ -325,7 +326,7 @@
 		return
 	}
 	f.answered, f.answerSeq = true, p.Seq
-	g.noteRefusal(now, f)
+	g.noteAnswer(now, f)
 	if g.OnAnswer != nil {
 		g.OnAnswer(now.Sub(f.requestAt))
 	}
--- /dev/null
+++ b/internal/core/gdguard/room.go
@@ -0,0 +1,88 @@
+package gdguard
+
+import "time"
+
+const (
+	// lookahead is how many requests beyond its slots the upstream gets, so that no slot
+	// idles between an answer and the next delivery.
+	lookahead = 1
+	// intervalWeight is the inverse of the weight of the latest interval between two answers.
+	intervalWeight = 16
+	// maxIntervalFactor limits what one interval counts for, in multiples of the mean.
+	maxIntervalFactor = 4
+	// levels is the number of priorities that are counted separately. Less urgent ones
+	// count as the last of them.
+	levels = 8
+	// limitTTL is how long an observed limit of the upstream holds.
+	limitTTL = 2 * time.Second
+)
+
+// limit is the number of requests in progress at which the upstream was seen to refuse
+// one. The zero value means none.
+type limit struct {
+	n     int
+	until time.Time
+}
+
+func (l *limit) note(now time.Time, n int) {
+	if now.After(l.until) || n < l.n {
+		l.n = n
+	}
+	l.until = now.Add(limitTTL)
+}
+
+// interval is the mean interval between two answers while all slots are in use.
+type interval struct {
+	mean time.Duration
+	last time.Time // of the latest answer, if all slots were still in use after it
+}
+
+func (i *interval) note(now time.Time, busy bool) {
+	if !i.last.IsZero() {
+		d := now.Sub(i.last)
+		if i.mean == 0 {
+			i.mean = d
+		}
+		i.mean += (min(d, maxIntervalFactor*i.mean) - i.mean) / intervalWeight
+	}
+	i.last = time.Time{}
+	if busy {
+		i.last = now
+	}
+}
+
+// slotWait estimates how long a new request of the priority would wait for a slot.
+func (g *Guard) slotWait(priority uint8) time.Duration {
+	ahead := g.work.upTo(levels-1) + g.backlog.Ahead(priority)
+	return time.Duration(max(ahead+1-int(g.status.Slots), 0)) * g.interval.mean
+}
+
+func level(priority uint8) uint8 { return min(priority, levels-1) }
+
+// hasRoom reports whether the upstream is to get a request of the level. Less urgent
+// requests in progress don't matter, unless the upstream would refuse the request.
+func (g *Guard) hasRoom(now time.Time, level uint8) bool {
+	room := int(g.status.Slots) + lookahead
+	if g.status.Slots == 0 {
+		return true // unknown
+	}
+	if !now.After(g.limit.until) && g.work.upTo(levels-1) >= max(g.limit.n, room) {
+		return false
+	}
+	return g.work.upTo(level) < room
+}
+
+// noteAnswer records the first bytes of an answer. If as many earlier requests as the upstream
+// has slots are still in progress, this one had no slot: the upstream has refused it.
+func (g *Guard) noteAnswer(now time.Time, f *flow) {
+	slots := int(g.status.Slots)
+	if n := g.work.before(f); slots > 0 && n >= slots {
+		g.limit.note(now, n)
+		g.refused++
+		return
+	}
+	g.interval.note(now, g.work.upTo(levels-1) > slots)
+}
+
+// Refused returns how many requests the upstream has refused because its queue was full.
+func (g *Guard) Refused() int64 { return g.refused }
