Rank requests by share: callers, or whole domains, that ask for more than they did go last

Ruled out: a decaying mean as a domain's usual use: after eight seconds at ten times it has taken over the burst. The least of the latest windows of four seconds is used instead. Change: gdshare (present use by caller and by domain, least use by domain in the latest windows); the rank is part of the order of kept requests and of the levels by which room is counted.

--- a/internal/core/gdbacklog/backlog.go
+++ b/internal/core/gdbacklog/backlog.go
@@ -130,6 +130,15 @@
 // LastID returns the ID of the packet that was kept last.
 func (b *Backlog[T]) LastID() uint64 { return b.lastID }
 
+// AheadOf returns how many kept requests go before a new one.
+func (b *Backlog[T]) AheadOf(o Order) int {
+	n := 0
+	for n < len(b.requests) && b.requests[n].compare(o) <= 0 {
+		n++
+	}
+	return n
+}
+
 // Expedite makes a kept request due.
 func (b *Backlog[T]) Expedite(r *Request[T]) {
 	if i := slices.Index(b.requests, r); i >= 0 {
--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -66,39 +66,38 @@
 		return false
 	}
 	class, known := g.classes.get(now, p.Key().Service())
+	caller := p.Key().Caller().IP()
+	g.usage.Note(now, caller, f.origin)
+	o := gdbacklog.Order{
+		Priority: class.Priority, Share: g.usage.Rank(now, caller, f.origin), KeptAt: now, Due: now.Add(class.Objective / objectiveParts),
+	}
 	f.level = levels - 1
 	if known {
-		f.level = level(class.Priority)
+		f.level = level(o)
 	}
 	if !known || class.Objective == 0 || g.leaving || !f.begins(p, earlier) || g.hasRoom(now, f.level) {
 		g.work.begin(now, f)
 		return false
 	}
-	if !g.backlog.HasRoom(p.Size) || g.slotWait(class.Priority) > class.Objective/lateParts {
-		g.overflow(now, f, p, class.Priority)
+	if !g.backlog.HasRoom(p.Size) || g.slotWait(o) > class.Objective/lateParts {
+		g.overflow(now, f, p, o)
 		return false
 	}
 	f.earlier = earlier
-	g.keep(now, f, p, class)
+	g.work.keep(f)
+	f.kept = g.backlog.Keep(waiting{key: p.Key(), f: f, ahead: g.backlog.AheadOf(o)}, o, p)
+	g.add(Action{Verb: Keep, Key: p.Key(), Kept: g.backlog.LastID()})
 	return true
 }
 
 // overflow delivers a request that is not kept back because too much is kept or the wait is
 // too long, behind those that go before it.
-func (g *Guard) overflow(now time.Time, f *flow, p gdflow.Packet, priority uint8) {
-	for r := g.backlog.First(); r != nil && r.Priority <= priority; r = g.backlog.First() {
-		g.release(now, r, Overflow)
+func (g *Guard) overflow(now time.Time, f *flow, p gdflow.Packet, o gdbacklog.Order) {
+	for g.backlog.AheadOf(o) > 0 {
+		g.release(now, g.backlog.First(), Overflow)
 	}
 	g.work.begin(now, f)
-	g.reportRelease(now, Release{Key: p.Key(), Priority: priority, Cause: Overflow})
-}
-
-// keep keeps back a request that begins with the packet.
-func (g *Guard) keep(now time.Time, f *flow, p gdflow.Packet, class RouteClass) {
-	g.work.keep(f)
-	order := gdbacklog.Order{Priority: class.Priority, KeptAt: now, Due: now.Add(class.Objective / objectiveParts)}
-	f.kept = g.backlog.Keep(waiting{key: p.Key(), f: f, ahead: g.backlog.Ahead(class.Priority)}, order, p)
-	g.add(Action{Verb: Keep, Key: p.Key(), Kept: g.backlog.LastID()})
+	g.reportRelease(now, Release{Key: p.Key(), Priority: o.Priority, Share: o.Share, Cause: Overflow})
 }
 
 // begins reports whether it is certain that the packet begins a request: the caller has
@@ -149,7 +148,7 @@
 	if g.leaving {
 		cause = Stopping
 	}
-	for r := g.backlog.First(); r != nil && (g.leaving || g.hasRoom(now, level(r.Priority))); r = g.backlog.First() {
+	for r := g.backlog.First(); r != nil && (g.leaving || g.hasRoom(now, level(r.Order))); r = g.backlog.First() {
 		g.release(now, r, cause)
 	}
 	for r := g.backlog.Due(now); r != nil; r = g.backlog.Due(now) {
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -26,6 +26,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdcache"
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdshare"
 )
 
 const (
@@ -88,7 +89,7 @@
 	observed    bool      // the agent has seen the flow since its start
 	answered    bool      // the upstream has answered a request, so that answerSeq is set
 	answerSeq   uint32    // the first sequence number of the latest answer
-	level       uint8     // the priority of the current request, at most levels-1
+	level       uint8     // that of the current request
 	origin      uint16    // Header.Origin of the packet that opened the flow
 	kept        *keptRequest
 	earlier     earlierData // what was delivered before the kept request
@@ -121,6 +122,7 @@
 	work           workload
 	backlog        gdbacklog.Backlog[waiting]
 	classes        classes
+	usage          gdshare.Usage
 	limit          limit
 	interval       interval
 	refused        int64
--- a/internal/core/gdguard/release.go
+++ b/internal/core/gdguard/release.go
@@ -37,9 +37,9 @@
 // NumCauses returns the number of causes, for arrays of counters.
 func NumCauses() int { return int(causes) }
 
-// NumLevels returns the number of priorities that are counted separately. Less urgent ones
+// NumPriorities returns the number of priorities that are counted separately. Less urgent ones
 // count as the last of them.
-func NumLevels() int { return levels }
+func NumPriorities() int { return priorities }
 
 func (c Cause) String() string {
 	if c >= causes {
--- a/internal/core/gdguard/room.go
+++ b/internal/core/gdguard/room.go
@@ -1,6 +1,11 @@
 package gdguard
 
-import "time"
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdbacklog"
+	"godwitdrift.example/godwitdrift/internal/core/gdshare"
+)
 
 const (
 	// lookahead is how many requests beyond its slots the upstream gets, so that no slot
@@ -10,9 +15,11 @@
 	intervalWeight = 16
 	// maxIntervalFactor limits what one interval counts for, in multiples of the mean.
 	maxIntervalFactor = 4
-	// levels is the number of priorities that are counted separately. Less urgent ones
+	// priorities is the number of priorities that are counted separately. Less urgent ones
 	// count as the last of them.
-	levels = 8
+	priorities = 8
+	// levels is the number of priorities and share ranks.
+	levels = priorities * gdshare.Ranks
 	// limitTTL is how long an observed limit of the upstream holds.
 	limitTTL = 2 * time.Second
 )
@@ -51,16 +58,19 @@
 	}
 }
 
-// slotWait estimates how long a new request of the priority would wait for a slot.
-func (g *Guard) slotWait(priority uint8) time.Duration {
-	ahead := g.work.upTo(levels-1) + g.backlog.Ahead(priority)
+// slotWait estimates how long a new request would wait for a slot.
+func (g *Guard) slotWait(o gdbacklog.Order) time.Duration {
+	ahead := g.work.upTo(levels-1) + g.backlog.AheadOf(o)
 	return time.Duration(max(ahead+1-int(g.status.Slots), 0)) * g.interval.mean
 }
 
-func level(priority uint8) uint8 { return min(priority, levels-1) }
+// level returns the level of a request: what goes before it has a lower one.
+func level(o gdbacklog.Order) uint8 {
+	return min(o.Priority, priorities-1)*gdshare.Ranks + min(o.Share, gdshare.Ranks-1)
+}
 
-// hasRoom reports whether the upstream is to get a request of the level. Less urgent
-// requests in progress don't matter, unless the upstream would refuse the request.
+// hasRoom reports whether the upstream is to get a request of the level. Requests in progress
+// that are less urgent, or of callers above their share, don't matter, unless the upstream would refuse the request.
 func (g *Guard) hasRoom(now time.Time, level uint8) bool {
 	room := int(g.status.Slots) + lookahead
 	if g.status.Slots == 0 {
--- a/internal/process/gdpacketagent/counters.go
+++ b/internal/process/gdpacketagent/counters.go
@@ -21,8 +21,8 @@
 	returns, holdings         []tally.Counter
 	answerTime                tally.Histogram
 	kept                      tally.Counter
-	released                  [][]tally.Counter // by level and cause
-	keptTime                  []tally.Histogram // by level
+	released                  [][]tally.Counter // by priority and cause
+	keptTime                  []tally.Histogram // by priority
 	logLimit                  gdloglimit.Limiter
 }
 
@@ -37,7 +37,7 @@
 		c.holdings = append(c.holdings, tagged.Counter("flows_asked"))
 	}
 	c.kept = scope.Counter("packets_kept")
-	for l := range gdguard.NumLevels() {
+	for l := range gdguard.NumPriorities() {
 		tagged := scope.Tagged(map[string]string{"priority": strconv.Itoa(l)})
 		c.keptTime = append(c.keptTime, tagged.Histogram("kept_seconds", gdmetric.LatencyBuckets()))
 		byCause := make([]tally.Counter, gdguard.NumCauses())
