Keep a request that the upstream would refuse while it can still be in time

Change: if the upstream would refuse, three quarters of the objective count instead of half, and the kept requests ahead of a hopeless one wait on.

--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -11,9 +11,11 @@
 	// objectiveParts is the inverse of the part of its objective for which a request may
 	// be kept back.
 	objectiveParts = 4
-	// lateParts is the inverse of the part of its objective within which a request must
-	// get a slot to be kept back. The rest is for its processing and for what the estimate lacks.
-	lateParts = 2
+	// hopelessParts is the inverse of the part of its objective within which a request must
+	// get a slot to be kept back, and fullHopelessParts that if the upstream would refuse it
+	// now. The rest is for its processing and for the error of the estimate.
+	hopelessParts     = 2.0
+	fullHopelessParts = 4.0 / 3
 	// maxKeptPackets and maxKeptBytes limit what is kept back for one upstream.
 	maxKeptPackets = 512
 	maxKeptBytes   = 512 << 10
@@ -79,7 +81,7 @@
 		g.work.begin(now, f)
 		return false
 	}
-	if !g.backlog.HasRoom(p.Size) || g.slotWait(o) > class.Objective/lateParts {
+	if !g.backlog.HasRoom(p.Size) || g.hopeless(now, o, class.Objective) {
 		g.overflow(now, f, p, o)
 		return false
 	}
@@ -91,9 +93,10 @@
 }
 
 // overflow delivers a request that is not kept back because too much is kept or the wait is
-// too long, behind those that go before it.
+// too long, behind those that go before it. If the upstream is full, it refuses the request,
+// and those before it wait on.
 func (g *Guard) overflow(now time.Time, f *flow, p gdflow.Packet, o gdbacklog.Order) {
-	for g.backlog.AheadOf(o) > 0 {
+	for g.backlog.AheadOf(o) > 0 && !g.full(now) {
 		g.release(now, g.backlog.First(), Overflow)
 	}
 	g.work.begin(now, f)
--- a/internal/core/gdguard/room.go
+++ b/internal/core/gdguard/room.go
@@ -72,14 +72,24 @@
 // hasRoom reports whether the upstream is to get a request of the level. Requests in progress
 // that are less urgent, or of callers above their share, don't matter, unless the upstream would refuse the request.
 func (g *Guard) hasRoom(now time.Time, level uint8) bool {
-	room := int(g.status.Slots) + lookahead
 	if g.status.Slots == 0 {
 		return true // unknown
 	}
-	if !now.After(g.limit.until) && g.work.upTo(levels-1) >= max(g.limit.n, room) {
-		return false
+	return !g.full(now) && g.work.upTo(level) < int(g.status.Slots)+lookahead
+}
+
+// full reports whether the upstream was seen to refuse requests with as many in progress as now.
+func (g *Guard) full(now time.Time) bool {
+	return !now.After(g.limit.until) && g.work.upTo(levels-1) >= max(g.limit.n, int(g.status.Slots)+lookahead)
+}
+
+// hopeless reports whether a new request would get its slot too late for its objective.
+func (g *Guard) hopeless(now time.Time, o gdbacklog.Order, objective time.Duration) bool {
+	parts := hopelessParts
+	if g.full(now) {
+		parts = fullHopelessParts
 	}
-	return g.work.upTo(level) < room
+	return g.slotWait(o).Seconds() > objective.Seconds()/parts
 }
 
 // noteAnswer records the first bytes of an answer. If as many earlier requests as the upstream
