--- a/internal/core/gdguard/room.go
+++ b/internal/core/gdguard/room.go
@@ -24,20 +24,12 @@
 	limitTTL = 2 * time.Second
 )
 
-// limit is the number of requests in progress at which the upstream was seen to refuse
-// one. The zero value means none.
+// limit is the number of requests in progress at which the upstream refused one last. The zero value means none.
 type limit struct {
 	n     int
 	until time.Time
 }
 
-func (l *limit) note(now time.Time, n int) {
-	if now.After(l.until) || n < l.n {
-		l.n = n
-	}
-	l.until = now.Add(limitTTL)
-}
-
 // interval is the mean interval between two answers while all slots are in use.
 type interval struct {
 	mean time.Duration
@@ -97,7 +89,7 @@
 func (g *Guard) noteAnswer(now time.Time, f *flow) {
 	slots := int(g.status.Slots)
 	if n := g.work.before(f); slots > 0 && n >= slots {
-		g.limit.note(now, n)
+		g.limit = limit{n: n, until: now.Add(limitTTL)}
 		g.refused++
 		return
 	}
