--- a/internal/core/gdguard/burst_test.go
+++ b/internal/core/gdguard/burst_test.go
@@ -168,13 +168,17 @@
 
 // requests returns a group of the kind that is urgent, and one of the kind that is frequent.
 func urgent(domain byte, flows int, interval, burst time.Duration) *group {
-	return &group{priority: 1, domain: domain, flows: flows, interval: interval, burst: burst,
-		objective: 250 * time.Millisecond, work: 20 * time.Millisecond}
+	return &group{
+		priority: 1, domain: domain, flows: flows, interval: interval, burst: burst,
+		objective: 250 * time.Millisecond, work: 20 * time.Millisecond,
+	}
 }
 
 func frequent(domain byte, flows int, interval, burst time.Duration) *group {
-	return &group{priority: 2, domain: domain, flows: flows, interval: interval, burst: burst,
-		objective: 200 * time.Millisecond, work: 15 * time.Millisecond}
+	return &group{
+		priority: 2, domain: domain, flows: flows, interval: interval, burst: burst,
+		objective: 200 * time.Millisecond, work: 15 * time.Millisecond,
+	}
 }
 
 func TestBursts(t *testing.T) {
