--- a/internal/core/gdguard/class.go
+++ b/internal/core/gdguard/class.go
@@ -12,8 +12,6 @@
 	classTTL = time.Minute
 	// maxClasses limits the routes whose class is known.
 	maxClasses = 256
-	// unknownPriority is the priority of a request whose route is not known.
-	unknownPriority = 1<<8 - 1
 )
 
 // classes has the classes of the routes by service address.
@@ -40,11 +38,3 @@
 	}
 	return k.RouteClass, true
 }
-
-// priority returns the priority of the route's requests.
-func (c classes) priority(now time.Time, service gdflow.Address) uint8 {
-	if class, ok := c.get(now, service); ok {
-		return class.Priority
-	}
-	return unknownPriority
-}
