--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -41,7 +41,7 @@
 	if reopened {
 		g.work.end(f)
 	}
-	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack, opening: gdflow.OpeningOf(p)}
+	f = &flow{entry: entry, state: pending, expectedSeq: p.Ack, opening: gdflow.OpeningOf(p), origin: h.Origin}
 	g.work.offer(g.requestOn(now, p.Key(), f))
 	g.flows.Put(now, p.Key(), f)
 	g.add(Action{Verb: Deliver, Key: p.Key()})
@@ -63,7 +63,7 @@
 	case g.work.n < g.slots():
 		return 0, 0
 	}
-	wait := g.waitFor(now, h.Class.Priority)
+	wait := g.waitFor(now, h.Class.priority())
 	if g.mayQueue(now, h, lostTime(p), wait) {
 		return 0, wait
 	}
@@ -119,6 +119,9 @@
 			l = l.Plus(gdwait.Load{Requests: 1, Time: g.work.wait.SlotTime(now, r.service)})
 		}
 	}
+	for r := range g.backlog.Upto(priority) {
+		l = l.Plus(gdwait.Load{Requests: 1, Time: g.work.wait.SlotTime(now, r.Value.key.Service())})
+	}
 	return l
 }
 
--- a/internal/core/gdguard/class.go
+++ b/internal/core/gdguard/class.go
@@ -43,8 +43,13 @@
 
 // priority returns the priority of the route's requests.
 func (c classes) priority(now time.Time, service gdflow.Address) uint8 {
-	if class, ok := c.get(now, service); ok {
-		return class.Priority
+	class, _ := c.get(now, service)
+	return class.priority()
+}
+
+func (c RouteClass) priority() uint8 {
+	if c == (RouteClass{}) {
+		return unknownPriority
 	}
-	return unknownPriority
+	return c.Priority
 }
--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -59,8 +59,8 @@
 	f.usedAt = now
 }
 
-// answered records a packet of the upstream.
-func (f *flow) answered(now time.Time, p gdflow.Packet) {
+// noteReply records a packet of the upstream.
+func (f *flow) noteReply(now time.Time, p gdflow.Packet) {
 	f.finished = f.finished || p.Kind == gdflow.Finish || p.Kind == gdflow.Reset
 	f.wasIdle, f.usedAt = false, now
 }
--- a/internal/core/gdguard/load.go
+++ b/internal/core/gdguard/load.go
@@ -20,11 +20,15 @@
 
 // workload counts the requests of the upstream: those that were delivered and whose
 // answer has not begun, and those that are expected on flows that were offered to it.
+//
+// n includes the requests that are kept back. inProgress counts those that were delivered, by
+// level.
 type workload struct {
-	n       int
-	running []request
-	offered []request
-	wait    gdwait.Estimator[*flow]
+	n          int
+	inProgress [levels]int
+	running    []request
+	offered    []request
+	wait       gdwait.Estimator[*flow]
 }
 
 type request struct {
@@ -57,24 +61,46 @@
 		w.n++
 	}
 	f.processing, f.offered, f.requestAt = true, false, r.at
+	w.inProgress[f.level]++
 	w.running = append(w.running, r)
 	w.wait.Deliver(r.at, f, r.service, r.priority)
 }
 
-// answered counts a request as done because its answer begins.
-func (w *workload) answered(now time.Time, f *flow) {
-	if f.processing && !f.offered {
-		w.wait.Answered(now, f)
-	}
+// answered counts a request as done because its answer begins. It reports whether the upstream
+// has rejected it.
+func (w *workload) answered(now time.Time, f *flow) bool {
+	rejected := f.processing && !f.offered && w.wait.Answered(now, f)
 	w.end(f)
+	return rejected
 }
 
 func (w *workload) end(f *flow) {
-	if f.processing {
-		f.processing, f.offered = false, false
-		w.n--
+	if !f.processing {
+		return
+	}
+	if !f.offered && f.kept == nil {
+		w.inProgress[f.level]--
 		w.wait.Remove(f)
 	}
+	f.processing, f.offered = false, false
+	w.n--
+}
+
+// keep counts a request that is kept back, unless it was counted when the flow was offered.
+func (w *workload) keep(f *flow) {
+	if !f.processing {
+		w.n++
+	}
+	f.processing, f.offered, f.requestAt = true, false, time.Time{}
+}
+
+// upTo returns how many requests of the level and of more urgent ones are in progress.
+func (w *workload) upTo(level uint8) int {
+	n := 0
+	for _, i := range w.inProgress[:level+1] {
+		n += i
+	}
+	return n
 }
 
 // clear removes all requests, because the upstream is gone.
--- a/internal/core/gdguard/probe.go
+++ b/internal/core/gdguard/probe.go
@@ -82,6 +82,9 @@
 		}
 		return true
 	})
+	for r := g.backlog.First(); r != nil; r = g.backlog.First() {
+		g.dropKept(now, r, UpstreamExited)
+	}
 	g.flows.Clear()
 	g.work.clear()
 	return g.actions
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -134,6 +134,8 @@
 	Drop
 	// Reset resets the flow at the caller: the upstream's process is gone.
 	Reset
+	// Keep keeps the packet back under the action's Kept.
+	Keep
 )
 
 // Action is an instruction to the caller of the Guard.
@@ -144,6 +146,9 @@
 	Entry gdflow.Address
 	// Wait is, for a Return with Busy, how long the request would wait for a slot.
 	Wait time.Duration
+	// Kept identifies the kept packet that Keep stores and that Deliver, Return and Drop
+	// remove. With 0 they concern the packet at hand.
+	Kept uint64
 	// Seq is the sequence number of a Reset.
 	Seq    uint32
 	Verb   Verb
--- a/internal/core/gdwait/estimator.go
+++ b/internal/core/gdwait/estimator.go
@@ -59,8 +59,8 @@
 
 // Answered records that the answer to a request begins, and so its slot is free. A request
 // that is still queued here tells nothing of the time in a slot. If its answer comes at once,
-// the upstream's queue is full.
-func (e *Estimator[R]) Answered(now time.Time, id R) {
+// the upstream's queue is full, and Answered reports that it has rejected the request.
+func (e *Estimator[R]) Answered(now time.Time, id R) (rejected bool) {
 	e.latest = now
 	if i := index(e.running, id); i >= 0 {
 		r := e.running[i]
@@ -68,10 +68,11 @@
 	} else if i := index(e.queued, id); i >= 0 {
 		r := e.queued[i]
 		if now.Sub(r.at) < e.SlotTime(now, r.kind)/rejectionDivisor {
-			e.full = fullQueue{at: now, requests: len(e.running) + i}
+			e.full, rejected = fullQueue{at: now, requests: len(e.running) + i}, true
 		}
 	}
 	e.Remove(id)
+	return rejected
 }
 
 // Remove removes a request without an answer.
--- a/internal/core/gdwait/full.go
+++ b/internal/core/gdwait/full.go
@@ -16,6 +16,12 @@
 	requests int
 }
 
+// Full reports whether the upstream has rejected a request lately with no more requests than it
+// has now.
+func (e *Estimator[R]) Full(now time.Time) bool {
+	return now.Sub(e.full.at) < fullTTL && len(e.running)+len(e.queued) >= max(e.full.requests, e.slots)
+}
+
 // HasRoom reports whether the upstream's own queue has room for a new request beside those that
 // are expected: in all, and in half of the queue for those that are at least as urgent. The
 // other half is for requests on open flows.
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -118,10 +118,10 @@
 // upstreamExited resets the flows of an upstream whose process is gone.
 func (a *Agent) upstreamExited(now time.Time, out *sender) {
 	a.mu.Lock()
-	flows := a.Guard.Flows()
+	flows, kept := a.Guard.Flows(), a.Guard.KeptPackets()
 	actions := a.Guard.HandleUpstreamExit(now)
 	if len(actions) > 0 {
-		a.Log.Event(gdlog.UpstreamExited, "flows", flows, "resets", len(actions))
+		a.Log.Event(gdlog.UpstreamExited, "flows", flows, "resets", len(actions)-kept)
 	}
 	out.execute(now, gdflow.Packet{}, nil, actions)
 	a.mu.Unlock()
@@ -138,6 +138,7 @@
 			if a.Guard.ShouldProbe(now) {
 				a.requestProbe()
 			}
+			a.wakeReleaseDue()
 		},
 		OnReadError: func() { a.metrics.failedReads.Inc(1) },
 	}
@@ -168,13 +169,10 @@
 	for i := range actions {
 		a := &actions[i]
 		agent.metrics.countAction(a)
+		raw := agent.kept.exchange(a, raw)
 		switch a.Verb {
 		case gdguard.Deliver:
-			if _, err := agent.toUpstream.Write(raw); err != nil {
-				// The refusal of an earlier packet may be reported here instead of in watchUpstream.
-				agent.metrics.failedWrites.Inc(1)
-				agent.requestProbe()
-			}
+			s.deliver(raw)
 		case gdguard.SendToCaller:
 			s.out.Queue(append(s.out.Buffer(), raw...), a.Key.Caller().WithPort(agent.CallerPort).AddrPort())
 		case gdguard.Reset:
@@ -184,7 +182,7 @@
 			b := gdhop.AppendReturn(s.out.Buffer(), a.Reason, agent.Guard.Load(), a.Wait, agent.Guard.Revision())
 			s.out.Queue(append(b, raw...), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, gdlog.PacketRefused, "flow", a.Key, "entry", a.Entry, "reason", a.Reason.String(),
-				"opens", p.Opens(), "load", agent.Guard.Load(), "wait", a.Wait.String(), "revision", agent.Guard.Revision())
+				"opens", a.Kept == 0 && p.Opens(), "load", agent.Guard.Load(), "wait", a.Wait.String(), "revision", agent.Guard.Revision())
 		case gdguard.ReportAccepted, gdguard.ReportHeld:
 			t, ev := gdhop.Accepted, gdlog.FlowAccepted
 			if a.Verb == gdguard.ReportHeld {
@@ -196,6 +194,15 @@
 	}
 }
 
+// deliver sends a packet to the upstream.
+func (s *sender) deliver(raw []byte) {
+	if _, err := s.agent.toUpstream.Write(raw); err != nil {
+		// The refusal of an earlier packet may be reported here instead of in watchUpstream.
+		s.agent.metrics.failedWrites.Inc(1)
+		s.agent.requestProbe()
+	}
+}
+
 // replyToQuery replies to an entry host's query about flows.
 func (s *sender) replyToQuery(now time.Time, entry gdflow.Address, m gdhop.Message) {
 	b := gdhop.AppendQueryReply(s.out.Buffer(), s.agent.Guard.Revision())
--- a/internal/process/gdrequest/idle.go
+++ b/internal/process/gdrequest/idle.go
@@ -29,12 +29,14 @@
 	closed  atomic.Bool
 }
 
+// Read reads from the connection.
 func (c *watchedConn) Read(b []byte) (int, error) {
 	c.reading.Store(true)
 	defer c.reading.Store(false)
 	return c.Conn.Read(b)
 }
 
+// Close closes the connection.
 func (c *watchedConn) Close() error {
 	c.closed.Store(true)
 	return c.Conn.Close()
