--- a/internal/process/gdrequest/idle.go
+++ b/internal/process/gdrequest/idle.go
@@ -35,6 +35,7 @@
 	return c.Conn.Read(b)
 }
 
+// Close implements net.Conn.
 func (c *watchedConn) Close() error {
 	c.closed.Store(true)
 	return c.Conn.Close()
