Let an agent of a cold upstream begin with half a second's flows

Ruled out: none in the first second, which would leave a cold upstream without flows. Change: in the first second of an agent that did not start with its upstream, half of the slow start's limit. Figures: go test ./internal/core/gdguard, TestAgentsInTurnShareColdLimit failed before (20 for 15 in the second). Conclusion: three agents in one second could still pass the bound.

--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -50,7 +50,7 @@
 		return Leaving
 	case !g.status.AcceptsNew || now.Before(g.refusesUntil):
 		return Draining
-	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
+	case g.isCold(now) && !g.cold.allows(now, g.coldLimit(now)):
 		return Cold
 	case g.work.n >= int(g.status.Slots)*maxLoadPerSlot(h):
 		return Busy
--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -112,6 +112,16 @@
 	return g.status.ColdFlowsPerSecond > 0 && now.Before(until)
 }
 
+// coldLimit returns how many new flows a cold upstream gets in the second that ends now. In
+// the first second of an agent's life, the agent before it may have used part of it.
+func (g *Guard) coldLimit(now time.Time) int {
+	limit := int(g.status.ColdFlowsPerSecond)
+	if !g.ObservedFromStart && now.Sub(g.AgentStarted) < time.Second {
+		return limit / 2
+	}
+	return limit
+}
+
 // budget limits the new flows within any second.
 type budget struct{ used []time.Time }
 
--- a/internal/core/gdguard/reuse_test.go
+++ b/internal/core/gdguard/reuse_test.go
@@ -97,3 +97,29 @@
 		})
 	}
 }
+
+// TestAgentsInTurnShareColdLimit: the agent of a cold upstream is killed and started again
+// within a second. Load: 30 new flows at each.
+func TestAgentsInTurnShareColdLimit(t *testing.T) {
+	const flows, perSecond = 30, 10
+	h := header(1)
+	h.Forced = true
+	h.Status.Slots, h.Status.ColdFlowsPerSecond = 100, perSecond
+	h.Status.ColdFor, h.Status.ColdLeft = 4*time.Second, 3*time.Second
+	accepted, next := 0, 0
+	let := func(g *gdguard.Guard, now time.Time) {
+		for range flows {
+			next++
+			if only(t, g.HandleEntryPacket(now, entry, h, openPacket(next))).Verb == gdguard.Deliver {
+				accepted++
+			}
+			g.HandleUpstreamPacket(now, packet(next, gdflow.Accept, 7, 1, 0))
+		}
+	}
+	let(&gdguard.Guard{Service: "booking", ObservedFromStart: true, AgentStarted: start}, start)
+	second := &gdguard.Guard{Service: "booking", AgentStarted: start.Add(300 * time.Millisecond)}
+	let(second, start.Add(310*time.Millisecond))
+	require.Equal(t, perSecond+perSecond/2, accepted)
+	let(second, start.Add(1400*time.Millisecond))
+	require.Equal(t, 2*perSecond+perSecond/2, accepted, "all of the next second")
+}
