--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -31,7 +31,6 @@
 		g.add(Action{Verb: Deliver, Key: p.Key()})
 		return
 	}
-	g.classes.note(now, p.Key().Service(), h.Class)
 	if r, wait := g.refusal(now, h, p); r != 0 {
 		g.add(Action{Verb: Return, Key: p.Key(), Entry: entry, Reason: r, Wait: wait})
 		return
@@ -58,7 +57,7 @@
 		return Leaving, 0
 	case !g.status.AcceptsNew || now.Before(g.refusesUntil):
 		return Draining, 0
-	case g.isCold(now) && !g.cold.allows(now, int(g.status.ColdFlowsPerSecond)):
+	case g.isCold(now) && !g.cold.allows(now, g.coldLimit(now)):
 		return Cold, 0
 	case g.work.n < g.slots():
 		return 0, 0
--- a/internal/process/gdrequest/idle.go
+++ b/internal/process/gdrequest/idle.go
@@ -36,7 +36,7 @@
 	return c.Conn.Read(b)
 }
 
-// Close closes the connection.
+// Close implements net.Conn.
 func (c *watchedConn) Close() error {
 	c.closed.Store(true)
 	return c.Conn.Close()
