--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -72,7 +72,7 @@
 			l.attempts = l.attempts[:0]
 			return
 		}
-		l.attempts = append(l.attempts, attempt{address: m.Address(), load: t.load, waited: t, answered: true, busy: true, recalled: true})
+		l.attempts = append(l.attempts, attempt{holder: d.holderOf(m), load: t.load, waited: t, answered: true, busy: true, recalled: true})
 	}
 }
 
