Reset no flow that an upstream may have accepted before

Cause: a copy of an opening packet was refused after four offers, as if nobody had seen the first one. The same held for the second copy of a flow that this host knew to be accepted, for a flow whose caller sent data during the offers, and for a repeated packet after an upstream had not answered. Apart from that, a deferred flow whose route was removed kept its lookup for ever, and data on it after the route was back would have read the last of no attempts. Ruled out: asking all upstreams before the reset; up to 46 queries for each copy under overload. Change: refuse resets a flow only if each transmission so far was refused here and each upstream that was asked has answered; otherwise the packet is dropped, and a lookup by data may begin at once. Callers whose first packet was lost get no reset from full upstreams, but the next copy's offer or nothing.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -253,6 +253,7 @@
 			Key: p.Key(), Packet: raw, PacketSeq: p.Seq, PacketSize: p.Size, Urgent: isUrgent(r), Reason: Known,
 		})
 	case opening:
+		f.lookup.maybeAccepted = true // by another upstream, or the caller would send no data
 		if f.lookup.deferred {
 			d.add(Action{Verb: Drop, Key: p.Key(), Reason: Waiting})
 			return
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -45,8 +45,9 @@
 			return
 		}
 	}
+	maybeAccepted := f.state != 0 || p.Retransmits() > f.refusals
 	d.startLookup(now, f, opening, p, raw)
-	f.lookup.copied = p.Retransmits() > 0
+	f.lookup.maybeAccepted = maybeAccepted
 	d.recallBusy(now, r, p.Key(), f.lookup)
 	d.offerNext(now, r, p.Key(), f)
 }
@@ -75,10 +76,8 @@
 		})
 		return
 	}
-	if l.allAnswered() && !l.unanswered {
-		// Each upstream has refused, so the request has not run. An unresponsive
-		// one may have accepted the flow.
-		d.refuse(k, f, Action{Reason: NoUpstream})
+	if l.allAnswered() {
+		d.refuse(now, k, f, Action{Reason: NoUpstream})
 		return
 	}
 	d.markNotFound(now, k, f)
@@ -92,10 +91,20 @@
 // isUrgent reports whether the route is of the first priorities.
 func isUrgent(r *gddiscovery.Route) bool { return r.Priority <= maxUrgentPriority }
 
-// refuse ends the offers and resets the flow at the caller. No upstream has
-// accepted it.
-func (d *Dispatcher) refuse(k gdflow.Key, f *flow, a Action) {
-	a.Verb, a.Key, a.Attempts = Reset, k, f.lookup.asked()
+// refuse ends the offers and resets the flow at the caller, unless an upstream may have
+// accepted it: one that has not answered, or one that was not asked now but was asked for an
+// earlier transmission, perhaps by another host.
+func (d *Dispatcher) refuse(now time.Time, k gdflow.Key, f *flow, a Action) {
+	l := f.lookup
+	if l.unanswered || l.maybeAccepted {
+		d.markNotFound(now, k, f)
+		if !l.unanswered {
+			f.retryAfter = now // the holder was not looked for
+		}
+		return
+	}
+	a.Verb, a.Key, a.Attempts = Reset, k, l.asked()
+	f.refusals = int(l.ack) + 1 // the packet's ack is the number of its retransmissions
 	d.endLookup(f)
 	f.state = 0
 	d.add(a)
@@ -106,24 +115,25 @@
 // with an answer at once.
 func (d *Dispatcher) deferOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	l := f.lookup
-	switch {
-	case objectiveOf(r) == 0 && now.Sub(l.started) < deferral:
+	if objectiveOf(r) == 0 && now.Sub(l.started) < deferral {
 		l.deferred = true
 		d.setDeadline(k, l, now.Add(reofferInterval))
-	case l.unanswered:
-		d.markNotFound(now, k, f)
-	default:
-		d.refuse(k, f, Action{Reason: Overloaded, Wait: l.leastLoaded(now).waited.left(now)})
+		return
 	}
+	d.refuse(now, k, f, Action{Reason: Overloaded, Wait: l.leastLoaded(now).waited.left(now)})
 }
 
 // reoffer offers a deferred flow to all upstreams again.
 func (d *Dispatcher) reoffer(now time.Time, k gdflow.Key, f *flow) {
+	r, ok := d.view.Route(k.Service())
+	if !ok {
+		d.endLookup(f)
+		f.state = 0
+		return
+	}
 	f.lookup.deferred, f.lookup.forced = false, false
 	f.lookup.attempts = f.lookup.attempts[:0]
-	if r, ok := d.view.Route(k.Service()); ok {
-		d.offerNext(now, r, k, f)
-	}
+	d.offerNext(now, r, k, f)
 }
 
 // handleOpenRefused offers the flow to the next upstream if the refusal comes from
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -161,6 +161,7 @@
 	upstream      holder
 	callerEnd     uint32 // the sequence number after the last byte that the caller has sent
 	hasData       bool   // callerEnd is set
+	refusals      int    // the transmissions of the opening packet that were refused here, with all before them
 	failedLookups uint8  // consecutive lookups that did not find the holder
 	state         state
 }
@@ -181,7 +182,7 @@
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
-	copied           bool                 // the packet is a copy, so that an upstream may have accepted the first one
+	maybeAccepted    bool                 // an upstream may have accepted an earlier transmission of the opening packet
 }
 
 // heldPacket is a packet that waits until a lookup ends. The zero value is none.
--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -63,7 +63,7 @@
 // recallBusy notes the upstreams that would be asked for a free slot as busy, without asking
 // them, if all of them are known to be.
 func (d *Dispatcher) recallBusy(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup) {
-	if l.copied || objectiveOf(r) == 0 {
+	if l.maybeAccepted || objectiveOf(r) == 0 {
 		return
 	}
 	for m := d.nextOffer(now, r, k, l); m != nil; m = d.nextOffer(now, r, k, l) {
