Use the wait that was told to another route only where it holds

Cause: the entry host skipped the offers of a flow if three upstreams had told a wait to a less urgent flow. Such a wait is up to 20 times the time until a slot is free, since it leaves a share to more urgent ones, so that an urgent flow asked one of three upstreams, and was reset if that one refused, while another could be idle. A flow whose caller waits longer was reset without asking, because an upstream had refused one with a shorter timeout. The agent summed up the expected requests three times for each forced flow. Ruled out: remembering a wait for each priority. Change: a told wait counts for flows that are as urgent or less, and a refusal for those whose timeout is no longer. The agent sums up once. Figures: TestToldWaitsOfOtherRoutes: 2 of 5 cases failed before; go test ./internal/core/gddispatch ./internal/core/gdguard passes.

--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -151,7 +151,7 @@
 	}
 	t.answered, t.load, t.busy = true, info.Load, info.Reason == gdguard.Busy
 	if t.busy && objectiveOf(r) > 0 {
-		t.waited = d.waits.note(now, info, r.Priority, f.lookup.forced && t == f.lookup.last())
+		t.waited = d.waits.note(now, info, r, f.lookup.forced && t == f.lookup.last())
 	}
 	if t == f.lookup.last() {
 		d.offerNext(now, r, k, f)
--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -18,11 +18,13 @@
 
 // toldWait is how long a request would wait for a slot of an upstream, as its agent has told.
 type toldWait struct {
-	wait     time.Duration
-	at       time.Time
-	load     int
+	wait time.Duration
+	at   time.Time
+	load int
+	// priority and timeout are those of the route whose flow was refused.
 	priority int
-	// final reports that the agent refused to queue a flow of the priority.
+	timeout  time.Duration
+	// final reports that the agent refused to queue the flow.
 	final bool
 }
 
@@ -36,19 +38,23 @@
 type waits map[[4]byte]toldWait
 
 // note records the wait that an agent has told with its refusal.
-func (w *waits) note(now time.Time, info ReturnInfo, priority int, final bool) toldWait {
+func (w *waits) note(now time.Time, info ReturnInfo, r *gddiscovery.Route, final bool) toldWait {
 	if *w == nil || len(*w) >= maxWaits {
 		*w = make(waits)
 	}
-	t := toldWait{wait: max(info.Wait, 0), at: now, load: info.Load, priority: priority, final: final}
+	t := toldWait{
+		wait: max(info.Wait, 0), at: now, load: info.Load, priority: r.Priority, timeout: r.Timeout, final: final,
+	}
 	(*w)[info.From.IP()] = t
 	return t
 }
 
-// get returns the wait that is remembered of the upstream, or false if it may have a free slot.
-func (w waits) get(now time.Time, at gdflow.Address) (toldWait, bool) {
+// get returns the wait that is remembered of the upstream, or false if it may have a free slot
+// for a flow of the priority. A less urgent one waits longer than until a slot is free, as more
+// urgent ones go first.
+func (w waits) get(now time.Time, at gdflow.Address, priority int) (toldWait, bool) {
 	t, ok := w[at.IP()]
-	if !ok || t.left(now) == 0 || now.Sub(t.at) >= waitTTL {
+	if !ok || priority < t.priority || t.left(now) == 0 || now.Sub(t.at) >= waitTTL {
 		return toldWait{}, false
 	}
 	return t, true
@@ -67,7 +73,7 @@
 		return
 	}
 	for m := d.nextOffer(now, r, k, l); m != nil; m = d.nextOffer(now, r, k, l) {
-		t, ok := d.waits.get(now, m.Address())
+		t, ok := d.waits.get(now, m.Address(), r.Priority)
 		if !ok {
 			l.attempts = l.attempts[:0]
 			return
@@ -79,5 +85,5 @@
 // knownFull reports whether an upstream that is known to be busy would not queue a flow of the
 // route now.
 func (d *Dispatcher) knownFull(now time.Time, r *gddiscovery.Route, t *attempt) bool {
-	return t.waited.final && r.Priority >= t.waited.priority && t.waited.left(now) > gdwait.LatestStart(objectiveOf(r))
+	return t.waited.final && r.Timeout <= t.waited.timeout && t.waited.left(now) > gdwait.LatestStart(objectiveOf(r))
 }
--- a/internal/core/gddispatch/waits_test.go
+++ b/internal/core/gddispatch/waits_test.go
@@ -189,3 +189,39 @@
 		require.Nil(t, e.reset)
 	})
 }
+
+// TestToldWaitsOfOtherRoutes: an upstream that refused a flow may let in one that is more urgent or
+// whose caller waits longer, so such flows are offered. The objective is 120 ms.
+func TestToldWaitsOfOtherRoutes(t *testing.T) {
+	const ms = time.Millisecond
+	for _, tt := range []struct {
+		name     string
+		priority int
+		timeout  time.Duration
+		asked    int
+		forced   bool
+	}{
+		{"the same needs", 3, time.Second, 0, false},
+		{"less urgent", 4, time.Second, 0, false},
+		{"more urgent", 2, time.Second, 1, false},
+		{"its caller gives up earlier", 3, time.Second / 2, 0, false},
+		{"its caller waits longer", 3, 2 * time.Second, 1, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := newTold(t)
+			route := func(priority int, timeout time.Duration) {
+				u := update(3, 2, nil)
+				u.Changes[0].Config.Routes[0].Priority, u.Changes[0].Config.Routes[0].Timeout = priority, timeout
+				var state gddiscovery.State
+				require.True(t, state.Load(start, u))
+				e.d.SetView(start, state.View())
+			}
+			route(3, time.Second)
+			e.open(start, 1, 0, 200*ms, 190*ms, 250*ms, 180*ms)
+			route(tt.priority, tt.timeout)
+			e.open(start.Add(10*ms), 2, 0)
+			require.Len(t, e.asked, tt.asked)
+			require.Equal(t, tt.forced, e.forced)
+		})
+	}
+}
--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -59,29 +59,30 @@
 	case g.work.n < g.slots():
 		return 0, 0
 	}
-	wait := g.waitFor(now, h.Class.Priority)
-	if g.mayQueue(now, h, lostTime(p), wait) {
+	ahead := g.ahead(now, h.Class.Priority)
+	wait := g.waitFor(now, h.Class.Priority, ahead)
+	if g.mayQueue(now, h, lostTime(p), ahead, wait) {
 		return 0, wait
 	}
 	return Busy, wait
 }
 
 // mayQueue reports whether a flow that finds no free slot is let in.
-func (g *Guard) mayQueue(now time.Time, h Header, lost, wait time.Duration) bool {
+func (g *Guard) mayQueue(now time.Time, h Header, lost time.Duration, ahead gdwait.Load, wait time.Duration) bool {
 	objective := gdwait.Objective(h.Class.Objective, h.Class.Timeout)
 	switch {
 	case objective == 0:
 		return g.work.n < g.slots()*maxLoadPerSlot(h)
 	case !h.Forced:
 		return false // an upstream with a free slot goes first
-	case !g.work.wait.HasRoom(now, h.Class.Priority, g.ahead(now, h.Class.Priority).Requests):
+	case !g.work.wait.HasRoom(now, h.Class.Priority, ahead.Requests):
 		return false
 	case wait <= gdwait.LatestStart(objective-lost):
 		return true
 	case wait > gdwait.LatestStart(h.Class.Timeout-lost):
 		return false
 	}
-	urgent := g.work.wait.UrgentWait(now, h.Class.Priority, g.ahead(now, h.Class.Priority))
+	urgent := g.work.wait.UrgentWait(now, h.Class.Priority, ahead)
 	return urgent <= max(gdwait.LatestStart(objective-lost), objective/newcomerDivisor) || !g.anyInTime(now)
 }
 
@@ -96,15 +97,18 @@
 	return false
 }
 
-// waitFor returns how long a new request of the priority would wait for a slot.
-func (g *Guard) waitFor(now time.Time, priority uint8) time.Duration {
+// waitFor returns how long a new request of the priority would wait for a slot. Ahead is what
+// goes first and has not reached the upstream.
+func (g *Guard) waitFor(now time.Time, priority uint8, ahead gdwait.Load) time.Duration {
 	g.work.wait.SetUpstream(g.slots(), g.isCold(now))
-	return g.work.wait.Wait(now, priority, g.ahead(now, priority))
+	return g.work.wait.Wait(now, priority, ahead)
 }
 
 // ExpectedWait returns how long a new request of the least priority would wait for a slot of
 // the upstream.
-func (g *Guard) ExpectedWait(now time.Time) time.Duration { return g.waitFor(now, unknownPriority) }
+func (g *Guard) ExpectedWait(now time.Time) time.Duration {
+	return g.waitFor(now, unknownPriority, g.ahead(now, unknownPriority))
+}
 
 // ahead returns the requests that have not reached the upstream and that go before a new one
 // of the priority.
