Choose services by weighted rendezvous, and spill to another one that has room

A service with weight 0 left the route, so that its open flows were no longer found. Ruled out: that agents refuse a spilled flow as one of another service: the header names the service of the upstream that is offered it. Change: package gdbackend (Pick, Order) behind Route.PickService. The dispatcher offers a flow to at most three upstreams of the other services, in the order of its scores and only where a slot is free, when nobody at the chosen one responds and accepts, or three have refused. Lookups of routes with several services ask the first upstream of each other service third. Services with weight 0 stay in the route without new flows. Invalid weights and unknown services are reported once (event 206) with the value. Counter flows_spilled, log fields service, from and why.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"godwitdrift.example/godwitdrift/internal/core/gdbackend"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
@@ -94,10 +95,7 @@
 }
 
 // Share is the share of a route's flows that a service gets.
-type Share struct {
-	Service string
-	Weight  float64
-}
+type Share = gdbackend.Share
 
 // Service is a set of interchangeable upstreams.
 type Service struct {
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"godwitdrift.example/godwitdrift/internal/core/gdbackend"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
@@ -100,27 +101,8 @@
 // ServiceHash returns the 32-bit hash of a service's name.
 func ServiceHash(service string) uint32 { return uint32(xxhash.Sum64String(service)) }
 
-// PickService returns the service for a flow with the hash.
-func (r *Route) PickService(hash uint64) string {
-	switch len(r.Shares) {
-	case 0:
-		return ""
-	case 1:
-		return r.Shares[0].Service
-	}
-	total := 0.0
-	for _, s := range r.Shares {
-		total += s.Weight
-	}
-	const top = float64(1 << 32)
-	at := float64(uint32(mix(hash))) / top * total
-	for _, s := range r.Shares {
-		if at -= s.Weight; at < 0 {
-			return s.Service
-		}
-	}
-	return r.Shares[len(r.Shares)-1].Service
-}
+// PickService returns the service for a flow with the hash, whatever the upstreams.
+func (r *Route) PickService(hash uint64) string { return gdbackend.Pick(r.Shares, hash) }
 
 func (s *State) buildView() *View {
 	v := &View{config: s.latestConfig(), revision: s.revision, domainsOut: make(map[string]struct{})}
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -58,7 +58,9 @@
 	resets map[gdflow.Key]gddispatch.Reason
 	// messages counts the messages between entry hosts and agents.
 	messages int
-	work     time.Duration
+	// spills counts the offers to another service than the chosen one.
+	spills map[gddispatch.SpillCause]int
+	work   time.Duration
 	// requestOnOpen makes each caller send a request as soon as its flow is accepted.
 	requestOnOpen bool
 	// unconfirmed stops the confirmations of the entry hosts' views.
@@ -162,7 +164,7 @@
 func newFleet(t *testing.T, entries, upstreams, slots int) *fleet {
 	f := &fleet{
 		t: t, now: start, entries: make(map[gdflow.Address]*entry), agents: make(map[gdflow.Address]*agent),
-		resets: make(map[gdflow.Key]gddispatch.Reason), work: 20 * time.Millisecond, opened: make(map[gdflow.Key]time.Time),
+		resets: make(map[gdflow.Key]gddispatch.Reason), spills: make(map[gddispatch.SpillCause]int), work: 20 * time.Millisecond, opened: make(map[gdflow.Key]time.Time),
 	}
 	var state gddiscovery.State
 	require.True(t, state.Load(f.now, update(upstreams, slots, nil)))
@@ -297,6 +299,9 @@
 // forward sends a packet to an agent.
 func (f *fleet) forward(i int, e *entry, a gddispatch.Action) {
 	f.messages++
+	if a.Reason == gddispatch.Spilled {
+		f.spills[a.Spill.Cause]++
+	}
 	p, h, to := f.packet(a.Packet), a.Header, a.To
 	d, ok := time.Duration(0), true
 	if a.Reason != gddispatch.Known || a.PacketSize == 0 { // the others are paced
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -138,23 +138,14 @@
 	d.timers = slices.Insert(d.timers, i, timer{key: k, at: at})
 }
 
-// nextCandidate returns the next upstream that may hold the flow. Those of the
-// service that the flow would be routed to now come first.
+// nextCandidate returns the next upstream that may hold the flow, or nil.
 func (d *Dispatcher) nextCandidate(hash uint64, r *gddiscovery.Route, l *lookup) *gddiscovery.Member {
 	all := func(*gddiscovery.Member) bool { return true }
-	chosen := r.PickService(hash)
-	if p, ok := d.view.Pool(chosen); ok {
+	for _, p := range d.likelyServices(hash, r, l) {
 		if m := d.bestRanked(hash, p, l, all); m != nil {
 			return m
 		}
 	}
-	for _, share := range r.Shares {
-		if p, ok := d.view.Pool(share.Service); ok && share.Service != chosen {
-			if m := d.bestRanked(hash, p, l, all); m != nil {
-				return m
-			}
-		}
-	}
 	return nil
 }
 
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -59,8 +59,9 @@
 		d.markNotFound(now, k, f) // the caller's next copy is offered again
 		return
 	}
-	if m := d.nextOffer(now, r, k, l); m != nil {
-		d.sendPacket(now, r, k, f, m.Address(), Action{Opens: true, Reason: ByRank})
+	if m, a := d.nextOffer(now, r, k, l); m != nil {
+		d.sendPacket(now, r, k, f, m.Address(), a)
+		l.noteSpill(a)
 		return
 	}
 	if t := l.leastLoaded(); t != nil {
@@ -140,7 +141,8 @@
 	if t == nil {
 		return
 	}
-	t.answered, t.load, t.busy = true, info.Load, info.Reason == gdguard.Busy
+	t.answered, t.load, t.refusal = true, info.Load, info.Reason
+	t.busy = info.Reason == gdguard.Busy && !t.spilled
 	if t == f.lookup.last() {
 		d.offerNext(now, r, k, f)
 	}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -59,6 +59,9 @@
 	Broadcast
 	// Unreachable: the host of the flow's upstream can't be reached.
 	Unreachable
+	// Spilled: the service chosen for the flow can't serve it in time, and an upstream of
+	// another service of the route is offered it.
+	Spilled
 
 	reasons
 )
@@ -67,7 +70,7 @@
 	ByRank: "by-rank", Known: "known", LeastLoaded: "least-loaded", NoRoute: "no-route",
 	NoUpstream: "no-upstream", Overloaded: "overloaded", FlowGone: "flow-gone", NotFound: "not-found", NotReady: "not-ready",
 	Waiting: "waiting", CutOff: "cut-off", Broadcast: "everyone",
-	Unreachable: "unreachable",
+	Unreachable: "unreachable", Spilled: "spilled",
 }
 
 // NumReasons returns the number of reasons, for arrays of counters.
@@ -105,8 +108,12 @@
 	Attempts int
 	// Missing is what a lookup without a result lacked, for Drop with NotFound.
 	Missing Missing
-	Verb    Verb
-	Reason  Reason
+	// Service is the service of an offer by rank or to another service.
+	Service string
+	// Spill describes an offer to another service.
+	Spill  Spill
+	Verb   Verb
+	Reason Reason
 	// Opens reports whether the packet opens a flow.
 	Opens bool
 }
@@ -178,6 +185,7 @@
 	requiredRevision gddiscovery.Revision // the revision that a view needs to prove that the flow is gone, or 0
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
+	spillOffers      int                  // how many upstreams of other services than the chosen one were offered the flow
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
 }
 
@@ -200,7 +208,9 @@
 	address  gdflow.Address
 	load     int
 	answered bool
-	busy     bool
+	busy     bool // it is of the chosen service and has no free slot
+	spilled  bool // it is of another service than the chosen one
+	refusal  gdguard.Reason
 	queried  bool // it was queried without a packet
 	unsure   bool // it can't answer without a packet, and the limit of such packets was reached
 }
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -21,7 +21,7 @@
 	bulkQueued, bulkDropped   tally.Counter
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
-	returns                   []tally.Counter
+	returns, spills           []tally.Counter
 	lookupTime                tally.Histogram
 	era, revision, version    tally.Gauge
 	upstreams                 tally.Gauge
@@ -44,14 +44,22 @@
 		c.resets = append(c.resets, tagged.Counter("flows_reset"))
 		c.drops = append(c.drops, tagged.Counter("packets_dropped"))
 	}
+	for cause := range gddispatch.NumSpillCauses() {
+		tagged := scope.Tagged(map[string]string{"reason": gddispatch.SpillCause(cause).String()})
+		c.spills = append(c.spills, tagged.Counter("flows_spilled"))
+	}
 	for r := range gdguard.NumReasons() {
 		tagged := scope.Tagged(map[string]string{"reason": gdguard.Reason(r).String()})
 		c.returns = append(c.returns, tagged.Counter("packets_returned"))
 	}
 }
 
-func (c *counters) countAction(v gddispatch.Verb, r gddispatch.Reason) {
-	switch v {
+func (c *counters) countAction(a *gddispatch.Action) {
+	if a.Reason == gddispatch.Spilled {
+		c.spills[a.Spill.Cause].Inc(1)
+	}
+	r := a.Reason
+	switch a.Verb {
 	case gddispatch.Forward:
 		c.forwards[r].Inc(1)
 	case gddispatch.Reset:
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -175,7 +175,7 @@
 func (s *sender) execute(now time.Time, actions []gddispatch.Action) {
 	for i := range actions {
 		a := &actions[i]
-		s.host.metrics.countAction(a.Verb, a.Reason)
+		s.host.metrics.countAction(a)
 		switch a.Verb {
 		case gddispatch.Forward:
 			b := gdhop.AppendForward(s.out.Buffer(), a.Header, a.Opens)
@@ -250,6 +250,12 @@
 		"flow", a.Key, "upstream", a.To, "reason", a.Reason.String(), "tries", a.Attempts,
 		"revision", e.state.Revision(), "age", e.state.Age(now).Milliseconds(),
 	}
+	if a.Service != "" {
+		fields = append(fields, "service", a.Service)
+	}
+	if a.Spill != (gddispatch.Spill{}) {
+		fields = append(fields, "from", a.Spill.From, "why", a.Spill.Cause.String())
+	}
 	if m := a.Missing; m != (gddispatch.Missing{}) {
 		fields = append(fields, "silent", m.Silent, "unsure", m.Unsure, "required", m.Required, "after", m.After.String())
 	}
