Prefer upstreams of the callers' domain where others are far

Change: the dispatcher estimates the round trip from offer to answer by domain. A domain is far if it is longer than in the own domain by 1/32 of the shortest objective of the routes in use. Two near upstreams are offered a flow before far ones. Lookups ask the first upstream of each domain unless domains are known to be near.

--- a/internal/core/gddispatch/choice.go
+++ b/internal/core/gddispatch/choice.go
@@ -23,7 +23,7 @@
 	}
 	own := services[0]
 	byRank := Action{Opens: true, Reason: ByRank, Service: own.Service().Name}
-	m := d.bestRanked(hash, own, l, d.responsive(now))
+	m := d.bestOffer(now, hash, own, l, d.responsive(now))
 	if m == nil || l.ownAttempts() >= maxBusyOffers {
 		if other, spill := d.nextSpill(now, hash, services, l); other != nil {
 			return other, spill
@@ -33,7 +33,7 @@
 		return nil, Action{}
 	}
 	if m == nil && l.leastLoaded() == nil {
-		m = d.bestRanked(hash, own, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
+		m = d.bestOffer(now, hash, own, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
 	}
 	return m, byRank
 }
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -95,6 +95,7 @@
 	newestRevision gddiscovery.Revision // the highest revision that an agent has reported
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	hosts          hosts
+	near           proximity
 	timers         []timer
 	broadcasts     bucket
 	probes         bucket
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -63,6 +63,8 @@
 	work   time.Duration
 	// requestOnOpen makes each caller send a request as soon as its flow is accepted.
 	requestOnOpen bool
+	// way, if set, returns the latency of a message from an entry host to an agent.
+	way func(i int, agent gdflow.Address) time.Duration
 	// unconfirmed stops the confirmations of the entry hosts' views.
 	unconfirmed bool
 	opened      map[gdflow.Key]time.Time
@@ -221,6 +223,13 @@
 	f.now = end
 }
 
+func (f *fleet) hopTo(i int, agent gdflow.Address) time.Duration {
+	if f.way == nil {
+		return hop
+	}
+	return f.way(i, agent)
+}
+
 // raw returns the encoding of a packet.
 func (f *fleet) raw(p gdflow.Packet) []byte {
 	f.packets = append(f.packets, p)
@@ -278,7 +287,7 @@
 			f.messages++
 			to, header, keys := a.To, a.Header, a.Keys
 			if d, ok := e.link.transmit(f.now, len(keys)*gdflow.KeySize); ok {
-				f.after(hop+d, func() { f.query(i, e, to, header, keys) })
+				f.after(f.hopTo(i, to)+d, func() { f.query(i, e, to, header, keys) })
 			}
 		case gddispatch.Forward:
 			f.forward(i, e, a)
@@ -308,7 +317,7 @@
 		d, ok = e.link.transmit(f.now, p.Size)
 	}
 	if ok {
-		f.after(hop+d, func() { f.arrive(entryAt(i), to, h, p) })
+		f.after(f.hopTo(i, to)+d, func() { f.arrive(entryAt(i), to, h, p) })
 	}
 }
 
@@ -324,7 +333,7 @@
 		holdings = append(holdings, ag.guard.Holding(f.now, h.Service, k))
 	}
 	f.messages++
-	f.after(hop, func() {
+	f.after(f.hopTo(i, ag.at), func() {
 		if !e.down {
 			f.act(i, e, e.core.HandleHoldings(f.now, ag.at.WithPort(7720), ag.guard.Revision(), keys, holdings))
 		}
@@ -345,13 +354,15 @@
 func (f *fleet) actGuard(ag *agent, a gdguard.Action, p gdflow.Packet) {
 	answer := func(do func(i int, e *entry)) {
 		f.messages++
-		f.after(hop, func() {
-			for i := range 64 {
-				if e := f.entries[entryAt(i)]; e != nil && entryAt(i) == a.Entry && !e.down {
-					do(i, e)
-				}
+		for i := range 64 {
+			if e := f.entries[entryAt(i)]; e != nil && entryAt(i) == a.Entry {
+				f.after(f.hopTo(i, ag.at), func() {
+					if !e.down {
+						do(i, e)
+					}
+				})
 			}
-		})
+		}
 	}
 	switch a.Verb {
 	case gdguard.Deliver:
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -92,6 +92,11 @@
 	if !ok || d.view == nil || f.state == resolved && (minState == opening || f.upstream.IP() == from.IP()) {
 		return nil
 	}
+	if r, ok := d.view.Route(k.Service()); ok && f.state == opening {
+		if t := f.lookup.attemptAt(from); t != nil {
+			d.noteRoundTrip(now, r, t)
+		}
+	}
 	d.resolve(now, k, f, d.upstreamOn(k, from))
 	return d.actions
 }
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -140,9 +140,8 @@
 
 // nextCandidate returns the next upstream that may hold the flow, or nil.
 func (d *Dispatcher) nextCandidate(hash uint64, r *gddiscovery.Route, l *lookup) *gddiscovery.Member {
-	all := func(*gddiscovery.Member) bool { return true }
 	for _, p := range d.likelyServices(hash, r, l) {
-		if m := d.bestRanked(hash, p, l, all); m != nil {
+		if m := d.bestHolder(hash, p, l); m != nil {
 			return m
 		}
 	}
@@ -152,7 +151,7 @@
 // sendPacket sends the packet of the lookup to an upstream and starts the timeout.
 func (d *Dispatcher) sendPacket(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow, at gdflow.Address, a Action) {
 	l := f.lookup
-	l.attempts = append(l.attempts, attempt{address: at})
+	l.attempts = append(l.attempts, attempt{address: at, sentAt: now})
 	d.setDeadline(k, l, now.Add(answerTimeout))
 	if !l.packet.held() {
 		return
--- a/internal/core/gddispatch/offer.go
+++ b/internal/core/gddispatch/offer.go
@@ -141,6 +141,7 @@
 	if t == nil {
 		return
 	}
+	d.noteRoundTrip(now, r, t)
 	t.answered, t.load, t.refusal = true, info.Load, info.Reason
 	t.busy = info.Reason == gdguard.Busy && !t.spilled
 	if t == f.lookup.last() {
--- a/internal/core/gddispatch/spill.go
+++ b/internal/core/gddispatch/spill.go
@@ -58,7 +58,7 @@
 		return nil, Action{}
 	}
 	for _, p := range services[1:] {
-		if m := d.bestRanked(hash, p, l, d.responsive(now)); m != nil {
+		if m := d.bestOffer(now, hash, p, l, d.responsive(now)); m != nil {
 			spill := Spill{From: services[0].Service().Name, Cause: spillCause(now, services[0], l)}
 			return m, Action{Opens: true, Reason: Spilled, Service: p.Service().Name, Spill: spill}
 		}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -206,6 +206,7 @@
 // attempt is one upstream that was tried.
 type attempt struct {
 	address  gdflow.Address
+	sentAt   time.Time
 	load     int
 	answered bool
 	busy     bool // it is of the chosen service and has no free slot
