--- a/internal/core/gddispatch/choice.go
+++ b/internal/core/gddispatch/choice.go
@@ -16,6 +16,12 @@
 // nextOffer returns the upstream that is offered the flow next and how, or nil if enough
 // have refused it or none is left.
 func (d *Dispatcher) nextOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup) (*gddiscovery.Member, Action) {
+	m, a := d.chooseOffer(now, r, k, l)
+	a.Far = m != nil && d.near.far(now, d.Domain, m.Upstream().Domain)
+	return m, a
+}
+
+func (d *Dispatcher) chooseOffer(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup) (*gddiscovery.Member, Action) {
 	hash := k.Hash()
 	services := d.servicesFor(hash, r)
 	if len(services) == 0 {
--- a/internal/core/gddispatch/near.go
+++ b/internal/core/gddispatch/near.go
@@ -11,8 +11,8 @@
 	// another domain matters to callers, as a divisor.
 	farShare = 32
 	// maxNearOffers is how many near upstreams are offered a flow before those of far
-	// domains are, which have to take what is too much for the near ones.
-	maxNearOffers = 2
+	// domains are. They take what is too much for the near ones, so that load stays even.
+	maxNearOffers = 1
 	// minRoundTrips is how many round trips to a domain must be known to tell whether it is far.
 	minRoundTrips = 4
 	// roundTripTTL is how long the round trips to a domain are remembered. After that, flows
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -114,6 +114,8 @@
 	Spill  Spill
 	Verb   Verb
 	Reason Reason
+	// Far reports that the offer goes to a failure domain that is far from the host's own.
+	Far bool
 	// Opens reports whether the packet opens a flow.
 	Opens bool
 }
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -18,6 +18,7 @@
 type counters struct {
 	malformed, accepted       tally.Counter
 	queries, statuses, probes tally.Counter
+	farOffers                 tally.Counter
 	bulkQueued, bulkDropped   tally.Counter
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
@@ -32,6 +33,7 @@
 	c.malformed = scope.Counter("malformed_datagrams")
 	c.queries, c.statuses = scope.Counter("questions_asked"), scope.Counter("standings_told")
 	c.probes = scope.Counter("hosts_probed")
+	c.farOffers = scope.Counter("far_offers")
 	c.bulkQueued, c.bulkDropped = scope.Counter("bulk_packets_queued"), scope.Counter("bulk_packets_dropped")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
@@ -55,6 +57,9 @@
 }
 
 func (c *counters) countAction(a *gddispatch.Action) {
+	if a.Far {
+		c.farOffers.Inc(1)
+	}
 	if a.Reason == gddispatch.Spilled {
 		c.spills[a.Spill.Cause].Inc(1)
 	}
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -251,7 +251,7 @@
 		"revision", e.state.Revision(), "age", e.state.Age(now).Milliseconds(),
 	}
 	if a.Service != "" {
-		fields = append(fields, "service", a.Service)
+		fields = append(fields, "service", a.Service, "far", a.Far)
 	}
 	if a.Spill != (gddispatch.Spill{}) {
 		fields = append(fields, "from", a.Spill.From, "why", a.Spill.Cause.String())
