--- a/internal/core/gddispatch/choice.go
+++ b/internal/core/gddispatch/choice.go
@@ -38,7 +38,7 @@
 	if l.busyCount() >= maxBusyOffers {
 		return nil, Action{}
 	}
-	if m == nil && l.leastLoaded() == nil {
+	if m == nil && l.leastLoaded(now) == nil {
 		m = d.bestOffer(now, hash, own, l, func(m *gddiscovery.Member) bool { return m.AcceptsNew(now) })
 	}
 	return m, byRank
@@ -62,38 +62,6 @@
 	return d.pools(gdbackend.Order(known, hash))
 }
 
-// likelyServices returns the pools of the route in the order in which their upstreams are
-// asked for the flow. The first upstreams of the chosen service come first, then the first
-// one of each other service, to which the flow may have been spilled.
-func (d *Dispatcher) likelyServices(hash uint64, r *gddiscovery.Route, l *lookup) []*gddiscovery.Pool {
-	if len(r.Shares) == 1 {
-		return d.pools([]string{r.Shares[0].Service})
-	}
-	order := gdbackend.Order(r.Shares, hash)
-	if len(l.attempts) >= likelyAttempts && len(l.attempts) < maxSerialQueries {
-		asked := func(service string) bool {
-			return slices.ContainsFunc(l.attempts, func(t attempt) bool {
-				m := d.memberAt(r, t.address)
-				return m != nil && m.Upstream().Service == service
-			})
-		}
-		slices.SortStableFunc(order, func(a, b string) int { return boolToInt(asked(a)) - boolToInt(asked(b)) })
-	}
-	for _, s := range r.Shares { // those without weight
-		if !slices.Contains(order, s.Service) {
-			order = append(order, s.Service)
-		}
-	}
-	return d.pools(order)
-}
-
-func boolToInt(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // pools returns the pools of those services that have one.
 func (d *Dispatcher) pools(services []string) []*gddiscovery.Pool {
 	out := make([]*gddiscovery.Pool, 0, len(services))
--- a/internal/core/gddispatch/near.go
+++ b/internal/core/gddispatch/near.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
 const (
@@ -82,8 +83,10 @@
 }
 
 // noteRoundTrip records the round trip of an offer.
-func (d *Dispatcher) noteRoundTrip(now time.Time, r *gddiscovery.Route, t *attempt) {
-	if m := d.memberAt(r, t.address); m != nil && d.Domain != "" && !t.answered {
+func (d *Dispatcher) noteRoundTrip(now time.Time, k gdflow.Key, t *attempt) {
+	m := d.memberOf(t.holder)
+	r, ok := d.view.Route(k.Service())
+	if ok && m != nil && d.Domain != "" && !t.answered && !t.sentAt.IsZero() {
 		d.near.add(now, m.Upstream().Domain, now.Sub(t.sentAt), r.LatencyObjective)
 	}
 }
@@ -122,9 +125,8 @@
 // far, the first of the own domain, of each other one, and so on, because the host that opened
 // the flow may have been in any.
 func (d *Dispatcher) bestHolder(hash uint64, p *gddiscovery.Pool, l *lookup) *gddiscovery.Member {
-	all := func(*gddiscovery.Member) bool { return true }
-	if d.Domain == "" || len(l.attempts) >= maxSerialQueries || !d.mayPreferNear(p) {
-		return d.bestRanked(hash, p, l, all)
+	if d.Domain == "" || l.attemptsAt(p) >= maxSerialQueries || !d.mayPreferNear(p) {
+		return d.bestRanked(hash, p, l, anyMember)
 	}
 	asked := make(map[string]int)
 	for _, m := range p.Members() {
@@ -142,7 +144,7 @@
 			return m
 		}
 	}
-	return d.bestRanked(hash, p, l, all)
+	return d.bestRanked(hash, p, l, anyMember)
 }
 
 // mayPreferNear reports whether hosts may prefer near upstreams of the pool: a domain of it is
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -92,16 +92,16 @@
 		if l.packet.held() {
 			l.pending = slices.Insert(l.pending, 0, l.packet)
 		}
-		d.resolve(now, k, f, t.address)
+		d.resolve(now, k, f, t.holder)
 		return
 	case holding == gdguard.Absent:
 		t.answered = true
-	case !d.takeProbe(now, l):
+	case holding == gdguard.Unsure && !d.hadService(now, r, t.service), !d.takeProbe(now, l):
 		t.answered, t.unsure = true, true
 	default:
 		t.queried = false
 		d.setDeadline(k, l, now.Add(answerTimeout))
-		d.forward(now, r, t.address, l.packetQuery(k))
+		d.forward(now, r, t.holder, l.packetQuery(k))
 	}
 	if l.allAnswered() {
 		d.queryNext(now, r, k, f)
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -106,6 +106,8 @@
 	Seq uint32
 	// Attempts is how many upstreams were tried for the flow, including this one.
 	Attempts int
+	// Wait is, for Overloaded, the least wait for a slot of the upstreams that were tried.
+	Wait time.Duration
 	// Missing is what a lookup without a result lacked, for Drop with NotFound.
 	Missing Missing
 	// Service is the service of an offer by rank or to another service.
@@ -165,7 +167,8 @@
 type flow struct {
 	lookup        *lookup
 	retryAfter    time.Time // for notFound: no lookup before this time
-	upstream      gdflow.Address
+	upstream      holder
+	opening       gdflow.Opening
 	callerEnd     uint32 // the sequence number after the last byte that the caller has sent
 	hasData       bool   // callerEnd is set
 	failedLookups uint8  // consecutive lookups that did not find the holder
@@ -188,7 +191,9 @@
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
 	spillOffers      int                  // how many upstreams of other services than the chosen one were offered the flow
+	ofReset          bool                 // the packet is a reset, which is not answered by one
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
+	copied           bool                 // the packet is a copy, so that an upstream may have accepted the first one
 }
 
 // heldPacket is a packet that waits until a lookup ends. The zero value is none.
@@ -207,13 +212,15 @@
 
 // attempt is one upstream that was tried.
 type attempt struct {
-	address  gdflow.Address
+	holder
 	sentAt   time.Time
 	load     int
+	waited   toldWait // for a busy upstream
 	answered bool
 	busy     bool // it is of the chosen service and has no free slot
 	spilled  bool // it is of another service than the chosen one
 	refusal  gdguard.Reason
+	recalled bool // it was not asked, since it is known to be busy
 	queried  bool // it was queried without a packet
 	unsure   bool // it can't answer without a packet, and the limit of such packets was reached
 }
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -75,6 +75,7 @@
 
 type flow struct {
 	entry       gdflow.Address
+	opening     gdflow.Opening
 	state       state
 	reportHeld  bool
 	processing  bool
@@ -84,6 +85,9 @@
 	expectedSeq uint32    // the next sequence number that the caller expects
 	callerEnd   uint32    // the sequence number after the last byte that the caller has sent
 	hasData     bool      // the caller has sent data, so that callerEnd is set
+	usedAt      time.Time // when the last packet was observed
+	finished    bool      // the upstream has ended it
+	wasIdle     bool      // the upstream may have dropped it
 }
 
 // Guard is the packet filter of an agent. Its exported fields must be set before the
@@ -106,8 +110,11 @@
 	coldUntil      time.Time
 	refusesUntil   time.Time // the upstream may accept no new flows although its status says so
 	restart        restart
+	copied         copiedStatus
+	inherited      int // flows of the upstream that this agent has not let in
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
+	classes        classes
 	cold           budget
 	probed         []probedFlow
 	answers        answers
@@ -137,9 +144,6 @@
 // Load returns how many requests the upstream is processing or has queued.
 func (g *Guard) Load() int { return g.work.n }
 
-// ExpectedWait returns how long a new request would wait for a slot of the upstream.
-func (g *Guard) ExpectedWait(time.Time) time.Duration { return 0 }
-
 // Flows returns the number of cached flows.
 func (g *Guard) Flows() int { return g.flows.Len() }
 
@@ -164,6 +168,7 @@
 	}
 	changed := s.AcceptsNew != g.status.AcceptsNew || g.status.Revision == 0
 	g.carryOver(now, s)
+	g.noteEra(now, s)
 	g.status = s
 	g.noteStart(s.StartUnixMilli)
 	if g.restart.matches(s.StartUnixMilli) {
@@ -223,11 +228,12 @@
 		f.state = open
 	}
 	f.entry, f.expectedSeq = entry, p.Ack
+	f.used(now)
 	if h.Confirm {
 		g.reportHolding(now, p.Key(), f)
 	}
 	if f.extends(p) {
-		g.work.begin(now, f)
+		g.work.begin(g.requestOn(now, p.Key(), f))
 	}
 	g.add(Action{Verb: Deliver, Key: p.Key()})
 }
@@ -247,12 +253,13 @@
 	g.answers.received()
 	f, known := g.flows.Get(now, p.Key())
 	if p.Returned {
-		if f != nil && f.state == open && f.processing {
+		if f != nil && f.state == open && f.processing && !f.finished && !f.wasIdle {
 			g.noteRestart(now, f.requestAt) // it lost a flow on which it was processing a request
 		}
 		g.handleReturned(now, f, p)
 		return g.actions
 	}
+	g.noteInherited(known, f, p)
 	if !known {
 		f = &flow{state: open}
 		g.flows.Put(now, p.Key(), f)
@@ -275,8 +282,12 @@
 			g.add(Action{Verb: ReportHeld, Key: p.Key(), Entry: f.entry})
 		}
 	}
+	f.answered(now, p)
 	g.reportLatency(now, f, p)
-	if p.Size > 0 || p.Kind == gdflow.Reset || p.Kind == gdflow.Finish {
+	switch {
+	case p.Size > 0:
+		g.work.answered(now, f)
+	case p.Kind == gdflow.Reset || p.Kind == gdflow.Finish:
 		g.work.end(f)
 	}
 }
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -97,11 +97,14 @@
 	Absent
 	// Present: the upstream holds the flow.
 	Present
+	// HalfOpen: the upstream accepted the flow. Only a packet of the caller can show whether
+	// it uses this upstream or another one that accepted a copy of the opening packet.
+	HalfOpen
 
 	holdings
 )
 
-var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present"}
+var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present", HalfOpen: "half-open"}
 
 func (h Holding) String() string {
 	if h >= holdings {
@@ -139,6 +142,8 @@
 	Key gdflow.Key
 	// Entry is the entry host's address, for Return, ReportAccepted and ReportHeld.
 	Entry gdflow.Address
+	// Wait is, for a Return with Busy, how long the request would wait for a slot.
+	Wait time.Duration
 	// Seq is the sequence number of a Reset.
 	Seq    uint32
 	Verb   Verb
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -48,9 +48,9 @@
 			{"platform/values.go", "gddiscovery.Share{{Service: r.Service,", "gddiscovery.Share{{Service: \"gallery\","},
 		}},
 		{flowStays, "", []string{"replace", "terminate-entry"}, []edit{
-			{lookup, "len(f.lookup.attempts) < maxSerialQueries", "len(f.lookup.attempts) < 1"},
+			{lookup, "len(f.lookup.attempts) < limit; {", "len(f.lookup.attempts) < min(limit, 1); {"},
 			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)", "return false"},
-			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || d.nextCandidate(0, r, l) != nil", "len(l.attempts) == 0"},
+			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || !d.triedAll(now, r, l)", "len(l.attempts) == 0"},
 		}},
 		{configInTime, "", []string{"config"}, []edit{
 			{state, "c.Kind == Configuration && (c.Removed || c.Config == nil)", "c.Kind == Configuration && known"},
