Pass over upstreams that accept no new flows when a flow is looked up by domain

Change: bestHolder counts only upstreams that accept new flows as the first of a domain; twice as many upstreams are queried one after the other where hosts may prefer near ones.

--- a/internal/core/gddispatch/holders.go
+++ b/internal/core/gddispatch/holders.go
@@ -103,8 +103,11 @@
 // maxSerial returns how many upstreams are queried one after the other for a flow.
 func (d *Dispatcher) maxSerial(now time.Time, hash uint64, r *gddiscovery.Route) int {
 	n := 0
-	for range d.picked(now, hash, r) {
+	for p := range d.picked(now, hash, r) {
 		n += maxSerialQueries
+		if d.Domain != "" && d.mayPreferNear(p) {
+			n += maxSerialQueries // the first ones of each domain
+		}
 	}
 	return min(n, maxSerialPicked*maxSerialQueries)
 }
@@ -117,7 +120,7 @@
 	fewest := 0
 	for p := range d.picked(now, hash, r) {
 		if n := l.attemptsAt(p); next == nil || n < fewest {
-			if m := d.bestHolder(hash, p, l); m != nil {
+			if m := d.bestHolder(now, hash, p, l); m != nil {
 				next, fewest = m, n
 			}
 		}
@@ -126,7 +129,7 @@
 		return next
 	}
 	for p := range d.services(now, r) {
-		if m := d.bestHolder(hash, p, l); m != nil && (next == nil || l.attemptsAt(p) == 0) {
+		if m := d.bestHolder(now, hash, p, l); m != nil && (next == nil || l.attemptsAt(p) == 0) {
 			return m
 		}
 	}
--- a/internal/core/gddispatch/near.go
+++ b/internal/core/gddispatch/near.go
@@ -124,13 +124,16 @@
 // bestHolder returns the upstream of the pool that is asked for a flow next: where domains are
 // far, the first of the own domain, of each other one, and so on, because the host that opened
 // the flow may have been in any.
-func (d *Dispatcher) bestHolder(hash uint64, p *gddiscovery.Pool, l *lookup) *gddiscovery.Member {
+//
+// Upstreams that accept no new flows don't count as the first: the host that opened the flow
+// may have passed over them.
+func (d *Dispatcher) bestHolder(now time.Time, hash uint64, p *gddiscovery.Pool, l *lookup) *gddiscovery.Member {
 	if d.Domain == "" || l.attemptsAt(p) >= maxSerialQueries || !d.mayPreferNear(p) {
 		return d.bestRanked(hash, p, l, anyMember)
 	}
 	asked := make(map[string]int)
 	for _, m := range p.Members() {
-		if l.attemptAt(m.Address()) != nil {
+		if m.AcceptsNew(now) && l.attemptAt(m.Address()) != nil {
 			asked[m.Upstream().Domain]++
 		}
 	}
--- a/internal/core/gddispatch/near_test.go
+++ b/internal/core/gddispatch/near_test.go
@@ -168,3 +168,22 @@
 		})
 	}
 }
+
+// TestDrainedUpstreamsAreSkipped: half of the upstreams of each domain drain when flows are opened.
+// The entry host restarts, and finds the flows although it can't query all upstreams.
+func TestDrainedUpstreamsAreSkipped(t *testing.T) {
+	f := newDomains(t, 5*time.Millisecond, true)
+	f.setDomains(func(i int, up *gddiscovery.Upstream) { up.Draining = i/domains < domainSize/2 })
+	f.flows(0, 0, 200, 20*time.Millisecond)
+	restarted := &entry{core: gddispatch.Dispatcher{Domain: domainOf(0)}}
+	restarted.core.SetView(f.now, f.view)
+	f.entries[entryAt(0)], f.unconfirmed = restarted, true
+	f.run(5 * time.Second)
+	for i := range 200 {
+		f.request(0, callerKey(i))
+		f.run(20 * time.Millisecond)
+	}
+	f.run(time.Second)
+	require.Equal(t, 200, f.served())
+	require.Empty(t, f.resets)
+}
