--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -60,9 +60,13 @@
 	dropped map[gdflow.Key]gddispatch.Missing
 	// messages counts the messages between entry hosts and agents.
 	messages int
-	work     time.Duration
+	// spills counts the offers to another service than the chosen one.
+	spills map[gddispatch.SpillCause]int
+	work   time.Duration
 	// requestOnOpen makes each caller send a request as soon as its flow is accepted.
 	requestOnOpen bool
+	// way, if set, returns the latency of a message from an entry host to an agent.
+	way func(i int, agent gdflow.Address) time.Duration
 	// unconfirmed stops the confirmations of the entry hosts' views.
 	unconfirmed bool
 	opened      map[gdflow.Key]time.Time
@@ -165,7 +169,8 @@
 func newFleet(t *testing.T, entries, upstreams, slots int) *fleet {
 	f := &fleet{
 		t: t, now: start, entries: make(map[gdflow.Address]*entry), agents: make(map[gdflow.Address]*agent),
-		resets: make(map[gdflow.Key]gddispatch.Reason), dropped: make(map[gdflow.Key]gddispatch.Missing), work: 20 * time.Millisecond, opened: make(map[gdflow.Key]time.Time),
+		resets: make(map[gdflow.Key]gddispatch.Reason), dropped: make(map[gdflow.Key]gddispatch.Missing),
+		spills: make(map[gddispatch.SpillCause]int), work: 20 * time.Millisecond, opened: make(map[gdflow.Key]time.Time),
 	}
 	var state gddiscovery.State
 	require.True(t, state.Load(f.now, update(upstreams, slots, nil)))
@@ -222,6 +227,13 @@
 	f.now = end
 }
 
+func (f *fleet) hopTo(i int, agent gdflow.Address) time.Duration {
+	if f.way == nil {
+		return hop
+	}
+	return f.way(i, agent)
+}
+
 // raw returns the encoding of a packet.
 func (f *fleet) raw(p gdflow.Packet) []byte {
 	f.packets = append(f.packets, p)
@@ -283,7 +295,7 @@
 			f.messages++
 			to, header, keys := a.To, a.Header, a.Keys
 			if d, ok := e.link.transmit(f.now, len(keys)*gdflow.KeySize); ok {
-				f.after(hop+d, func() { f.query(i, e, to, header, keys) })
+				f.after(f.hopTo(i, to)+d, func() { f.query(i, e, to, header, keys) })
 			}
 		case gddispatch.Forward:
 			f.forward(i, e, a)
@@ -304,13 +316,16 @@
 // forward sends a packet to an agent.
 func (f *fleet) forward(i int, e *entry, a gddispatch.Action) {
 	f.messages++
+	if a.Reason == gddispatch.Spilled {
+		f.spills[a.Spill.Cause]++
+	}
 	p, h, to := f.packet(a.Packet), a.Header, a.To
 	d, ok := time.Duration(0), true
 	if a.Reason != gddispatch.Known || a.PacketSize == 0 { // the others are paced
 		d, ok = e.link.transmit(f.now, p.Size)
 	}
 	if ok {
-		f.after(hop+d, func() { f.arrive(entryAt(i), to, h, p) })
+		f.after(f.hopTo(i, to)+d, func() { f.arrive(entryAt(i), to, h, p) })
 	}
 }
 
@@ -326,7 +341,7 @@
 		holdings = append(holdings, ag.guard.Holding(f.now, h.Service, k))
 	}
 	f.messages++
-	f.after(hop, func() {
+	f.after(f.hopTo(i, ag.at), func() {
 		if !e.down {
 			f.act(i, e, e.core.HandleHoldings(f.now, ag.at.WithPort(7720), ag.guard.Revision(), keys, holdings))
 		}
@@ -355,13 +370,15 @@
 	}
 	answer := func(do func(i int, e *entry)) {
 		f.messages++
-		f.after(hop, func() {
-			for i := range 64 {
-				if e := f.entries[entryAt(i)]; e != nil && entryAt(i) == a.Entry && !e.down {
-					do(i, e)
-				}
+		for i := range 64 {
+			if e := f.entries[entryAt(i)]; e != nil && entryAt(i) == a.Entry {
+				f.after(f.hopTo(i, ag.at), func() {
+					if !e.down {
+						do(i, e)
+					}
+				})
 			}
-		})
+		}
 	}
 	switch a.Verb {
 	case gdguard.Deliver:
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -92,6 +92,11 @@
 	if !ok || d.view == nil || f.state == resolved && (minState == opening || f.upstream.address.IP() == from.IP()) {
 		return nil
 	}
+	if f.state == opening {
+		if t := f.lookup.attemptAt(from); t != nil {
+			d.noteRoundTrip(now, k, t)
+		}
+	}
 	d.resolve(now, k, f, d.holderOn(f, from))
 	return d.actions
 }
--- a/internal/core/gddispatch/holders.go
+++ b/internal/core/gddispatch/holders.go
@@ -103,34 +103,37 @@
 // maxSerial returns how many upstreams are queried one after the other for a flow.
 func (d *Dispatcher) maxSerial(now time.Time, hash uint64, r *gddiscovery.Route) int {
 	n := 0
-	for range d.picked(now, hash, r) {
+	for p := range d.picked(now, hash, r) {
 		n += maxSerialQueries
+		if d.Domain != "" && d.mayPreferNear(p) {
+			n += maxSerialQueries // the first ones of each domain
+		}
 	}
 	return min(n, maxSerialPicked*maxSerialQueries)
 }
 
 // nextLikely returns the next upstream that is likely to hold the flow: the best ranked ones
-// of the services that the route and its former versions pick for it, by turns, and then the
-// others of the route's services by rank. It returns nil if all of these were tried.
+// of the services that the route and its former versions pick for it, by turns, the first of
+// each other service, to which the flow may have been spilled, and then the others by rank. It returns nil if all of these were tried.
 func (d *Dispatcher) nextLikely(now time.Time, hash uint64, r *gddiscovery.Route, l *lookup) *gddiscovery.Member {
 	var next *gddiscovery.Member
 	fewest := 0
 	for p := range d.picked(now, hash, r) {
 		if n := l.attemptsAt(p); next == nil || n < fewest {
-			if m := d.bestRanked(hash, p, l, anyMember); m != nil {
+			if m := d.bestHolder(now, hash, p, l); m != nil {
 				next, fewest = m, n
 			}
 		}
 	}
-	if next != nil {
+	if next != nil && fewest < likelyAttempts {
 		return next
 	}
 	for p := range d.services(now, r) {
-		if m := d.bestRanked(hash, p, l, anyMember); m != nil {
+		if m := d.bestHolder(now, hash, p, l); m != nil && (next == nil || l.attemptsAt(p) == 0) {
 			return m
 		}
 	}
-	return nil
+	return next
 }
 
 // attemptsAt returns how many upstreams of the service were tried.
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -145,7 +145,7 @@
 	if m := d.view.UpstreamAt(at); m != nil {
 		to = d.holderOf(m)
 	}
-	l.attempts = append(l.attempts, attempt{holder: to})
+	l.attempts = append(l.attempts, attempt{holder: to, sentAt: now})
 	d.setDeadline(k, l, now.Add(answerTimeout))
 	if !l.packet.held() {
 		return
--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -72,13 +72,17 @@
 	if l.maybeAccepted || objectiveOf(r) == 0 {
 		return
 	}
-	for m := d.nextOffer(now, r, k, l); m != nil; m = d.nextOffer(now, r, k, l) {
+	spillOffers := l.spillOffers
+	for m, a := d.nextOffer(now, r, k, l); m != nil; m, a = d.nextOffer(now, r, k, l) {
 		t, ok := d.waits.get(now, m.Address(), r.Priority)
 		if !ok {
-			l.attempts = l.attempts[:0]
+			l.attempts, l.spillOffers = l.attempts[:0], spillOffers
 			return
 		}
-		l.attempts = append(l.attempts, attempt{holder: d.holderOf(m), load: t.load, waited: t, answered: true, busy: true, recalled: true})
+		l.attempts = append(l.attempts, attempt{
+			holder: d.holderOf(m), load: t.load, waited: t, answered: true, busy: a.Reason != Spilled, recalled: true,
+		})
+		l.noteSpill(a)
 	}
 }
 
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -18,10 +18,11 @@
 type counters struct {
 	malformed, accepted       tally.Counter
 	queries, statuses, probes tally.Counter
+	farOffers                 tally.Counter
 	bulkQueued, bulkDropped   tally.Counter
 	failedReads, failedWrites tally.Counter
 	forwards, resets, drops   []tally.Counter
-	returns                   []tally.Counter
+	returns, spills           []tally.Counter
 	lookupTime                tally.Histogram
 	era, revision, version    tally.Gauge
 	upstreams                 tally.Gauge
@@ -32,6 +33,7 @@
 	c.malformed = scope.Counter("malformed_datagrams")
 	c.queries, c.statuses = scope.Counter("questions_asked"), scope.Counter("standings_told")
 	c.probes = scope.Counter("hosts_probed")
+	c.farOffers = scope.Counter("far_offers")
 	c.bulkQueued, c.bulkDropped = scope.Counter("bulk_packets_queued"), scope.Counter("bulk_packets_dropped")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
@@ -44,14 +46,25 @@
 		c.resets = append(c.resets, tagged.Counter("flows_reset"))
 		c.drops = append(c.drops, tagged.Counter("packets_dropped"))
 	}
+	for cause := range gddispatch.NumSpillCauses() {
+		tagged := scope.Tagged(map[string]string{"reason": gddispatch.SpillCause(cause).String()})
+		c.spills = append(c.spills, tagged.Counter("flows_spilled"))
+	}
 	for r := range gdguard.NumReasons() {
 		tagged := scope.Tagged(map[string]string{"reason": gdguard.Reason(r).String()})
 		c.returns = append(c.returns, tagged.Counter("packets_returned"))
 	}
 }
 
-func (c *counters) countAction(v gddispatch.Verb, r gddispatch.Reason) {
-	switch v {
+func (c *counters) countAction(a *gddispatch.Action) {
+	if a.Far {
+		c.farOffers.Inc(1)
+	}
+	if a.Reason == gddispatch.Spilled {
+		c.spills[a.Spill.Cause].Inc(1)
+	}
+	r := a.Reason
+	switch a.Verb {
 	case gddispatch.Forward:
 		c.forwards[r].Inc(1)
 	case gddispatch.Reset:
