Let new flows of callers above their share wait half as long

Change: a new flow above its share that finds no free slot is let in only if requests at least as urgent delay it by no more than half of what others may wait. TestNewFlowsInABurst fails before.

--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdshare"
 	"godwitdrift.example/godwitdrift/internal/core/gdwait"
 )
 
@@ -15,6 +16,10 @@
 	// newcomerDivisor: a flow that will be late is let in while a newcomer could begin
 	// within a quarter of the objective.
 	newcomerDivisor = 4
+	// aboveShareDivisor: flows of callers that ask for more than their share begin within half
+	// of the time of others, as far as requests at least as urgent delay them, so that others
+	// find room behind them.
+	aboveShareDivisor = 2
 	// firstCopyAfter and secondCopyAfter are when callers send copies of an opening
 	// packet that was not answered.
 	firstCopyAfter  = 200 * time.Millisecond
@@ -64,15 +69,18 @@
 	}
 	ahead := g.ahead(now, h.Class.priority())
 	wait := g.waitFor(now, h.Class.priority(), ahead)
-	if g.mayQueue(now, h, lostTime(p), ahead, wait) {
+	share := g.usage.Rank(now, p.Key().Caller().IP(), h.Origin)
+	if g.mayQueue(now, h, share, lostTime(p), ahead, wait) {
 		return 0, wait
 	}
 	return Busy, wait
 }
 
 // mayQueue reports whether a flow that finds no free slot is let in.
-func (g *Guard) mayQueue(now time.Time, h Header, lost time.Duration, ahead gdwait.Load, wait time.Duration) bool {
+func (g *Guard) mayQueue(now time.Time, h Header, share uint8, lost time.Duration, ahead gdwait.Load, wait time.Duration) bool {
 	objective := gdwait.Objective(h.Class.Objective, h.Class.Timeout)
+	latest := gdwait.LatestStart(objective - lost)
+	urgent := g.work.wait.UrgentWait(now, h.Class.Priority, ahead)
 	switch {
 	case objective == 0:
 		return g.work.n < g.slots()*maxLoadPerSlot(h)
@@ -80,13 +88,14 @@
 		return false // an upstream with a free slot goes first
 	case !g.work.wait.HasRoom(now, h.Class.Priority, ahead.Requests):
 		return false
-	case wait <= gdwait.LatestStart(objective-lost):
+	case share == gdshare.Above:
+		return wait <= latest && urgent <= latest/aboveShareDivisor
+	case wait <= latest:
 		return true
 	case wait > gdwait.LatestStart(h.Class.Timeout-lost):
 		return false
 	}
-	urgent := g.work.wait.UrgentWait(now, h.Class.Priority, ahead)
-	return urgent <= max(gdwait.LatestStart(objective-lost), objective/newcomerDivisor) || !g.anyInTime(now)
+	return urgent <= max(latest, objective/newcomerDivisor) || !g.anyInTime(now)
 }
 
 // anyInTime reports whether a request of any route here can be answered within its objective.
--- a/internal/core/gdguard/burst_test.go
+++ b/internal/core/gdguard/burst_test.go
@@ -113,7 +113,7 @@
 // play opens the groups' flows, lets them send for ten seconds, and then in their burst for four.
 // Only the requests of the burst are counted, without those that are sent so late that the
 // play may end before their objective.
-func play(t *testing.T, groups []*group) {
+func play(t *testing.T, groups []*group) *simUpstream {
 	t.Helper()
 	u := &simUpstream{t: t, now: start, kept: make(map[uint64]*simRequest)}
 	u.guard = gdguard.Guard{Service: "booking", ObservedFromStart: true}
@@ -156,6 +156,7 @@
 			c.request(u, end)
 		}
 	}
+	return u
 }
 
 // simCaller is a caller with one open flow.
@@ -238,3 +239,25 @@
 	require.Greater(t, other.sent, 20)
 	require.LessOrEqual(t, other.longest, other.objective/4+simStep)
 }
+
+// TestNewFlowsInABurst: a domain's callers send at ten times. Of new flows that come at once, the
+// upstream lets more in of the other domains, so that these find room behind the first.
+func TestNewFlowsInABurst(t *testing.T) {
+	const second, tenth = time.Second, time.Second / 10
+	accepted := func(domain byte) int {
+		u := play(t, []*group{frequent(1, 8, second, tenth), frequent(2, 8, second, second)})
+		h := header(1)
+		h.Status.Slots, h.Origin, h.Forced = simSlots, uint16(domain), true
+		h.Class = gdguard.RouteClass{Objective: 200 * time.Millisecond, Timeout: time.Second, Priority: 2}
+		for n := 0; ; n++ {
+			k := gdflow.NewKey(gdflow.AddressFrom([4]byte{100, domain, 9, byte(n)}, 999), gdflow.AddressFrom([4]byte{198, 18, 0, 2}, 443))
+			if a := u.guard.HandleEntryPacket(u.now, entry, h, gdflow.NewPacket(k, gdflow.Open))[0]; a.Verb != gdguard.Deliver {
+				require.Equal(t, gdguard.Busy, a.Reason)
+				return n
+			}
+		}
+	}
+	bursting, other := accepted(1), accepted(2)
+	require.Positive(t, bursting)
+	require.GreaterOrEqual(t, other, bursting+simSlots)
+}
