Match the mutant of right-service to the split of routes

Change: the edit replaces the result of shares. The meaning is the same: each route goes to the service gallery. The other mutants were not run.

--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -45,7 +45,7 @@
 			{"internal/core/gdguard/admission.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
 		}},
 		{rightService, "", []string{"config"}, []edit{
-			{"platform/values.go", "gddiscovery.Share{{Service: r.Service,", "gddiscovery.Share{{Service: \"gallery\","},
+			{"platform/values.go", "out.Shares = r.shares()", "out.Shares = []gddiscovery.Share{{Service: \"gallery\", Weight: 1}}"},
 		}},
 		{flowStays, "", []string{"replace", "terminate-entry"}, []edit{
 			{lookup, "len(f.lookup.attempts) < limit; {", "len(f.lookup.attempts) < min(limit, 1); {"},
