Draw splits in the soak, and add the mutant of former services

Cause: the splits waited for the lookup at the services of former configurations, which is merged now. As they were, they could not show the defect: each split listed both services, one at times with weight 0, so the configuration in force named all holders. Change: half of the splits send a route to one service and leave out the other. They are a set of faults of their own at a mean interval of 2 s. The mutant flow-stays/split looks up flows at the services of the configuration in force only.

--- a/internal/rig/gdsoak/faults.go
+++ b/internal/rig/gdsoak/faults.go
@@ -133,6 +133,7 @@
 	{stream: 4, meanInterval: 3 * time.Second, kinds: laterFaults},
 	{stream: 5, meanInterval: 6 * time.Second, kinds: restoreFaults},
 	{stream: 6, meanInterval: 5 * time.Second, kinds: loadFaults},
+	{stream: 8, meanInterval: 2 * time.Second, kinds: splitFaults},
 }
 
 // pendingSet is drawn only if its faults are named.
--- a/internal/rig/gdsoak/load.go
+++ b/internal/rig/gdsoak/load.go
@@ -25,10 +25,8 @@
 	}},
 }
 
-// pendingFaults break a promise whose mechanism is not built yet. They are injected only if
-// they are named.
-var pendingFaults = []fault{
-	{"restore-over-restart", false, (*injector).restoreOverRestart},
+// splitFaults change the services that a route's flows are split between.
+var splitFaults = []fault{
 	{"split", true, (*injector).split},
 	{"split-while-away", false, func(p *injector, now time.Time) {
 		away := p.randomDuration()
@@ -38,7 +36,14 @@
 	}},
 }
 
-// split sets new weights of the services of a route: one of them at times gets no new flows.
+// pendingFaults break a promise whose mechanism is not built yet. They are injected only if
+// they are named.
+var pendingFaults = []fault{
+	{"restore-over-restart", false, (*injector).restoreOverRestart},
+}
+
+// split sets new weights of the services of a route. One of them at times gets no new flows,
+// or is left out of the configuration.
 func (p *injector) split(now time.Time) {
 	class, shares := pick(p, p.Shape.Classes), []gddiscovery.Share(nil)
 	for _, s := range p.Shape.Services {
@@ -47,6 +52,11 @@
 	if shares[0].Weight+shares[1].Weight == 0 {
 		pick(p, []*gddiscovery.Share{&shares[0], &shares[1]}).Weight = 1
 	}
+	if p.Rand().IntN(2) == 0 {
+		left := pick(p, shares)
+		left.Weight = 1
+		shares = []gddiscovery.Share{left}
+	}
 	p.Split(now, class.Name, shares)
 }
 
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -37,6 +37,7 @@
 		state  = "internal/core/gddiscovery/state.go"
 		lookup = "internal/core/gddispatch/lookup.go"
 		proof  = "internal/core/gddispatch/proof.go"
+		holder = "internal/core/gddispatch/holders.go"
 	)
 	return []Mutant{
 		{drained, "", []string{"scale-in"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.domainOut"}}},
@@ -52,6 +53,10 @@
 			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)", "return false"},
 			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || !d.triedAll(now, r, l)", "len(l.attempts) == 0"},
 		}},
+		{flowStays, "split", []string{"split", "terminate-entry"}, []edit{
+			{holder, "if !yield(r) {", "if !yield(r) || true {"},
+			{holder, "if !d.view.KnowsFormerRoutes(now) {", "if false {"},
+		}},
 		{configInTime, "", []string{"config"}, []edit{
 			{state, "c.Kind == Configuration && (c.Removed || c.Config == nil)", "c.Kind == Configuration && known"},
 		}},
