--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -37,6 +37,7 @@
 		state  = "internal/core/gddiscovery/state.go"
 		lookup = "internal/core/gddispatch/lookup.go"
 		proof  = "internal/core/gddispatch/proof.go"
+		holder = "internal/core/gddispatch/holders.go"
 	)
 	return []Mutant{
 		{drained, "", []string{"scale-in"}, []edit{{view, "m.domainOut || m.upstream.Draining", "m.domainOut"}}},
@@ -45,13 +46,17 @@
 			{"internal/core/gdguard/admission.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
 		}},
 		{rightService, "", []string{"config"}, []edit{
-			{"platform/values.go", "gddiscovery.Share{{Service: r.Service,", "gddiscovery.Share{{Service: \"gallery\","},
+			{"platform/values.go", "out.Shares = r.shares()", "out.Shares = []gddiscovery.Share{{Service: \"gallery\", Weight: 1}}"},
 		}},
 		{flowStays, "", []string{"replace", "terminate-entry"}, []edit{
 			{lookup, "len(f.lookup.attempts) < limit; {", "len(f.lookup.attempts) < min(limit, 1); {"},
 			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)", "return false"},
 			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || !d.triedAll(now, r, l)", "len(l.attempts) == 0"},
 		}},
+		{flowStays, "split", []string{"split", "terminate-entry"}, []edit{
+			{holder, "if !yield(r) {", "if !yield(r) || true {"},
+			{holder, "if !d.view.KnowsFormerRoutes(now) {", "if false {"},
+		}},
 		{configInTime, "", []string{"config"}, []edit{
 			{state, "c.Kind == Configuration && (c.Removed || c.Config == nil)", "c.Kind == Configuration && known"},
 		}},
