--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -22,11 +22,8 @@
 
 import (
 	"cmp"
-	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"godwitdrift.example/godwitdrift/internal/core/gdcache"
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
@@ -352,23 +349,6 @@
 	d.forwardTo(now, m, a)
 }
 
-// origin returns the hash of the host's failure domain that is sent with new flows, or 0 if
-// the domain is unknown.
-func (d *Dispatcher) origin() uint16 {
-	if d.Domain == "" {
-		return 0
-	}
-	return max(uint16(xxhash.Sum64String(d.Domain)), 1)
-}
-
-// classOf returns what the route's callers need.
-func classOf(r *gddiscovery.Route) gdguard.RouteClass {
-	return gdguard.RouteClass{
-		Objective: r.LatencyObjective, Timeout: r.Timeout, Idempotent: r.Idempotent,
-		Priority: uint8(min(max(r.Priority, 0), math.MaxUint8)),
-	}
-}
-
 // forwardTo adds the action that forwards a packet to the agent of the upstream.
 func (d *Dispatcher) forwardTo(now time.Time, m *gddiscovery.Member, a Action) {
 	a.Verb, a.To = Forward, m.Address()
--- a/internal/core/gdshare/share.go
+++ b/internal/core/gdshare/share.go
@@ -89,16 +89,17 @@
 
 // usual has the use of domains by window.
 type usual struct {
-	first, current int64 // windows since the Unix epoch
-	counts         map[uint16]*[windows]int
+	began   time.Time // the start of the first window
+	current int64     // the number of the present window, from 0
+	counts  map[uint16]*[windows]int
 }
 
 // advance clears the windows that have begun since the last call.
 func (u *usual) advance(now time.Time) {
-	w := now.UnixNano() / int64(window)
 	if u.counts == nil {
-		u.counts, u.first, u.current = make(map[uint16]*[windows]int), w, w
+		u.counts, u.began = make(map[uint16]*[windows]int), now
 	}
+	w := int64(now.Sub(u.began) / window)
 	for i := int64(0); i < windows && u.current+i < w; i++ {
 		for k, c := range u.counts {
 			c[(u.current+1+i)%windows] = 0
@@ -134,7 +135,7 @@
 		return 0, false
 	}
 	least, known := math.MaxInt, false
-	for w := max(u.first+1, u.current-windows+1); w < u.current; w++ {
+	for w := max(0, u.current-windows+1); w < u.current; w++ {
 		least, known = min(least, c[w%windows]), true
 	}
 	return float64(least) / window.Seconds(), known
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -79,7 +79,7 @@
 
 // ValueInvalid reports a value of the platform that can't be decoded. Event 206.
 var ValueInvalid = declare(206, Error, "invalid value in the platform's store",
-	"Find out who wrote it. An invalid registration counts as removed; an invalid configuration is ignored.")
+	"Find out who wrote it. An invalid registration counts as removed; an invalid configuration is ignored. If only weights or services of a route are invalid, the rest is in force.")
 
 // SourceRestored reports that the platform's store was restored from a copy. Event 207.
 var SourceRestored = declare(207, Info, "platform's store began a new era, what the copy lacks is kept until it is written again",
