Use one word for rejections of the upstream and one for divisors

Cause: gdwait says that an upstream rejects a request, gdguard said that it refuses one, which is the agent's own act; parts and divisor named the same thing; two comments had to be read twice. Change: names and comments only; the state's key refused stays. Figures: go test ./internal/core/gdguard ./internal/core/gdbacklog ./internal/process/gdpacketagent: ok.

--- a/internal/core/gdbacklog/backlog.go
+++ b/internal/core/gdbacklog/backlog.go
@@ -88,8 +88,8 @@
 // Packets returns the number of kept packets.
 func (b *Backlog[T]) Packets() int { return b.packets }
 
-// Upto yields the kept requests of the priority and of more urgent ones.
-func (b *Backlog[T]) Upto(priority uint8) iter.Seq[*Request[T]] {
+// UpTo yields the kept requests of the priority and of more urgent ones.
+func (b *Backlog[T]) UpTo(priority uint8) iter.Seq[*Request[T]] {
 	return func(yield func(*Request[T]) bool) {
 		for _, r := range b.requests {
 			if r.Priority > priority || !yield(r) {
--- a/internal/core/gdbacklog/backlog_test.go
+++ b/internal/core/gdbacklog/backlog_test.go
@@ -30,7 +30,7 @@
 	}
 	for priority, want := range map[uint8]int{0: 4, 1: 5} {
 		n := 0
-		for range b.Upto(priority) {
+		for range b.UpTo(priority) {
 			n++
 		}
 		require.Equal(t, want, n)
--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -13,8 +13,8 @@
 	// a flow of a route without an objective although no upstream has a free slot.
 	forcedDepth = 3
 	urgentDepth = 4
-	// newcomerDivisor: a flow that will be late is let in while a newcomer could begin
-	// within a quarter of the objective.
+	// newcomerDivisor: a flow that will be late is let in only while one that arrives now could
+	// still begin within a quarter of the objective.
 	newcomerDivisor = 4
 	// aboveShareDivisor: flows of callers that ask for more than their share begin within half
 	// of the time of others, as far as requests at least as urgent delay them, so that others
@@ -131,7 +131,7 @@
 			l = l.Plus(gdwait.Load{Requests: 1, Time: g.work.wait.SlotTime(now, r.service)})
 		}
 	}
-	for r := range g.backlog.Upto(priority) {
+	for r := range g.backlog.UpTo(priority) {
 		l = l.Plus(gdwait.Load{Requests: 1, Time: g.work.wait.SlotTime(now, r.Value.key.Service())})
 	}
 	return l
--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -8,14 +8,13 @@
 )
 
 const (
-	// objectiveParts is the inverse of the part of its objective for which a request may
-	// be kept back.
-	objectiveParts = 4
-	// hopelessParts is the inverse of the part of its objective within which a request must
-	// get a slot to be kept back, and fullHopelessParts that if the upstream would refuse it
-	// now. The rest is for its processing and for the error of the estimate.
-	hopelessParts     = 2.0
-	fullHopelessParts = 4.0 / 3
+	// keepDivisor: a request may be kept back for a quarter of its objective.
+	keepDivisor = 4
+	// A request is kept back only if it gets a slot within half of its objective, or within
+	// three quarters if the upstream would reject it now. The rest is for its processing and
+	// for the error of the estimate.
+	hopelessDivisor     = 2.0
+	fullHopelessDivisor = 4.0 / 3
 	// maxKeptPackets and maxKeptBytes limit what is kept back for one upstream.
 	maxKeptPackets = 512
 	maxKeptBytes   = 512 << 10
@@ -58,7 +57,7 @@
 	caller := p.Key().Caller().IP()
 	g.usage.Note(now, caller, f.origin)
 	o := gdbacklog.Order{
-		Priority: class.Priority, Share: g.usage.Rank(now, caller, f.origin), KeptAt: now, Due: now.Add(class.Objective / objectiveParts),
+		Priority: class.Priority, Share: g.usage.Rank(now, caller, f.origin), KeptAt: now, Due: now.Add(class.Objective / keepDivisor),
 	}
 	f.level = levels - 1
 	if known {
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -129,7 +129,7 @@
 	backlog        gdbacklog.Backlog[waiting]
 	classes        classes
 	usage          gdshare.Usage
-	refused        int64 // requests
+	refused        int64 // requests that the upstream has rejected
 	cold           budget
 	probed         []probedFlow
 	answers        answers
--- a/internal/core/gdguard/room.go
+++ b/internal/core/gdguard/room.go
@@ -34,7 +34,7 @@
 }
 
 // hasRoom reports whether the upstream is to get a request of the level. Requests in progress
-// that are less urgent, or of callers above their share, don't matter, unless the upstream would refuse the request.
+// of later levels don't matter, unless the upstream would reject the request.
 func (g *Guard) hasRoom(now time.Time, level uint8) bool {
 	if g.status.Slots == 0 {
 		return true // unknown
@@ -49,12 +49,12 @@
 
 // hopeless reports whether a new request would get its slot too late for its objective.
 func (g *Guard) hopeless(now time.Time, service gdflow.Address, o gdbacklog.Order, objective time.Duration) bool {
-	parts := hopelessParts
+	divisor := hopelessDivisor
 	if g.full(now) {
-		parts = fullHopelessParts
+		divisor = fullHopelessDivisor
 	}
-	return g.slotWait(now, service, o).Seconds() > objective.Seconds()/parts
+	return g.slotWait(now, service, o).Seconds() > objective.Seconds()/divisor
 }
 
-// Refused returns how many requests the upstream has refused because its queue was full.
+// Refused returns how many requests the upstream has rejected because its queue was full.
 func (g *Guard) Refused() int64 { return g.refused }
--- a/internal/process/gdpacketagent/state.go
+++ b/internal/process/gdpacketagent/state.go
@@ -18,7 +18,7 @@
 	Load  int  `json:"load"`
 	Ready bool `json:"ready"`
 	// Kept counts the requests that are kept back, which are part of Load, and Refused those
-	// that the upstream refused because its queue was full.
+	// that the upstream rejected because its queue was full.
 	Kept    int   `json:"kept"`
 	Refused int64 `json:"refused"`
 }
