Let requests wait at the agent where the upstream's queue is too long for urgent ones

Cause: under overload urgent requests stood behind less urgent ones in the upstream's own queue, which is first come, first served: the agent kept a less urgent request for a quarter of its objective and delivered it then whatever the load. Change: an upstream whose full queue, as far as it has shown its limit, takes longer than more urgent requests may wait gets no more than its slots and one bear; the rest waits at the agent, in order while it can be in time, else last and newest first, until three quarters of the caller's timeout. Elsewhere requests wait as before. What they take, and requests on open flows that only the upstream could reject and that are answered late now, is lost to the frequent kind.

--- a/internal/core/gdbacklog/backlog.go
+++ b/internal/core/gdbacklog/backlog.go
@@ -33,15 +33,28 @@
 	Share uint8
 	// KeptAt is when the request was kept back, and Due until when it may be.
 	KeptAt, Due time.Time
+	// Latest is until when the request can still be answered in time, or zero if that is not
+	// known.
+	Latest time.Time
+
+	late bool
 }
 
-// compare is negative if o goes before p. A request that is due goes no earlier for it.
+// compare is negative if o goes before p. A request that is due goes no earlier for it. Those
+// that can't be in time go behind their equals, the newest first: it has the most time left
+// until its caller gives up.
 func (o Order) compare(p Order) int {
 	switch {
 	case o.Priority != p.Priority:
 		return int(o.Priority) - int(p.Priority)
 	case o.Share != p.Share:
 		return int(o.Share) - int(p.Share)
+	case o.late && p.late:
+		return p.KeptAt.Compare(o.KeptAt)
+	case o.late:
+		return 1
+	case p.late:
+		return -1
 	}
 	return o.Due.Compare(p.Due)
 }
@@ -151,6 +164,22 @@
 	}
 }
 
+// Postpone moves the requests that can't be in time any more behind those that can.
+func (b *Backlog[T]) Postpone(now time.Time) {
+	var late []*Request[T]
+	b.requests = slices.DeleteFunc(b.requests, func(r *Request[T]) bool {
+		if r.late || r.Latest.IsZero() || !now.After(r.Latest) {
+			return false
+		}
+		late = append(late, r)
+		return true
+	})
+	for _, r := range late {
+		r.late = true
+		b.insert(r)
+	}
+}
+
 // First returns the request that goes next, or nil.
 func (b *Backlog[T]) First() *Request[T] {
 	if len(b.requests) == 0 {
--- a/internal/core/gdbacklog/backlog_test.go
+++ b/internal/core/gdbacklog/backlog_test.go
@@ -50,6 +50,33 @@
 	require.Zero(t, b.Packets())
 }
 
+// TestPostpone: more requests are kept than can be in time. Those that can go first, in order;
+// of the others, the newest goes first.
+func TestPostpone(t *testing.T) {
+	b := &gdbacklog.Backlog[int]{MaxPackets: 10, MaxBytes: 1000}
+	for i, o := range []gdbacklog.Order{
+		{Priority: 1, KeptAt: start, Latest: start.Add(4), Due: start.Add(10)},
+		{Priority: 1, KeptAt: start.Add(1), Latest: start.Add(5), Due: start.Add(11)},
+		{Priority: 1, KeptAt: start.Add(2), Latest: start.Add(6), Due: start.Add(12)},
+		{Priority: 1, KeptAt: start.Add(3), Latest: start.Add(7), Due: start.Add(13)},
+		{Priority: 2, KeptAt: start.Add(3), Due: start.Add(1)},
+	} {
+		b.Keep(i, o, packet(1))
+	}
+	b.Postpone(start.Add(4))
+	require.Equal(t, 0, b.First().Value, "it can just be in time")
+	b.Postpone(start.Add(6))
+	b.Postpone(start.Add(6))
+	require.Equal(t, 5, b.Len())
+	require.Equal(t, 4, b.AheadOf(gdbacklog.Order{Priority: 2, Due: start}))
+	var got []int
+	for r := b.First(); r != nil; r = b.First() {
+		got = append(got, r.Value)
+		b.Remove(r)
+	}
+	require.Equal(t, []int{2, 3, 1, 0, 4}, got)
+}
+
 // TestLimits: packets and bytes are limited, and removed requests make room.
 func TestLimits(t *testing.T) {
 	b := &gdbacklog.Backlog[int]{MaxPackets: 3, MaxBytes: 100}
--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -8,8 +8,6 @@
 )
 
 const (
-	// keepDivisor: a request may be kept back for a quarter of its objective.
-	keepDivisor = 4
 	// A request is kept back only if it gets a slot within half of its objective, or within
 	// three quarters if the upstream would reject it now. The rest is for its processing and
 	// for the error of the estimate.
@@ -56,9 +54,9 @@
 	class, known := g.classes.get(now, p.Key().Service())
 	caller := p.Key().Caller().IP()
 	g.usage.Note(now, caller, f.origin)
-	o := gdbacklog.Order{
-		Priority: class.Priority, Share: g.usage.Rank(now, caller, f.origin), KeptAt: now, Due: now.Add(class.Objective / keepDivisor),
-	}
+	queue := g.queueOf(now, class)
+	o := gdbacklog.Order{Priority: class.Priority, Share: g.usage.Rank(now, caller, f.origin), KeptAt: now}
+	o.Latest, o.Due = g.keepUntil(now, queue, p.Key().Service(), class)
 	f.level = levels - 1
 	if known {
 		f.level = level(o)
@@ -67,7 +65,7 @@
 		g.work.begin(g.requestOn(now, p.Key(), f))
 		return false
 	}
-	if !g.backlog.HasRoom(p.Size) || g.hopeless(now, p.Key().Service(), o, class.Objective) {
+	if !g.backlog.HasRoom(p.Size) || queue == upstreamQueue && g.hopeless(now, p.Key().Service(), o, class.Objective) {
 		g.overflow(now, f, p, o)
 		return false
 	}
@@ -137,6 +135,7 @@
 	if g.leaving {
 		cause = Stopping
 	}
+	g.backlog.Postpone(now)
 	for r := g.backlog.First(); r != nil && (g.leaving || g.hasRoom(now, level(r.Order))); r = g.backlog.First() {
 		g.release(now, r, cause)
 	}
--- a/internal/core/gdguard/burst_test.go
+++ b/internal/core/gdguard/burst_test.go
@@ -231,6 +231,20 @@
 	}
 }
 
+// TestUrgentBehindLongQueue: the callers of the frequent kind send more than twice what the slots
+// bear on their open flows, and the upstream's full queue takes as long as the objective of the
+// urgent kind. Its requests pass the others at the agent, which still reach the upstream before
+// their callers give up.
+func TestUrgentBehindLongQueue(t *testing.T) {
+	often, posts := frequent(1, 24, time.Second, time.Second/8), urgent(1, 12, time.Second, time.Second)
+	often.work = 30 * time.Millisecond
+	posts.objective = 120 * time.Millisecond
+	play(t, []*group{often, posts})
+	t.Logf("frequent: %d sent, %d in time; urgent: %d sent, %d in time", often.sent, often.inTime, posts.sent, posts.inTime)
+	require.GreaterOrEqual(t, posts.inTime*100, posts.sent*95)
+	require.LessOrEqual(t, often.longest, 3*time.Second/4+simStep)
+}
+
 // TestUrgentFlood: urgent requests take 1.5 times what the slots bear. The others still reach
 // the upstream within a quarter of their objective.
 func TestUrgentFlood(t *testing.T) {
--- a/internal/core/gdwait/estimator.go
+++ b/internal/core/gdwait/estimator.go
@@ -85,8 +85,15 @@
 	}
 }
 
-// Clear removes all requests, because the upstream is gone. The times are kept.
-func (e *Estimator[R]) Clear() { e.running, e.queued = nil, nil }
+// Clear removes all requests and the limit of the queue, because the upstream is gone. The times
+// are kept.
+func (e *Estimator[R]) Clear() { e.running, e.queued, e.full = nil, nil, fullQueue{} }
+
+// MoreUrgentRate returns how many requests per second of more urgent priorities were delivered
+// lately.
+func (e *Estimator[R]) MoreUrgentRate(now time.Time, priority uint8) float64 {
+	return e.demand.MoreUrgentRate(now, int(priority))
+}
 
 func index[R comparable](list []request[R], id R) int {
 	return slices.IndexFunc(list, func(r request[R]) bool { return r.id == id })
--- a/internal/core/gdwait/full.go
+++ b/internal/core/gdwait/full.go
@@ -1,6 +1,10 @@
 package gdwait
 
-import "time"
+import (
+	"time"
+
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+)
 
 const (
 	// rejectionDivisor: an upstream rejects a request in less than a quarter of the time that
@@ -41,3 +45,11 @@
 	}
 	return len(e.running)+len(e.queued)+expected < limit && urgent+expected < slots+(limit-slots)/2
 }
+
+// QueueTime returns how long the last request in the upstream's own queue waits when it is full,
+// as far as the upstream has shown its limit since it was started, or 0.
+func (e *Estimator[R]) QueueTime(now time.Time) time.Duration {
+	slots := max(e.slots, 1)
+	places := max(e.full.requests-slots, 0)
+	return time.Duration(places) * e.kinds.expected(now, gdflow.Address{}, e.state) / time.Duration(slots)
+}
