Send new flows elsewhere while an upstream answers much sooner than usual

Ruled out: reading the answers, which belong to the two ends; counting early answers out of the estimate of waits (an upstream that was slow must be taken for fast again within some 30 answers; TestIdleUpstreamIsAlwaysTried failed); a limit on the share of upstreams (not needed: when all that were asked are busy or suspected, the flow is let in as before). Change: an answer is early if it comes within an eighth of the kind's usual time in a slot, the mean of some thousand answers. While a quarter of the recent answers are early, and four times the usual share, the agent refuses new flows as busy unless its entry host found no room elsewhere.

--- a/internal/core/gdguard/admission_test.go
+++ b/internal/core/gdguard/admission_test.go
@@ -128,3 +128,31 @@
 	}
 	require.Equal(t, 4, accepted, "two for the slots, and those that begin within 300 ms")
 }
+
+// TestFailingUpstreamLooksIdle: an upstream answers all requests at once with a failure, so that
+// its slots are free. New flows go to others while one of these has room.
+func TestFailingUpstreamLooksIdle(t *testing.T) {
+	feed := gdguard.RouteClass{Objective: 250 * ms, Timeout: 1500 * ms, Priority: 1}
+	suspicions := 0
+	g := &gdguard.Guard{Service: "booking", ObservedFromStart: true, OnEarlyAnswers: func(time.Time) { suspicions++ }}
+	now := start
+	for i := range 100 {
+		serve(t, g, now, i, feed, 39*ms)
+		now = now.Add(39 * ms)
+	}
+	for i := range 10 {
+		again(g, now, i)
+		now = now.Add(ms)
+		g.HandleUpstreamPacket(now, packet(i, gdflow.Data, 108, 101, 100))
+	}
+	a := only(t, g.HandleEntryPacket(now, entry, classHeader(2, false, feed), openPacket(200)))
+	require.Equal(t, gdguard.Return, a.Verb)
+	require.Equal(t, gdguard.Busy, a.Reason)
+	require.GreaterOrEqual(t, a.Wait, feed.Timeout, "any other upstream is asked first")
+	require.Equal(t, 1, suspicions)
+	a = only(t, g.HandleEntryPacket(now, entry, classHeader(2, true, feed), openPacket(200)))
+	require.Equal(t, gdguard.Deliver, a.Verb, "all others are busy")
+	now = now.Add(2 * time.Second)
+	a = only(t, g.HandleEntryPacket(now, entry, classHeader(2, false, feed), openPacket(201)))
+	require.Equal(t, gdguard.Deliver, a.Verb, "it may have recovered")
+}
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -116,6 +116,10 @@
 	// OnRelease, if set, is called with each request that is no longer kept back, and with
 	// each that is delivered at once because too much is kept.
 	OnRelease func(now time.Time, r Release)
+	// OnEarlyAnswers, if set, is called when the upstream becomes suspected of failing requests,
+	// because many answers come much sooner than usual. It gets new flows then only if all
+	// upstreams that were asked are busy.
+	OnEarlyAnswers func(now time.Time)
 
 	observingSince time.Time
 	status         UpstreamStatus
@@ -324,9 +328,13 @@
 	g.reportLatency(now, f, p)
 	switch {
 	case p.Size > 0:
+		early := g.work.wait.AnswersEarly(now)
 		if g.work.answered(now, f) {
 			g.refused++
 		}
+		if !early && g.OnEarlyAnswers != nil && g.work.wait.AnswersEarly(now) {
+			g.OnEarlyAnswers(now)
+		}
 	case p.Kind == gdflow.Reset || p.Kind == gdflow.Finish:
 		g.work.end(f)
 	}
--- a/internal/core/gdwait/estimator.go
+++ b/internal/core/gdwait/estimator.go
@@ -29,6 +29,7 @@
 	kinds   kinds
 	demand  Demand
 	full    fullQueue
+	early   earlyAnswers
 }
 
 type request[R comparable] struct {
@@ -63,8 +64,9 @@
 func (e *Estimator[R]) Answered(now time.Time, id R) (rejected bool) {
 	e.latest = now
 	if i := index(e.running, id); i >= 0 {
-		r := e.running[i]
-		e.kinds.add(now, r.kind, e.state, now.Sub(r.began))
+		r, d := e.running[i], now.Sub(e.running[i].began)
+		e.early.note(now, e.kinds.isEarly(now, r.kind, e.state, d))
+		e.kinds.add(now, r.kind, e.state, d)
 	} else if i := index(e.queued, id); i >= 0 {
 		r := e.queued[i]
 		if now.Sub(r.at) < e.SlotTime(now, r.kind)/rejectionDivisor {
@@ -85,9 +87,11 @@
 	}
 }
 
-// Clear removes all requests and the limit of the queue, because the upstream is gone. The times
-// are kept.
-func (e *Estimator[R]) Clear() { e.running, e.queued, e.full = nil, nil, fullQueue{} }
+// Clear removes all requests and what was observed of the upstream's process, because that is
+// gone. The times are kept.
+func (e *Estimator[R]) Clear() {
+	e.running, e.queued, e.full, e.early = nil, nil, fullQueue{}, earlyAnswers{}
+}
 
 // MoreUrgentRate returns how many requests per second of more urgent priorities were delivered
 // lately.
--- a/internal/core/gdwait/slottime.go
+++ b/internal/core/gdwait/slottime.go
@@ -13,6 +13,8 @@
 	minSlotTime = 100 * time.Microsecond
 	// meanInverseWeight is the inverse of the newest value's weight in a mean.
 	meanInverseWeight = 16
+	// usualInverseWeight is that in the mean by which an unusual value is recognised.
+	usualInverseWeight = 1024
 	// maxOutlier limits a value to a multiple of the mean.
 	maxOutlier = 4
 	// kindTTL is how long the times of a kind of route are remembered without an answer.
@@ -27,16 +29,17 @@
 	n     time.Duration
 }
 
-func (m *mean) add(d, expected time.Duration) {
-	if m.n < meanInverseWeight {
+func (m *mean) add(d, expected, inverseWeight time.Duration) {
+	if m.n < inverseWeight {
 		m.n++
 	}
 	m.value = max(m.value+(min(d, maxOutlier*expected)-m.value)/m.n, minSlotTime)
 }
 
-// slotTimes are the times in a slot of a cold and of a warm upstream.
+// slotTimes are the times in a slot of a warm and of a cold upstream: of late, and usually.
 type slotTimes struct {
 	byState   [2]mean
+	usual     [2]mean
 	updatedAt time.Time
 }
 
@@ -68,6 +71,13 @@
 	return initialSlotTime
 }
 
+// isEarly reports whether an answer came much sooner than is usual for the kind, as far as that is
+// known.
+func (k *kinds) isEarly(now time.Time, kind gdflow.Address, state int, d time.Duration) bool {
+	s := k.m[kind]
+	return s != nil && now.Sub(s.updatedAt) <= kindTTL && s.usual[state].n >= meanInverseWeight && d < s.usual[state].value/earlyDivisor
+}
+
 func (k *kinds) add(now time.Time, kind gdflow.Address, state int, d time.Duration) {
 	expected := k.expected(now, kind, state)
 	s := k.m[kind]
@@ -78,7 +88,8 @@
 		s = &slotTimes{}
 		k.m[kind] = s
 	}
-	s.byState[state].add(d, expected)
-	k.all.byState[state].add(d, expected)
+	s.byState[state].add(d, expected, meanInverseWeight)
+	s.usual[state].add(d, expected, usualInverseWeight)
+	k.all.byState[state].add(d, expected, meanInverseWeight)
 	s.updatedAt, k.all.updatedAt = now, now
 }
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -162,6 +162,11 @@
 var UpstreamExited = declare(607, Error, "upstream exited, its flows were reset",
 	"Check the upstream; callers retry at once and get another one.")
 
+// UpstreamAnswersEarly reports an upstream that may fail requests although its health checks pass.
+// Event 608.
+var UpstreamAnswersEarly = declare(608, Info, "upstream answers much sooner than usual, suspected of failing requests",
+	"Look at the status of its answers in its own log. New flows go to other upstreams while that lasts.")
+
 // Events 700 to 799: draining and failure domains.
 var (
 	DrainStarted = declare(700, Info, "drain started", nothing)
--- a/internal/process/gdpacketagent/agent.go
+++ b/internal/process/gdpacketagent/agent.go
@@ -110,6 +110,7 @@
 	}
 	a.Guard.OnAnswer = a.metrics.answerTime.RecordDuration
 	a.Guard.OnRelease = a.noteRelease
+	a.Guard.OnEarlyAnswers = a.noteEarlyAnswers
 	a.probe, a.wake = make(chan struct{}, 1), make(chan struct{}, 1)
 	a.kept = make(packetStore)
 	if !a.Guard.ObservedFromStart {
--- a/internal/process/gdpacketagent/backlog.go
+++ b/internal/process/gdpacketagent/backlog.go
@@ -85,3 +85,10 @@
 	a.metrics.event(now, a.Log, gdlog.RequestReleased, "flow", r.Key, "priority", r.Priority, "share-rank", r.Share,
 		"ahead", r.Ahead, "kept-for", r.KeptFor.String(), "outcome", r.Cause.String(), "load", a.Guard.Load())
 }
+
+// noteEarlyAnswers records that the upstream is suspected of failing requests. It is called with
+// mu locked.
+func (a *Agent) noteEarlyAnswers(now time.Time) {
+	a.metrics.earlyAnswers.Inc(1)
+	a.metrics.event(now, a.Log, gdlog.UpstreamAnswersEarly, "load", a.Guard.Load(), "revision", a.Guard.Revision())
+}
--- a/internal/process/gdpacketagent/counters.go
+++ b/internal/process/gdpacketagent/counters.go
@@ -20,7 +20,7 @@
 	resets, opened            tally.Counter
 	returns, holdings         []tally.Counter
 	answerTime, expectedWait  tally.Histogram
-	kept                      tally.Counter
+	kept, earlyAnswers        tally.Counter
 	released                  [][]tally.Counter // by priority and cause
 	keptTime                  []tally.Histogram // by priority
 	logLimit                  gdloglimit.Limiter
@@ -37,7 +37,7 @@
 		tagged := scope.Tagged(map[string]string{"holding": gdguard.Holding(h).String()})
 		c.holdings = append(c.holdings, tagged.Counter("flows_asked"))
 	}
-	c.kept = scope.Counter("packets_kept")
+	c.kept, c.earlyAnswers = scope.Counter("packets_kept"), scope.Counter("early_answer_suspicions")
 	for l := range gdguard.NumPriorities() {
 		tagged := scope.Tagged(map[string]string{"priority": strconv.Itoa(l)})
 		c.keptTime = append(c.keptTime, tagged.Histogram("kept_seconds", gdmetric.LatencyBuckets()))
