Give each test run loopback addresses of its own, and signal started processes only

Ruled out: ports that the kernel gives, as some ports have to be the same on several addresses; a delay before the signal, which depends on load. The rig sends SIGHUP once the process has logged something.

--- a/cmd/gdhost/main_test.go
+++ b/cmd/gdhost/main_test.go
@@ -16,14 +16,16 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/process/gdsignal"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/platform"
 )
 
 const eventTimeout = 20 * time.Second
 
-// settingsText returns settings of an entry host on loopback addresses.
-func settingsText(t *testing.T, ip string) string {
+// settingsText returns settings of an entry host on a loopback address of this process.
+func settingsText(t *testing.T, address int) string {
 	t.Helper()
+	ip := gdlisten.ProcessAddress(address).String()
 	port := func() int {
 		l, err := net.Listen("tcp4", ip+":0")
 		require.NoError(t, err)
@@ -74,7 +76,7 @@
 // signal, and keeps the old ones if the new ones are invalid.
 func TestChangedSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.conf")
-	good := settingsText(t, "127.0.0.6")
+	good := settingsText(t, 1)
 	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
 	s, err := platform.LoadSettings(path)
 	require.NoError(t, err)
--- a/internal/process/gdentry/hostile_test.go
+++ b/internal/process/gdentry/hostile_test.go
@@ -14,6 +14,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/core/gdreaders"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/internal/wire/gdfeed"
 	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 	"godwitdrift.example/godwitdrift/platform/platformsim"
@@ -35,7 +36,7 @@
 				targets = []netip.AddrPort{d.entry.HopAddress, agent, d.entry.FeedAddress}
 			}
 			for _, to := range targets {
-				c := listen(t, "127.0.0.5", to.Port()) // hosts send from the port at which they receive
+				c := listen(t, gdlisten.ProcessAddress(4), to.Port()) // hosts send from the port at which they receive
 				for n := range longest {
 					_, err := c.WriteToUDPAddrPort(noise(rnd, n), to)
 					require.NoError(t, err)
@@ -62,7 +63,7 @@
 // serveFlow opens a flow and sends a request on it, among the packets of others.
 func (d *deployment) serveFlow(port uint16) {
 	d.t.Helper()
-	d.key = gdflow.NewKey(gdflow.AddressFrom([4]byte{127, 0, 0, 4}, port), d.key.Service())
+	d.key = gdflow.NewKey(gdflow.AddressFrom(d.key.Caller().IP(), port), d.key.Service())
 	exchange := func(to *net.UDPConn, send func([]byte), packet []byte) {
 		d.t.Helper()
 		require.Eventually(d.t, func() bool {
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -18,6 +18,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/process/gdentry"
 	"godwitdrift.example/godwitdrift/internal/process/gdpacketagent"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/platform"
 	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
@@ -100,9 +101,9 @@
 	ended    chan error
 }
 
-func listen(t *testing.T, ip string, port uint16) *net.UDPConn {
+func listen(t *testing.T, ip netip.Addr, port uint16) *net.UDPConn {
 	t.Helper()
-	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(netip.MustParseAddr(ip), port)))
+	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, port)))
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	return c
@@ -132,28 +133,27 @@
 
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	const entryIP, agentIP, callerIP = "127.0.0.2", "127.0.0.3", "127.0.0.4"
+	entryIP, agentIP, callerIP := gdlisten.ProcessAddress(1), gdlisten.ProcessAddress(2), gdlisten.ProcessAddress(3)
 	d := &deployment{t: t, source: &source{added: make(chan struct{}, 1)}, ended: make(chan error, 1)}
 	d.caller, d.upstream = listen(t, callerIP, 0), listen(t, agentIP, 0)
 	callers, hop, feed, outbound := portOf(d.caller), freePort(t), freePort(t), freePort(t)
-	agentAddr, entryAddr := netip.MustParseAddr(agentIP), netip.MustParseAddr(entryIP)
-	d.outbound = netip.AddrPortFrom(agentAddr, outbound)
+	d.outbound = netip.AddrPortFrom(agentIP, outbound)
 	service := gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
-	d.key = gdflow.NewKey(gdflow.AddressFrom([4]byte{127, 0, 0, 4}, 40001), service)
-	upstream, ok := gdflow.AddressFromAddrPort(netip.AddrPortFrom(agentAddr, portOf(d.upstream)))
+	d.key = gdflow.NewKey(gdflow.AddressFrom(callerIP.As4(), 40001), service)
+	upstream, ok := gdflow.AddressFromAddrPort(netip.AddrPortFrom(agentIP, portOf(d.upstream)))
 	require.True(t, ok)
 	d.source.changes = []gddiscovery.Change{config(1, service), {
 		Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: "u1"}, Revision: 2,
 		Upstream: &gddiscovery.Upstream{ID: "u1", Service: "booking", Domain: "a", Address: upstream, Slots: 3},
 	}}
 	d.entry = &gdentry.EntryHost{
-		CallerAddress: netip.AddrPortFrom(entryAddr, callers), HopAddress: netip.AddrPortFrom(entryAddr, hop),
-		FeedAddress: netip.AddrPortFrom(entryAddr, feed), Codec: platform.Codec{}, Source: d.source, Scope: tally.NoopScope,
+		CallerAddress: netip.AddrPortFrom(entryIP, callers), HopAddress: netip.AddrPortFrom(entryIP, hop),
+		FeedAddress: netip.AddrPortFrom(entryIP, feed), Codec: platform.Codec{}, Source: d.source, Scope: tally.NoopScope,
 		Grace: 3 * time.Second,
 	}
 	agent := &gdpacketagent.Agent{
-		Guard: gdguard.Guard{Service: "booking", ObservedFromStart: true}, HopAddress: netip.AddrPortFrom(agentAddr, hop),
-		UpstreamAddress: netip.AddrPortFrom(agentAddr, portOf(d.upstream)), OutboundAddress: d.outbound, CallerPort: callers,
+		Guard: gdguard.Guard{Service: "booking", ObservedFromStart: true}, HopAddress: netip.AddrPortFrom(agentIP, hop),
+		UpstreamAddress: netip.AddrPortFrom(agentIP, portOf(d.upstream)), OutboundAddress: d.outbound, CallerPort: callers,
 		Codec: platform.Codec{}, Scope: tally.NoopScope, Grace: 3 * time.Second,
 	}
 	ctx, stop := context.WithCancel(t.Context())
@@ -286,7 +286,7 @@
 func TestChangesDuringLoadAreReceived(t *testing.T) {
 	s := lateSource{source: &source{added: make(chan struct{}, 1)}, waits: make(chan time.Duration, 1)}
 	s.source.changes = []gddiscovery.Change{config(1, gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))}
-	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.7"), 0)
+	at := netip.AddrPortFrom(gdlisten.ProcessAddress(5), 0)
 	e := &gdentry.EntryHost{
 		CallerAddress: at, HopAddress: at, FeedAddress: netip.AddrPortFrom(at.Addr(), freePort(t)),
 		Codec: platform.Codec{}, Source: s, Scope: tally.NoopScope,
@@ -318,7 +318,7 @@
 	d := deploy(t)
 	d.openFlow()
 	at := func(a netip.AddrPort) netip.AddrPort {
-		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.5"), a.Port())
+		return netip.AddrPortFrom(gdlisten.ProcessAddress(4), a.Port())
 	}
 	second := &gdentry.EntryHost{
 		CallerAddress: at(d.entry.CallerAddress), HopAddress: at(d.entry.HopAddress), FeedAddress: at(d.entry.FeedAddress),
@@ -340,7 +340,7 @@
 // TestReloadWhileStarting: settings may be reloaded before the host runs. The race
 // detector reports an access without the mutex.
 func TestReloadWhileStarting(t *testing.T) {
-	at := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.7"), 0)
+	at := netip.AddrPortFrom(gdlisten.ProcessAddress(5), 0)
 	e := &gdentry.EntryHost{
 		CallerAddress: at, HopAddress: at, FeedAddress: netip.AddrPortFrom(at.Addr(), freePort(t)),
 		Codec: platform.Codec{}, Source: unresponsiveSource{}, Scope: tally.NoopScope,
--- a/internal/rig/gdchild/child.go
+++ b/internal/rig/gdchild/child.go
@@ -29,6 +29,7 @@
 type Child struct {
 	name     string
 	logFile  string
+	logSize  int64 // that of the log file before the start
 	cmd      *exec.Cmd
 	done     chan struct{}
 	expected atomic.Bool // the rig has stopped the process
@@ -41,7 +42,11 @@
 		return nil, errors.Wrap(err, "open the log file of "+name)
 	}
 	defer out.Close()
-	c := &Child{name: name, logFile: logFile, cmd: exec.Command(binary, args...), done: make(chan struct{})}
+	before, err := out.Stat()
+	if err != nil {
+		return nil, errors.Wrap(err, "size of the log file of "+name)
+	}
+	c := &Child{name: name, logFile: logFile, logSize: before.Size(), cmd: exec.Command(binary, args...), done: make(chan struct{})}
 	c.cmd.Stdout, c.cmd.Stderr = out, out
 	c.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
 	if err := c.cmd.Start(); err != nil {
@@ -60,6 +65,13 @@
 // LogFile returns the name of the file with the process's output.
 func (c *Child) LogFile() string { return c.logFile }
 
+// HasLogged reports whether the process has written to its log: its own code runs. Before that,
+// a signal has the default action, whatever the program does.
+func (c *Child) HasLogged() bool {
+	info, err := os.Stat(c.logFile)
+	return err == nil && info.Size() > c.logSize
+}
+
 // Done returns a channel that is closed when the process has exited.
 func (c *Child) Done() <-chan struct{} { return c.done }
 
--- a/internal/rig/gdfaultproxy/proxy_test.go
+++ b/internal/rig/gdfaultproxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdfaultproxy"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 )
 
 // receiveTimeout bounds the wait for something that normally happens within milliseconds.
@@ -51,7 +52,7 @@
 // other, and that each fault affects and counts the datagrams.
 func TestDatagramProxy(t *testing.T) {
 	a, b := listen(t), listen(t)
-	proxyAddr := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.8"), port) }
+	proxyAddr := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(gdlisten.ProcessAddress(1), port) }
 	d := &gdfaultproxy.DatagramProxy{Rand: rand.New(rand.NewPCG(1, 1))}
 	aProxy, bProxy := proxyAddr(addr(a).Port()), proxyAddr(addr(b).Port())
 	require.NoError(t, d.Add(addr(a), aProxy))
--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -233,8 +233,13 @@
 	})
 }
 
-// Hangup sends a host's process SIGHUP, on which it reloads its settings.
-func (r *Rig) Hangup(now time.Time, h *Host) { r.signal(now, h, h.child, syscall.SIGHUP) }
+// Hangup sends a host's process SIGHUP, on which it reloads its settings, if its own code runs.
+// The kernel ends a process that is still being loaded.
+func (r *Rig) Hangup(now time.Time, h *Host) {
+	if h.child.HasLogged() {
+		r.signal(now, h, h.child, syscall.SIGHUP)
+	}
+}
 
 func (r *Rig) signal(now time.Time, h *Host, c *gdchild.Child, s syscall.Signal) {
 	if exited, _ := c.Exited(); exited {
--- a/internal/rig/gdload/load_test.go
+++ b/internal/rig/gdload/load_test.go
@@ -13,7 +13,6 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
-	"net/netip"
 	"net/url"
 	"testing"
 	"time"
@@ -23,6 +22,7 @@
 	"github.com/stretchr/testify/require"
 
 	"godwitdrift.example/godwitdrift/internal/rig/gdfabric"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/internal/rig/gdload"
 	"godwitdrift.example/godwitdrift/internal/rig/gdupstreamsim"
 )
@@ -37,7 +37,7 @@
 	wrap     func(http.Handler) http.Handler
 }
 
-var balancerHost = netip.MustParseAddr("127.0.0.2")
+var balancerHost = gdlisten.ProcessAddress(1)
 
 func newPath(t *testing.T, change func(*path)) *path {
 	p := &path{
