Remember the waits that agents tell by the priority of the flow

Cause: under overload an entry host remembered one wait for each upstream, mostly that of the last less urgent flow, which says nothing to an urgent one. Change: waits are remembered for four priorities apart.

--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -12,8 +12,11 @@
 	// waitTTL is how long the wait is remembered that an agent has told, if it is not over
 	// before. The next flow after that probes the upstream.
 	waitTTL = 50 * time.Millisecond
-	// maxWaits limits the waits that are remembered.
+	// maxWaits limits the hosts whose waits are remembered.
 	maxWaits = 1 << 14
+	// waitPriorities is the number of priorities whose waits are remembered separately. Less
+	// urgent ones count as the last of them.
+	waitPriorities = 4
 )
 
 // toldWait is how long a request would wait for a slot of an upstream, as its agent has told.
@@ -34,8 +37,9 @@
 // left returns what is left of the wait.
 func (t toldWait) left(now time.Time) time.Duration { return max(t.until().Sub(now), 0) }
 
-// waits has the waits of upstreams by host.
-type waits map[[4]byte]toldWait
+// waits has the waits of upstreams by host and priority: a refusal of a less urgent flow says
+// nothing to a more urgent one, and must not hide what that was told.
+type waits map[[4]byte]*[waitPriorities]toldWait
 
 // note records the wait that an agent has told with its refusal.
 func (w *waits) note(now time.Time, info ReturnInfo, r *gddiscovery.Route, final bool) toldWait {
@@ -45,7 +49,12 @@
 	t := toldWait{
 		wait: max(info.Wait, 0), at: now, load: info.Load, priority: r.Priority, timeout: r.Timeout, final: final,
 	}
-	(*w)[info.From.IP()] = t
+	h := (*w)[info.From.IP()]
+	if h == nil {
+		h = new([waitPriorities]toldWait)
+		(*w)[info.From.IP()] = h
+	}
+	h[min(r.Priority, waitPriorities-1)] = t
 	return t
 }
 
@@ -53,11 +62,16 @@
 // for a flow of the priority. A less urgent one waits longer than until a slot is free, as more
 // urgent ones go first.
 func (w waits) get(now time.Time, at gdflow.Address, priority int) (toldWait, bool) {
-	t, ok := w[at.IP()]
-	if !ok || priority < t.priority || t.left(now) == 0 || now.Sub(t.at) >= waitTTL {
+	h := w[at.IP()]
+	if h == nil {
 		return toldWait{}, false
 	}
-	return t, true
+	for p := min(priority, waitPriorities-1); p >= 0; p-- {
+		if t := h[p]; priority >= t.priority && t.left(now) > 0 && now.Sub(t.at) < waitTTL {
+			return t, true
+		}
+	}
+	return toldWait{}, false
 }
 
 // objectiveOf returns the time within which the route's answers have their full value, or 0 if
--- a/internal/core/gddispatch/waits_test.go
+++ b/internal/core/gddispatch/waits_test.go
@@ -123,6 +123,31 @@
 	}
 }
 
+// route changes the needs of the flows that come next.
+func (e *told) route(priority int, timeout time.Duration) {
+	u := update(3, 2, nil)
+	u.Changes[0].Config.Routes[0].Priority, u.Changes[0].Config.Routes[0].Timeout = priority, timeout
+	var state gddiscovery.State
+	require.True(e.t, state.Load(start, u))
+	e.d.SetView(start, state.View())
+}
+
+// TestUrgentWaitsInABurst: flows of a frequent kind are refused all the time. An urgent flow still
+// knows what the one before it was told, and goes to the least wait without asking for a free slot.
+func TestUrgentWaitsInABurst(t *testing.T) {
+	const ms = time.Millisecond
+	e := newTold(t)
+	e.route(1, time.Second)
+	e.open(start, 1, 0, 30*ms, 20*ms, 25*ms)
+	least := e.asked[3]
+	e.route(2, time.Second)
+	e.open(start.Add(5*ms), 2, 0, 90*ms)
+	e.route(1, time.Second)
+	e.open(start.Add(10*ms), 3, 0)
+	require.Equal(t, []gdflow.Address{least}, e.asked)
+	require.True(t, e.forced)
+}
+
 // TestToldWaits: what an entry host does with the waits that agents tell. The objective is 120 ms,
 // so that a flow is queued that begins within 40 ms.
 func TestToldWaits(t *testing.T) {
@@ -209,16 +234,9 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			e := newTold(t)
-			route := func(priority int, timeout time.Duration) {
-				u := update(3, 2, nil)
-				u.Changes[0].Config.Routes[0].Priority, u.Changes[0].Config.Routes[0].Timeout = priority, timeout
-				var state gddiscovery.State
-				require.True(t, state.Load(start, u))
-				e.d.SetView(start, state.View())
-			}
-			route(3, time.Second)
+			e.route(3, time.Second)
 			e.open(start, 1, 0, 200*ms, 190*ms, 250*ms, 180*ms)
-			route(tt.priority, tt.timeout)
+			e.route(tt.priority, tt.timeout)
 			e.open(start.Add(10*ms), 2, 0)
 			require.Len(t, e.asked, tt.asked)
 			require.Equal(t, tt.forced, e.forced)
