Add gdrig compare and gdrig account

No floor of a window is printed: a report has no work by kind and window. Conclusion: the account is partial.

--- a/cmd/gdrig/main.go
+++ b/cmd/gdrig/main.go
@@ -17,9 +17,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := &cli.Command{
-		Name:     "gdrig",
-		Usage:    "run godwitdrift on one machine against simulators",
-		Commands: []*cli.Command{upCommand(), demoCommand(), loadCommand(), benchCommand(), replayCommand(), soakCommand()},
+		Name:  "gdrig",
+		Usage: "run godwitdrift on one machine against simulators",
+		Commands: []*cli.Command{
+			upCommand(), demoCommand(), loadCommand(), benchCommand(), replayCommand(), soakCommand(), compareCommand(), accountCommand(),
+		},
 	}
 	if err := root.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "gdrig:", err)
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -328,18 +328,23 @@
 	g.reportLatency(now, f, p)
 	switch {
 	case p.Size > 0:
-		early := g.work.wait.AnswersEarly(now)
-		if g.work.answered(now, f) {
-			g.refused++
-		}
-		if !early && g.OnEarlyAnswers != nil && g.work.wait.AnswersEarly(now) {
-			g.OnEarlyAnswers(now)
-		}
+		g.noteAnswered(now, f)
 	case p.Kind == gdflow.Reset || p.Kind == gdflow.Finish:
 		g.work.end(f)
 	}
 }
 
+// noteAnswered counts a request as done because its answer begins.
+func (g *Guard) noteAnswered(now time.Time, f *flow) {
+	early := g.work.wait.AnswersEarly(now)
+	if g.work.answered(now, f) {
+		g.refused++
+	}
+	if !early && g.OnEarlyAnswers != nil && g.work.wait.AnswersEarly(now) {
+		g.OnEarlyAnswers(now)
+	}
+}
+
 // reportLatency reports the time from a request to the first bytes of its answer.
 func (g *Guard) reportLatency(now time.Time, f *flow, p gdflow.Packet) {
 	if p.Size == 0 || !f.processing || f.offered {
