Limit new flows of an upstream that may have restarted unseen while the source is away

Change: the status tells how old the view is, in bits that were 0. An agent whose statuses are all older than its start applies the limit of a cold upstream, until one is newer, the upstream shows more flows than a cold one can hold, or it would be warm anyway. Processes that don't know the bits are served as before.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -375,6 +375,7 @@
 	const maxSlots = 1<<8 - 1
 	return gdguard.UpstreamStatus{
 		Revision:           d.view.Revision(),
+		ViewAge:            d.viewAge(now),
 		AcceptsNew:         m.AcceptsNew(now),
 		Slots:              uint8(min(max(m.Upstream().Slots, 1), maxSlots)),
 		ColdFlowsPerSecond: uint16(min(max(p.Service().ColdFlowsPerSecond, 0), 1<<16-1)),
@@ -383,3 +384,11 @@
 		StartUnixMilli:     m.Upstream().StartUnixMilli,
 	}
 }
+
+// viewAge returns how long ago the view was known to be current, or 0 if that is not known.
+func (d *Dispatcher) viewAge(now time.Time) time.Duration {
+	if d.confirmed.IsZero() {
+		return 0
+	}
+	return max(now.Sub(d.confirmed), 1)
+}
--- a/internal/core/gddispatch/waits_test.go
+++ b/internal/core/gddispatch/waits_test.go
@@ -243,3 +243,18 @@
 		})
 	}
 }
+
+// TestStatusTellsTheAgeOfTheView: the source is away, so that an upstream may have restarted since
+// the view was current. Its agent can tell whether it has run for longer.
+func TestStatusTellsTheAgeOfTheView(t *testing.T) {
+	e := newTold(t)
+	for _, a := range e.d.HandleCallerPacket(start, gdflow.NewPacket(callerKey(0), gdflow.Open), []byte{1}) {
+		require.Zero(t, a.Header.Status.ViewAge, "it is not known")
+	}
+	e.d.ConfirmView(start, time.Time{})
+	for i, age := range []time.Duration{1, time.Second, time.Hour} {
+		for _, a := range e.d.HandleCallerPacket(start.Add(age), gdflow.NewPacket(callerKey(1+i), gdflow.Open), []byte{1}) {
+			require.Equal(t, age, a.Header.Status.ViewAge)
+		}
+	}
+}
--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -65,6 +65,27 @@
 	f.wasIdle, f.usedAt = false, now
 }
 
+// currency records whether a status is known that is later than the agent's start. One from
+// before doesn't show a restart of the upstream that the agent was too late to observe.
+type currency struct{ isCurrent, isOld bool }
+
+// noteViewAge records how old the view is from which the status comes.
+func (g *Guard) noteViewAge(now time.Time, s UpstreamStatus) {
+	switch {
+	case s.ViewAge == 0:
+	case now.Add(-s.ViewAge).Before(g.AgentStarted) && s.StartUnixMilli < g.AgentStarted.Add(-maxStartSkew).UnixMilli():
+		g.currency.isOld = true
+	default:
+		g.currency.isCurrent = true
+	}
+}
+
+// mayHaveRestarted reports whether the upstream may have restarted before the agent's start without
+// any status showing it: while the source is away, entry hosts don't learn of it.
+func (g *Guard) mayHaveRestarted() bool {
+	return g.currency.isOld && !g.currency.isCurrent && !g.ObservedFromStart
+}
+
 // copiedStatus is the status of a process that may have been replaced: the source was
 // restored from a copy, and the agent started too late to know. The zero value means none.
 type copiedStatus struct {
@@ -109,6 +130,9 @@
 	if g.copied.until.After(until) && !g.holdsMoreThanCold() {
 		until = g.copied.until
 	}
+	if end := g.AgentStarted.Add(g.status.ColdFor); end.After(until) && g.mayHaveRestarted() && !g.holdsMoreThanCold() {
+		until = end
+	}
 	return g.status.ColdFlowsPerSecond > 0 && now.Before(until)
 }
 
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -127,6 +127,7 @@
 	refusesUntil   time.Time // the upstream may accept no new flows although its status says so
 	restart        restart
 	copied         copiedStatus
+	currency       currency
 	inherited      int // flows of the upstream that this agent has not let in
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
@@ -197,6 +198,7 @@
 	changed := s.AcceptsNew != g.status.AcceptsNew || g.status.Revision == 0
 	g.carryOver(now, s)
 	g.noteEra(now, s)
+	g.noteViewAge(now, s)
 	g.status = s
 	g.noteStart(s.StartUnixMilli)
 	if g.restart.matches(s.StartUnixMilli) {
--- a/internal/core/gdguard/restore_test.go
+++ b/internal/core/gdguard/restore_test.go
@@ -68,6 +68,14 @@
 		return h
 	}
 	copied := gddiscovery.NewRevision(1, 60)
+	old := func(h gdguard.Header) gdguard.Header {
+		h.Status.ViewAge = 600 * time.Millisecond
+		return h
+	}
+	current := func(h gdguard.Header) gdguard.Header {
+		h.Status.ViewAge = 400 * time.Millisecond
+		return h
+	}
 	unlimited := status(copied, hourAgo)
 	unlimited.Status.ColdFlowsPerSecond = 0
 	tests := []struct {
@@ -90,6 +98,11 @@
 		{"no restore", status(104, hourAgo), time.Second, 0, status(105, hourAgo), 0, flows},
 		{"the agent has run for longer", status(copied, hourAgo), 2 * time.Second, 0, status(copied, hourAgo), 0, flows},
 		{"no slow start", unlimited, time.Second, 0, unlimited, 0, flows},
+		{"the source is away", old(status(104, hourAgo)), time.Second / 2, 0, old(status(104, hourAgo)), 0, perSecond / 2},
+		{"the source is away, and an old entry host doesn't tell", old(status(104, hourAgo)), time.Second / 2, 0, status(104, hourAgo), 0, perSecond / 2},
+		{"the source is away, and the agent has run for longer", old(status(104, hourAgo)), time.Second, 0, old(status(104, hourAgo)), 0, flows},
+		{"the source is away, and the flows are more than a cold upstream can hold", old(status(104, hourAgo)), time.Second / 2, 2*perSecond + 1, old(status(104, hourAgo)), 0, flows},
+		{"the source is back", old(status(104, hourAgo)), time.Second / 2, 0, current(status(104, hourAgo)), 0, flows},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -53,6 +53,9 @@
 type UpstreamStatus struct {
 	// Revision is the revision of the entry host's view.
 	Revision gddiscovery.Revision
+	// ViewAge is how long ago that view was known to be current, or 0 if the entry host doesn't
+	// tell.
+	ViewAge time.Duration
 	// AcceptsNew reports whether the upstream accepts new flows.
 	AcceptsNew bool
 	// Slots is how many requests the upstream processes concurrently.
--- a/internal/rig/gdcompare/compare_test.go
+++ b/internal/rig/gdcompare/compare_test.go
@@ -79,7 +79,8 @@
 	repository, folder := t.TempDir(), t.TempDir()
 	for _, args := range [][]string{
 		{"init", "-q"},
-		{"-c", "user.name=t", "-c", "user.email=t@t", "commit", "-q", "--allow-empty", "-m", "first"}, {"tag", "first"},
+		{"-c", "user.name=t", "-c", "user.email=t@t", "commit", "-q", "--allow-empty", "-m", "first"},
+		{"tag", "first"},
 	} {
 		out, err := exec.Command("git", append([]string{"-C", repository}, args...)...).CombinedOutput()
 		require.NoError(t, err, "%s", out)
--- a/internal/wire/gdhop/hop.go
+++ b/internal/wire/gdhop/hop.go
@@ -76,6 +76,28 @@
 	flagUrgent
 )
 
+// The upper bits of the flags of a status have the age of the view. Processes that don't know them
+// send 0.
+const (
+	viewAgeShift = 4
+	viewAgeUnit  = 100 * time.Millisecond
+	oldViewCode  = 1<<viewAgeShift - 1
+	// oldViewAge is what the last code stands for: older than the others.
+	oldViewAge = time.Hour
+)
+
+// viewAgeCode returns the code of the age, rounded up.
+func viewAgeCode(age time.Duration) byte {
+	return byte(min((max(age, 0)+viewAgeUnit-1)/viewAgeUnit, oldViewCode))
+}
+
+func parseViewAge(code byte) time.Duration {
+	if code == oldViewCode {
+		return oldViewAge
+	}
+	return time.Duration(code) * viewAgeUnit
+}
+
 // flagIdempotent is a flag of the route's class.
 const flagIdempotent = 1
 
@@ -160,6 +182,7 @@
 	if s.AcceptsNew {
 		flags |= flagAcceptsNew
 	}
+	flags |= viewAgeCode(s.ViewAge) << viewAgeShift
 	b = binary.BigEndian.AppendUint64(b, uint64(s.Revision))
 	b = append(b, flags, s.Slots)
 	b = binary.BigEndian.AppendUint16(b, s.ColdFlowsPerSecond)
@@ -280,6 +303,7 @@
 	return gdguard.UpstreamStatus{
 		Revision:           gddiscovery.Revision(binary.BigEndian.Uint64(b)),
 		AcceptsNew:         b[8]&flagAcceptsNew != 0,
+		ViewAge:            parseViewAge(b[8] >> viewAgeShift),
 		Slots:              b[9],
 		ColdFlowsPerSecond: binary.BigEndian.Uint16(b[10:]),
 		ColdLeft:           parseMillis(b[12:]),
--- a/internal/wire/gdhop/hop_test.go
+++ b/internal/wire/gdhop/hop_test.go
@@ -12,7 +12,7 @@
 )
 
 var status = gdguard.UpstreamStatus{
-	Revision: 1 << 40, AcceptsNew: true, Slots: 3, ColdFlowsPerSecond: 700, ColdLeft: 1500 * time.Millisecond, StartUnixMilli: 1 << 41, ColdFor: 2 * time.Second,
+	Revision: 1 << 40, AcceptsNew: true, ViewAge: 300 * time.Millisecond, Slots: 3, ColdFlowsPerSecond: 700, ColdLeft: 1500 * time.Millisecond, StartUnixMilli: 1 << 41, ColdFor: 2 * time.Second,
 }
 
 var key = gdflow.NewKey(gdflow.AddressFrom([4]byte{100, 64, 0, 7}, 40001), gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))
@@ -99,3 +99,22 @@
 		require.LessOrEqual(t, len(m.Packet), len(b))
 	})
 }
+
+// TestViewAge: an age is never understated, and one that is not told stays unknown.
+func TestViewAge(t *testing.T) {
+	for _, tt := range []struct{ age, want time.Duration }{
+		{0, 0},
+		{-time.Second, 0},
+		{1, 100 * time.Millisecond},
+		{1400 * time.Millisecond, 1400 * time.Millisecond},
+		{1401 * time.Millisecond, time.Hour},
+		{time.Minute, time.Hour},
+	} {
+		s := status
+		s.ViewAge = tt.age
+		m, err := gdhop.Parse(gdhop.AppendStatus(nil, 77, s))
+		require.NoError(t, err)
+		require.Equal(t, tt.want, m.Header.Status.ViewAge)
+		require.True(t, m.Header.Status.AcceptsNew)
+	}
+}
