Accept any priority when waits are remembered, and keep no request for over two seconds

Cause: found by reading the change again. A request of a route with a long timeout could be kept until the upstream drops the idle flow. Ruled out: rejecting such a configuration, which the source has accepted already. Change: the index is limited to its range; a request is kept for at most two seconds. Conclusion: one configuration no longer ends the process.

--- a/internal/core/gddispatch/waits.go
+++ b/internal/core/gddispatch/waits.go
@@ -54,10 +54,13 @@
 		h = new([waitPriorities]toldWait)
 		(*w)[info.From.IP()] = h
 	}
-	h[min(r.Priority, waitPriorities-1)] = t
+	h[waitIndex(r.Priority)] = t
 	return t
 }
 
+// waitIndex returns where the waits of a priority are remembered.
+func waitIndex(priority int) int { return min(max(priority, 0), waitPriorities-1) }
+
 // get returns the wait that is remembered of the upstream, or false if it may have a free slot
 // for a flow of the priority. A less urgent one waits longer than until a slot is free, as more
 // urgent ones go first.
@@ -66,7 +69,7 @@
 	if h == nil {
 		return toldWait{}, false
 	}
-	for p := min(priority, waitPriorities-1); p >= 0; p-- {
+	for p := waitIndex(priority); p >= 0; p-- {
 		if t := h[p]; priority >= t.priority && t.left(now) > 0 && now.Sub(t.at) < waitTTL {
 			return t, true
 		}
--- a/internal/core/gddispatch/waits_test.go
+++ b/internal/core/gddispatch/waits_test.go
@@ -1,6 +1,7 @@
 package gddispatch_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -229,6 +230,7 @@
 		{"the same needs", 3, time.Second, 0, false},
 		{"less urgent", 4, time.Second, 0, false},
 		{"more urgent", 2, time.Second, 1, false},
+		{"more urgent than any is meant to be", -1, time.Second, 1, false},
 		{"its caller gives up earlier", 3, time.Second / 2, 0, false},
 		{"its caller waits longer", 3, 2 * time.Second, 1, true},
 	} {
@@ -244,6 +246,20 @@
 	}
 }
 
+// TestWaitsOfAnyPriority: the configuration may hold any priority. Those that are out of the usual
+// range share what is remembered with their neighbours.
+func TestWaitsOfAnyPriority(t *testing.T) {
+	const ms = time.Millisecond
+	for _, priority := range []int{math.MinInt, -1, 0, 3, 4, math.MaxInt} {
+		e := newTold(t)
+		e.route(priority, time.Second)
+		e.open(start, 1, 0, 200*ms, 190*ms, 250*ms, 180*ms)
+		e.open(start.Add(10*ms), 2, 0)
+		require.Equal(t, gddispatch.Overloaded, e.reset.Reason)
+		require.Empty(t, e.asked, "the waits are remembered")
+	}
+}
+
 // TestStatusTellsTheAgeOfTheView: the source is away, so that an upstream may have restarted since
 // the view was current. Its agent can tell whether it has run for longer.
 func TestStatusTellsTheAgeOfTheView(t *testing.T) {
--- a/internal/core/gdguard/burst_test.go
+++ b/internal/core/gdguard/burst_test.go
@@ -1,6 +1,7 @@
 package gdguard_test
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -26,6 +27,7 @@
 	interval  time.Duration // 0 stands for a flow that sends nothing
 	burst     time.Duration // the interval during the burst
 	objective time.Duration
+	timeout   time.Duration // 0 stands for a second
 	work      time.Duration
 	oneCaller bool // all flows are of one caller
 
@@ -128,7 +130,7 @@
 				gdflow.AddressFrom(ip, uint16(1000+i)), gdflow.AddressFrom([4]byte{198, 18, 0, g.priority}, 443))}
 			h := header(1)
 			h.Status.Slots, h.Origin, h.Forced = simSlots, uint16(g.domain), true
-			h.Class = gdguard.RouteClass{Objective: g.objective, Timeout: time.Second, Priority: g.priority}
+			h.Class = gdguard.RouteClass{Objective: g.objective, Timeout: cmp.Or(g.timeout, time.Second), Priority: g.priority}
 			u.guard.HandleEntryPacket(u.now, entry, h, gdflow.NewPacket(c.key, gdflow.Open))
 			u.guard.HandleUpstreamPacket(u.now, gdflow.NewPacket(c.key, gdflow.Accept))
 			u.now = u.now.Add(150 * time.Millisecond) // the flow counts as load until then
@@ -234,15 +236,17 @@
 // TestUrgentBehindLongQueue: the callers of the frequent kind send more than twice what the slots
 // bear on their open flows, and the upstream's full queue takes as long as the objective of the
 // urgent kind. Its requests pass the others at the agent, which still reach the upstream before
-// their callers give up.
+// their callers give up, and before the upstream drops an idle flow.
 func TestUrgentBehindLongQueue(t *testing.T) {
-	often, posts := frequent(1, 24, time.Second, time.Second/8), urgent(1, 12, time.Second, time.Second)
-	often.work = 30 * time.Millisecond
-	posts.objective = 120 * time.Millisecond
-	play(t, []*group{often, posts})
-	t.Logf("frequent: %d sent, %d in time; urgent: %d sent, %d in time", often.sent, often.inTime, posts.sent, posts.inTime)
-	require.GreaterOrEqual(t, posts.inTime*100, posts.sent*95)
-	require.LessOrEqual(t, often.longest, 3*time.Second/4+simStep)
+	for timeout, longest := range map[time.Duration]time.Duration{time.Second: 3 * time.Second / 4, 10 * time.Second: 2 * time.Second} {
+		often, posts := frequent(1, 24, time.Second, time.Second/8), urgent(1, 12, time.Second, time.Second)
+		often.work, often.timeout = 30*time.Millisecond, timeout
+		posts.objective = 120 * time.Millisecond
+		play(t, []*group{often, posts})
+		t.Logf("frequent: %d sent, %d in time; urgent: %d sent, %d in time", often.sent, often.inTime, posts.sent, posts.inTime)
+		require.GreaterOrEqual(t, posts.inTime*100, posts.sent*95)
+		require.LessOrEqual(t, often.longest, longest+simStep)
+	}
 }
 
 // TestUrgentFlood: urgent requests take 1.5 times what the slots bear. The others still reach
--- a/internal/core/gdguard/queue.go
+++ b/internal/core/gdguard/queue.go
@@ -17,6 +17,9 @@
 	// latestShare is the share of its timeout after which a kept request is delivered in any
 	// case, so that its answer arrives before the caller gives up.
 	latestShare = 0.75
+	// maxKeep limits how long a request is kept back: the upstream may drop an open flow that
+	// is idle for too long.
+	maxKeep = 2 * time.Second
 	// minUrgentRate is the rate per second of more urgent requests from which the upstream's
 	// queue is kept short for them.
 	minUrgentRate = 1
@@ -59,8 +62,8 @@
 	if q == upstreamQueue {
 		return due, due
 	}
-	if d := time.Duration(latestShare * float64(class.Timeout)); now.Add(d).After(due) {
-		due = now.Add(d)
+	if last := now.Add(min(time.Duration(latestShare*float64(class.Timeout)), maxKeep)); last.After(due) {
+		due = last
 	}
 	return now.Add(class.Objective - workMargin*g.work.wait.SlotTime(now, service)), due
 }
