--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -45,6 +45,9 @@
 		{coldStart, "", []string{"scale-out", "replace"}, []edit{
 			{"internal/core/gdguard/admission.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
 		}},
+		{coldStart, "view-age", []string{"restore-over-restart"}, []edit{
+			{"internal/core/gdguard/cold.go", "return g.currency.isOld && !g.currency.isCurrent && !g.ObservedFromStart", "return false"},
+		}},
 		{rightService, "", []string{"config"}, []edit{
 			{"platform/values.go", "out.Shares = r.shares()", "out.Shares = []gddiscovery.Share{{Service: \"gallery\", Weight: 1}}"},
 		}},
