--- a/internal/core/gdwait/estimator.go
+++ b/internal/core/gdwait/estimator.go
@@ -29,6 +29,7 @@
 	kinds   kinds
 	demand  Demand
 	full    fullQueue
+	deepest int // the most requests that were in the upstream's queue
 	early   earlyAnswers
 }
 
@@ -90,7 +91,7 @@
 // Clear removes all requests and what was observed of the upstream's process, because that is
 // gone. The times are kept.
 func (e *Estimator[R]) Clear() {
-	e.running, e.queued, e.full, e.early = nil, nil, fullQueue{}, earlyAnswers{}
+	e.running, e.queued, e.full, e.deepest, e.early = nil, nil, fullQueue{}, 0, earlyAnswers{}
 }
 
 // MoreUrgentRate returns how many requests per second of more urgent priorities were delivered
@@ -111,6 +112,9 @@
 		e.running = append(e.running, r)
 	}
 	e.queued = slices.Delete(e.queued, 0, n)
+	if n > 0 {
+		e.deepest = max(e.deepest, len(e.queued))
+	}
 }
 
 // SlotTime returns how long a request of the kind is expected to hold a slot.
--- a/internal/core/gdwait/full.go
+++ b/internal/core/gdwait/full.go
@@ -46,10 +46,13 @@
 	return len(e.running)+len(e.queued)+expected < limit && urgent+expected < slots+(limit-slots)/2
 }
 
-// QueueTime returns how long the last request in the upstream's own queue waits when it is full,
-// as far as the upstream has shown its limit since it was started, or 0.
+// QueueTime returns how long the last request in the upstream's own queue waits when it is full:
+// when it holds as many as made the upstream reject one since it was started or, before that, as
+// many as it was seen to hold.
 func (e *Estimator[R]) QueueTime(now time.Time) time.Duration {
-	slots := max(e.slots, 1)
-	places := max(e.full.requests-slots, 0)
+	slots, places := max(e.slots, 1), e.deepest
+	if !e.full.at.IsZero() {
+		places = max(e.full.requests-slots, 0)
+	}
 	return time.Duration(places) * e.kinds.expected(now, gdflow.Address{}, e.state) / time.Duration(slots)
 }
