--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -65,25 +65,25 @@
 	f.wasIdle, f.usedAt = false, now
 }
 
-// currency records whether a status is known that is later than the agent's start. One from
+// freshness records whether a status is known that is later than the agent's start. One from
 // before doesn't show a restart of the upstream that the agent was too late to observe.
-type currency struct{ isCurrent, isOld bool }
+type freshness struct{ fresh, stale bool }
 
 // noteViewAge records how old the view is from which the status comes.
 func (g *Guard) noteViewAge(now time.Time, s UpstreamStatus) {
 	switch {
 	case s.ViewAge == 0:
 	case now.Add(-s.ViewAge).Before(g.AgentStarted) && s.StartUnixMilli < g.AgentStarted.Add(-maxStartSkew).UnixMilli():
-		g.currency.isOld = true
+		g.freshness.stale = true
 	default:
-		g.currency.isCurrent = true
+		g.freshness.fresh = true
 	}
 }
 
 // mayHaveRestarted reports whether the upstream may have restarted before the agent's start without
 // any status showing it: while the source is away, entry hosts don't learn of it.
 func (g *Guard) mayHaveRestarted() bool {
-	return g.currency.isOld && !g.currency.isCurrent && !g.ObservedFromStart
+	return g.freshness.stale && !g.freshness.fresh && !g.ObservedFromStart
 }
 
 // copiedStatus is the status of a process that may have been replaced: the source was
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -127,7 +127,7 @@
 	refusesUntil   time.Time // the upstream may accept no new flows although its status says so
 	restart        restart
 	copied         copiedStatus
-	currency       currency
+	freshness      freshness
 	inherited      int // flows of the upstream that this agent has not let in
 	flows          gdcache.Cache[gdflow.Key, *flow]
 	work           workload
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -46,7 +46,7 @@
 			{"internal/core/gdguard/admission.go", "case g.isCold(now) && !g.cold", "case false && !g.cold"},
 		}},
 		{coldStart, "view-age", []string{"restore-over-restart"}, []edit{
-			{"internal/core/gdguard/cold.go", "return g.currency.isOld && !g.currency.isCurrent && !g.ObservedFromStart", "return false"},
+			{"internal/core/gdguard/cold.go", "return g.freshness.stale && !g.freshness.fresh && !g.ObservedFromStart", "return false"},
 		}},
 		{rightService, "", []string{"config"}, []edit{
 			{"platform/values.go", "out.Shares = r.shares()", "out.Shares = []gddiscovery.Share{{Service: \"gallery\", Weight: 1}}"},
