Claim parts of the loopback network in one place

Cause: found by reading the change again. The rig already claimed a part of the loopback network by a port that it holds open; the tests got addresses by their process id instead, which overlap with the rig's range and aren't unique for ids above a million. Change: gdlisten.ClaimNetwork, taken from the rig, serves the rig and the tests; ProcessAddress is gone. Conclusion: one mechanism. gdrigup keeps its own range by process id, which overlaps with the claimed one as before.

--- a/cmd/gdhost/main_test.go
+++ b/cmd/gdhost/main_test.go
@@ -22,10 +22,13 @@
 
 const eventTimeout = 20 * time.Second
 
-// settingsText returns settings of an entry host on a loopback address of this process.
-func settingsText(t *testing.T, address int) string {
+// settingsText returns settings of an entry host on a loopback address that no other test uses.
+func settingsText(t *testing.T) string {
 	t.Helper()
-	ip := gdlisten.ProcessAddress(address).String()
+	n, err := gdlisten.ClaimNetwork()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, n.Close()) })
+	ip := n.Addr(1, 1).String()
 	port := func() int {
 		l, err := net.Listen("tcp4", ip+":0")
 		require.NoError(t, err)
@@ -76,7 +79,7 @@
 // signal, and keeps the old ones if the new ones are invalid.
 func TestChangedSettings(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.conf")
-	good := settingsText(t, 1)
+	good := settingsText(t)
 	require.NoError(t, os.WriteFile(path, []byte(good), 0o600))
 	s, err := platform.LoadSettings(path)
 	require.NoError(t, err)
--- a/cmd/gdhost/signal_test.go
+++ b/cmd/gdhost/signal_test.go
@@ -31,7 +31,7 @@
 // before main runs. The default action of SIGHUP would end the process.
 func TestHangupDuringStart(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "node.conf")
-	require.NoError(t, os.WriteFile(path, []byte(settingsText(t, 2)), 0o600))
+	require.NoError(t, os.WriteFile(path, []byte(settingsText(t)), 0o600))
 	for range 5 {
 		var out strings.Builder
 		cmd := exec.Command(os.Args[0], "entry", "--settings", path)
--- a/internal/process/gdentry/hostile_test.go
+++ b/internal/process/gdentry/hostile_test.go
@@ -14,7 +14,6 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 	"godwitdrift.example/godwitdrift/internal/core/gdreaders"
-	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/internal/wire/gdfeed"
 	"godwitdrift.example/godwitdrift/internal/wire/gdhop"
 	"godwitdrift.example/godwitdrift/platform/platformsim"
@@ -36,7 +35,7 @@
 				targets = []netip.AddrPort{d.entry.HopAddress, agent, d.entry.FeedAddress}
 			}
 			for _, to := range targets {
-				c := listen(t, gdlisten.ProcessAddress(4), to.Port()) // hosts send from the port at which they receive
+				c := listen(t, d.network.Addr(1, 4), to.Port()) // hosts send from the port at which they receive
 				for n := range longest {
 					_, err := c.WriteToUDPAddrPort(noise(rnd, n), to)
 					require.NoError(t, err)
--- a/internal/process/gdentry/path_test.go
+++ b/internal/process/gdentry/path_test.go
@@ -91,6 +91,7 @@
 // and the caller.
 type deployment struct {
 	t        *testing.T
+	network  *gdlisten.Network
 	source   *source
 	entry    *gdentry.EntryHost
 	upstream *net.UDPConn
@@ -101,6 +102,15 @@
 	ended    chan error
 }
 
+// claimNetwork returns a part of the loopback network that the test has for itself.
+func claimNetwork(t *testing.T) *gdlisten.Network {
+	t.Helper()
+	n, err := gdlisten.ClaimNetwork()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, n.Close()) })
+	return n
+}
+
 func listen(t *testing.T, ip netip.Addr, port uint16) *net.UDPConn {
 	t.Helper()
 	c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, port)))
@@ -133,8 +143,9 @@
 
 func deploy(t *testing.T) *deployment {
 	t.Helper()
-	entryIP, agentIP, callerIP := gdlisten.ProcessAddress(1), gdlisten.ProcessAddress(2), gdlisten.ProcessAddress(3)
-	d := &deployment{t: t, source: &source{added: make(chan struct{}, 1)}, ended: make(chan error, 1)}
+	network := claimNetwork(t)
+	entryIP, agentIP, callerIP := network.Addr(1, 1), network.Addr(1, 2), network.Addr(1, 3)
+	d := &deployment{t: t, network: network, source: &source{added: make(chan struct{}, 1)}, ended: make(chan error, 1)}
 	d.caller, d.upstream = listen(t, callerIP, 0), listen(t, agentIP, 0)
 	callers, hop, feed, outbound := portOf(d.caller), freePort(t), freePort(t), freePort(t)
 	d.outbound = netip.AddrPortFrom(agentIP, outbound)
@@ -286,7 +297,7 @@
 func TestChangesDuringLoadAreReceived(t *testing.T) {
 	s := lateSource{source: &source{added: make(chan struct{}, 1)}, waits: make(chan time.Duration, 1)}
 	s.source.changes = []gddiscovery.Change{config(1, gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))}
-	at := netip.AddrPortFrom(gdlisten.ProcessAddress(5), 0)
+	at := netip.AddrPortFrom(claimNetwork(t).Addr(1, 1), 0)
 	e := &gdentry.EntryHost{
 		CallerAddress: at, HopAddress: at, FeedAddress: netip.AddrPortFrom(at.Addr(), freePort(t)),
 		Codec: platform.Codec{}, Source: s, Scope: tally.NoopScope,
@@ -318,7 +329,7 @@
 	d := deploy(t)
 	d.openFlow()
 	at := func(a netip.AddrPort) netip.AddrPort {
-		return netip.AddrPortFrom(gdlisten.ProcessAddress(4), a.Port())
+		return netip.AddrPortFrom(d.network.Addr(1, 4), a.Port())
 	}
 	second := &gdentry.EntryHost{
 		CallerAddress: at(d.entry.CallerAddress), HopAddress: at(d.entry.HopAddress), FeedAddress: at(d.entry.FeedAddress),
@@ -340,7 +351,7 @@
 // TestReloadWhileStarting: settings may be reloaded before the host runs. The race
 // detector reports an access without the mutex.
 func TestReloadWhileStarting(t *testing.T) {
-	at := netip.AddrPortFrom(gdlisten.ProcessAddress(5), 0)
+	at := netip.AddrPortFrom(claimNetwork(t).Addr(1, 1), 0)
 	e := &gdentry.EntryHost{
 		CallerAddress: at, HopAddress: at, FeedAddress: netip.AddrPortFrom(at.Addr(), freePort(t)),
 		Codec: platform.Codec{}, Source: unresponsiveSource{}, Scope: tally.NoopScope,
--- a/internal/rig/gdfaultproxy/proxy_test.go
+++ b/internal/rig/gdfaultproxy/proxy_test.go
@@ -52,7 +52,10 @@
 // other, and that each fault affects and counts the datagrams.
 func TestDatagramProxy(t *testing.T) {
 	a, b := listen(t), listen(t)
-	proxyAddr := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(gdlisten.ProcessAddress(1), port) }
+	network, err := gdlisten.ClaimNetwork()
+	require.NoError(t, err)
+	defer network.Close()
+	proxyAddr := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(network.Addr(1, 1), port) }
 	d := &gdfaultproxy.DatagramProxy{Rand: rand.New(rand.NewPCG(1, 1))}
 	aProxy, bProxy := proxyAddr(addr(a).Port()), proxyAddr(addr(b).Port())
 	require.NoError(t, d.Add(addr(a), aProxy))
--- a/internal/rig/gdhostrig/rig.go
+++ b/internal/rig/gdhostrig/rig.go
@@ -3,21 +3,18 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/rig/gdfaultproxy"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
 	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
 
-// The ports on each host. networkPort is the port that a rig listens on to claim its part
-// of the loopback network.
+// The ports on each host.
 const (
 	callerPort        = 8172
 	readyPort         = 8167
@@ -26,7 +23,6 @@
 	upstreamPort      = 8080
 	firstInternalPort = 7720
 	lastInternalPort  = 7735
-	networkPort       = 7700
 )
 
 // The third byte of a loopback address denotes what the address is for.
@@ -40,10 +36,6 @@
 )
 
 const (
-	// firstNetwork and networkCount give the range of the second byte of loopback
-	// addresses. Each rig on a machine claims one value for its addresses.
-	firstNetwork = 16
-	networkCount = 200
 	// settleDelay is the time between the start of a deployment and that of its load. It
 	// is longer on the users' platform.
 	settleDelay = 2 * time.Second
@@ -63,22 +55,21 @@
 	Observer Observer
 
 	*loop
-	rand            *rand.Rand
-	stop            context.CancelFunc
-	networkListener net.Listener
-	network         byte
-	store           *platformsim.Store
-	datagramProxy   gdfaultproxy.DatagramProxy
-	hosts           []*Host
-	names           map[netip.Addr]string
-	callers         callers
-	config          gddiscovery.Config
-	domainsOut      map[string]bool
-	allowed         map[string][]string // the services that each route has had
-	routeCount      int                 // the number of routes added so far
-	lastNumbers     map[byte]byte
-	firstStart      bool // the whole deployment starts for the first time
-	stopping        bool
+	rand          *rand.Rand
+	stop          context.CancelFunc
+	network       *gdlisten.Network
+	store         *platformsim.Store
+	datagramProxy gdfaultproxy.DatagramProxy
+	hosts         []*Host
+	names         map[netip.Addr]string
+	callers       callers
+	config        gddiscovery.Config
+	domainsOut    map[string]bool
+	allowed       map[string][]string // the services that each route has had
+	routeCount    int                 // the number of routes added so far
+	lastNumbers   map[byte]byte
+	firstStart    bool // the whole deployment starts for the first time
+	stopping      bool
 }
 
 // Start starts the deployment and, after settleDelay, its load. If it returns an error, no
@@ -98,8 +89,8 @@
 // closeSockets closes the sockets that do not belong to a host.
 func (r *Rig) closeSockets() {
 	_, _ = r.datagramProxy.Close(), r.callers.close() // an error doesn't matter at the end of the run
-	if r.networkListener != nil {
-		_ = r.networkListener.Close()
+	if r.network != nil {
+		_ = r.network.Close()
 	}
 }
 
@@ -111,7 +102,8 @@
 	r.store = platformsim.NewStore(historyRetention)
 	r.domainsOut, r.allowed = make(map[string]bool), make(map[string][]string)
 	r.names, r.lastNumbers = make(map[netip.Addr]string), make(map[byte]byte)
-	if err := r.claimNetwork(); err != nil {
+	var err error
+	if r.network, err = gdlisten.ClaimNetwork(); err != nil {
 		return err
 	}
 	r.firstStart = true
@@ -151,20 +143,7 @@
 	}
 }
 
-// claimNetwork claims a part of the loopback network that no other rig uses.
-func (r *Rig) claimNetwork() error {
-	for i := range byte(networkCount) {
-		r.network = firstNetwork + i
-		l, err := net.Listen("tcp4", netip.AddrPortFrom(r.addr(0, 1), networkPort).String())
-		if err == nil {
-			r.networkListener = l
-			return nil
-		}
-	}
-	return errors.Errorf("claim a part of the loopback network: all %d parts are in use", networkCount)
-}
-
-func (r *Rig) addr(kind, n byte) netip.Addr { return netip.AddrFrom4([4]byte{127, r.network, kind, n}) }
+func (r *Rig) addr(kind, n byte) netip.Addr { return r.network.Addr(kind, n) }
 
 // nextNumber returns the next unused last byte for a kind of address.
 func (r *Rig) nextNumber(kind byte) byte {
--- a/internal/rig/gdlisten/doc.go
+++ b/internal/rig/gdlisten/doc.go
@@ -1,4 +1,5 @@
-// Package gdlisten provides the HTTP server on which the rig's simulators are built.
+// Package gdlisten provides what the rig listens with: the HTTP server on which its simulators are
+// built, and parts of the loopback network that are claimed for one process.
 //
 // # Usage
 //
@@ -10,4 +11,9 @@
 //	}
 //	fmt.Println(p.URL())
 //	err := p.Serve(ctx, handler)
+//
+//	n, err := gdlisten.ClaimNetwork()
+//	...
+//	defer n.Close()
+//	host := n.Addr(1, 1)
 package gdlisten
--- a/internal/rig/gdload/load_test.go
+++ b/internal/rig/gdload/load_test.go
@@ -13,6 +13,7 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"net/netip"
 	"net/url"
 	"testing"
 	"time"
@@ -35,10 +36,9 @@
 	server   *http3.Server
 	load     *gdload.Load
 	wrap     func(http.Handler) http.Handler
+	balancer netip.Addr
 }
 
-var balancerHost = gdlisten.ProcessAddress(1)
-
 func newPath(t *testing.T, change func(*path)) *path {
 	p := &path{
 		fabric: &gdfabric.Fabric{Services: []string{"booking"}, CallerDelay: time.Millisecond, Seed: 1},
@@ -51,7 +51,11 @@
 	change(p)
 	require.NoError(t, p.upstream.Listen())
 	require.NoError(t, p.fabric.Listen())
-	p.fabric.SetBalancers([]gdfabric.Balancer{{Name: "a", Host: balancerHost}})
+	network, err := gdlisten.ClaimNetwork()
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, network.Close()) })
+	p.balancer = network.Addr(1, 1)
+	p.fabric.SetBalancers([]gdfabric.Balancer{{Name: "a", Host: p.balancer}})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = p.upstream.Run(ctx) }()
@@ -75,7 +79,7 @@
 	proxy.FlushInterval = -1
 	proxy.ErrorLog = log.New(io.Discard, "", 0)
 	conn, err := net.ListenUDP("udp4", &net.UDPAddr{
-		IP: balancerHost.AsSlice(), Port: int(p.fabric.Addr("booking").Port()),
+		IP: p.balancer.AsSlice(), Port: int(p.fabric.Addr("booking").Port()),
 	})
 	require.NoError(t, err)
 	p.server = &http3.Server{
