Keep the order of kept requests when the timer fires late

Where requests wait in the upstream's queue, the bound was also the time from which a request goes last, newest first: with a timer that fires after two bounds, the second request was delivered first (TestLateTickKeepsTheOrder fails on the commit before). Change: such requests keep their place. Where they wait is decided only for requests that find no room. Conclusion: deployments whose requests wait in the upstream's queue are served in order again, as before.

--- a/internal/core/gdbacklog/backlog.go
+++ b/internal/core/gdbacklog/backlog.go
@@ -33,8 +33,8 @@
 	Share uint8
 	// KeptAt is when the request was kept back, and Due until when it may be.
 	KeptAt, Due time.Time
-	// Latest is until when the request can still be answered in time, or zero if that is not
-	// known.
+	// Latest is until when the request can still start in time. Later, it goes behind its equals.
+	// The zero time means that it keeps its place.
 	Latest time.Time
 
 	late bool
--- a/internal/core/gdguard/admission.go
+++ b/internal/core/gdguard/admission.go
@@ -65,7 +65,7 @@
 	case g.isCold(now) && !g.cold.allows(now, g.coldLimit(now)):
 		return Cold, 0
 	case !h.Forced && g.work.wait.AnswersEarly(now):
-		// Any other upstream is better, so its entry host hears of no shorter wait here.
+		// A wait beyond the caller's timeout makes the entry host prefer any other upstream.
 		return Busy, g.waitFor(now, unknownPriority, g.ahead(now, unknownPriority)) + h.Class.Timeout
 	case g.work.n < g.slots():
 		return 0, 0
--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -54,9 +54,7 @@
 	class, known := g.classes.get(now, p.Key().Service())
 	caller := p.Key().Caller().IP()
 	g.usage.Note(now, caller, f.origin)
-	queue := g.queueOf(now, class)
 	o := gdbacklog.Order{Priority: class.Priority, Share: g.usage.Rank(now, caller, f.origin), KeptAt: now}
-	o.Latest, o.Due = g.keepUntil(now, queue, p.Key().Service(), class)
 	f.level = levels - 1
 	if known {
 		f.level = level(o)
@@ -65,6 +63,8 @@
 		g.work.begin(g.requestOn(now, p.Key(), f))
 		return false
 	}
+	queue := g.queueOf(now, class)
+	o.Latest, o.Due = g.keepUntil(now, queue, p.Key().Service(), class)
 	if !g.backlog.HasRoom(p.Size) || queue == upstreamQueue && g.hopeless(now, p.Key().Service(), o, class.Objective) {
 		g.overflow(now, f, p, o)
 		return false
--- a/internal/core/gdguard/backlog_test.go
+++ b/internal/core/gdguard/backlog_test.go
@@ -127,6 +127,20 @@
 	require.Equal(t, "deliver", trace(g.HandleEntryPacket(start, entry, header(1), first())))
 }
 
+// TestLateTickKeepsTheOrder: the timer fires after the bounds of two kept requests. They are
+// delivered in the order of their arrival.
+func TestLateTickKeepsTheOrder(t *testing.T) {
+	g := backlogged(t)
+	hold(t, g, start, kept+1, 7)
+	h := header(1)
+	h.Class = gdguard.RouteClass{Objective: objective, Timeout: time.Second, Priority: 2}
+	g.HandleEntryPacket(start, entry, h, openPacket(99)) // it is refused, and the class is known again
+	g.HandleEntryPacket(start, entry, header(1), first())
+	g.HandleEntryPacket(start.Add(time.Millisecond), entry, header(1), packet(kept+1, gdflow.Data, 1, 8, 900))
+	require.Equal(t, 2, g.Kept())
+	require.Equal(t, "deliver 1, deliver 2", trace(g.Tick(start.Add(objective))))
+}
+
 // TestNotKept: the load is that of TestKeptRequest, and the packet may belong to a request
 // that has begun, or nothing is known of its route.
 func TestNotKept(t *testing.T) {
--- a/internal/core/gdguard/queue.go
+++ b/internal/core/gdguard/queue.go
@@ -55,12 +55,12 @@
 	return upstreamQueue
 }
 
-// keepUntil returns until when a request can start in time that begins now, and until when it may
-// be kept back.
+// keepUntil returns until when a request that begins now can start in time, or the zero time if it
+// keeps its place in the order in any case, and until when it may be kept back.
 func (g *Guard) keepUntil(now time.Time, q queue, service gdflow.Address, class RouteClass) (latest, due time.Time) {
 	due = now.Add(class.Objective / keepDivisor)
 	if q == upstreamQueue {
-		return due, due
+		return time.Time{}, due
 	}
 	if last := now.Add(min(time.Duration(latestShare*float64(class.Timeout)), maxKeep)); last.After(due) {
 		due = last
