--- a/cmd/gdrig/compare.go
+++ b/cmd/gdrig/compare.go
@@ -68,12 +68,10 @@
 			return err
 		}
 		defer func() {
-			keepErr := b.KeepJournal(v)
-			if removeErr := b.Remove(context.WithoutCancel(ctx), v); keepErr == nil {
-				keepErr = removeErr
-			}
-			if err == nil {
-				err = keepErr
+			for _, e := range []error{b.KeepJournal(v), b.Remove(context.WithoutCancel(ctx), v)} {
+				if err == nil {
+					err = e
+				}
 			}
 		}()
 	}
@@ -130,6 +128,9 @@
 }
 
 func account(_ context.Context, cmd *cli.Command) error {
+	if cmd.NArg() != 1 {
+		return errors.Errorf("account takes one report, not %d", cmd.NArg())
+	}
 	data, err := os.ReadFile(cmd.Args().First())
 	if err != nil {
 		return errors.Wrap(err, "read the report")
--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -390,5 +390,5 @@
 	if d.confirmed.IsZero() {
 		return 0
 	}
-	return max(now.Sub(d.confirmed), 1)
+	return max(now.Sub(d.confirmed), time.Nanosecond) // 0 stands for an unknown age
 }
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -51,7 +51,7 @@
 func (a *Agent) updateStatus(now time.Time, entry gdflow.Address, h gdguard.Header) {
 	if st := h.Status; a.Guard.UpdateStatus(now, h) {
 		a.Log.Event(gdlog.UpstreamStatusChanged, "revision", st.Revision, "takes-new", st.AcceptsNew, "slots", st.Slots,
-			"cold-left", st.ColdLeft.String(), "source", entry.String())
+			"cold-left", st.ColdLeft.String(), "view-age", st.ViewAge.String(), "source", entry.String())
 	}
 }
 
--- a/internal/rig/gdchild/child.go
+++ b/internal/rig/gdchild/child.go
@@ -67,9 +67,12 @@
 
 // HasLogged reports whether the process has written to its log: its own code runs. Before that,
 // a signal has the default action, whatever the program does.
-func (c *Child) HasLogged() bool {
+func (c *Child) HasLogged() (bool, error) {
 	info, err := os.Stat(c.logFile)
-	return err == nil && info.Size() > c.logSize
+	if err != nil {
+		return false, errors.Wrap(err, "size of the log file of "+c.name)
+	}
+	return info.Size() > c.logSize, nil
 }
 
 // Done returns a channel that is closed when the process has exited.
--- a/internal/rig/gdchild/child_test.go
+++ b/internal/rig/gdchild/child_test.go
@@ -19,7 +19,12 @@
 	c, err := gdchild.Start("child", log, "/bin/sh", "-c", "until [ -e "+release+" ]; do sleep 0.01; done; echo started; sleep 60")
 	require.NoError(t, err)
 	defer c.Kill()
-	require.False(t, c.HasLogged())
+	logged := func() bool {
+		ok, err := c.HasLogged()
+		require.NoError(t, err)
+		return ok
+	}
+	require.False(t, logged())
 	require.NoError(t, os.WriteFile(release, nil, 0o600))
-	require.Eventually(t, c.HasLogged, 20*time.Second, time.Millisecond)
+	require.Eventually(t, logged, 20*time.Second, time.Millisecond)
 }
--- a/internal/rig/gdcompare/compare.go
+++ b/internal/rig/gdcompare/compare.go
@@ -5,8 +5,8 @@
 //
 //	c := &gdcompare.Comparison{Versions: [2]string{"base", "HEAD"}, Days: days, Play: play}
 //	pairs, err := c.Run(ctx)
-//	gdcompare.WritePairs(os.Stdout, pairs)
-//	gdcompare.WriteAccount(os.Stdout, report)
+//	err = gdcompare.WritePairs(os.Stdout, c.Versions, pairs)
+//	err = gdcompare.WriteAccount(os.Stdout, pairs[0].Reports[1])
 package gdcompare
 
 import (
--- a/internal/rig/gdcompare/play.go
+++ b/internal/rig/gdcompare/play.go
@@ -65,26 +65,40 @@
 
 // KeepJournal copies the entries of a checkout's journal that the repository doesn't have.
 func (c *Checkouts) KeepJournal(commit string) error {
-	entries, err := filepath.Glob(filepath.Join(c.path(commit), "journal", "*"))
+	from := filepath.Join(c.path(commit), "journal")
+	entries, err := os.ReadDir(from)
 	if err != nil {
 		return errors.Wrap(err, "list the journal")
 	}
 	for _, e := range entries {
-		to := filepath.Join(c.Repository, "journal", filepath.Base(e))
-		info, err := os.Stat(e)
-		if err != nil || info.IsDir() {
+		if !e.Type().IsRegular() {
 			continue
 		}
-		if _, err := os.Stat(to); err == nil {
-			continue
-		}
-		data, err := os.ReadFile(e)
-		if err != nil {
-			return errors.Wrap(err, "read an entry of the journal")
-		}
-		if err := os.WriteFile(to, data, info.Mode()); err != nil {
+		to := filepath.Join(c.Repository, "journal", e.Name())
+		if err := copyNew(filepath.Join(from, e.Name()), to); err != nil {
 			return errors.Wrap(err, "copy an entry of the journal")
 		}
 	}
 	return nil
 }
+
+// copyNew copies a file, unless there is one at the destination.
+func copyNew(from, to string) error {
+	const mode = 0o644
+	data, err := os.ReadFile(from)
+	if err != nil {
+		return err
+	}
+	f, err := os.OpenFile(to, os.O_CREATE|os.O_EXCL|os.O_WRONLY, mode)
+	if errors.Is(err, os.ErrExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	_, err = f.Write(data)
+	if closeErr := f.Close(); err == nil {
+		err = closeErr
+	}
+	return err
+}
--- a/internal/rig/gdhostrig/hosts.go
+++ b/internal/rig/gdhostrig/hosts.go
@@ -236,7 +236,11 @@
 // Hangup sends a host's process SIGHUP, on which it reloads its settings, if its own code runs.
 // The kernel ends a process that is still being loaded.
 func (r *Rig) Hangup(now time.Time, h *Host) {
-	if h.child.HasLogged() {
+	started, err := h.child.HasLogged()
+	switch {
+	case err != nil:
+		r.observe(Event{At: now, Kind: RigError, Host: h.name, Text: err.Error()})
+	case started:
 		r.signal(now, h, h.child, syscall.SIGHUP)
 	}
 }
