--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -14,6 +14,7 @@
 	"evacuate-again": evacuateAgain,
 	"power-loss":     powerLoss,
 	"small-warmup":   smallWarmup,
+	"copied-route":   copiedRoute,
 }
 
 // missedCheckIns is after how many check-in intervals of silence the store removes an entry.
@@ -271,3 +272,45 @@
 	w.checkCold(perSecond)
 	return nil
 }
+
+// copiedRoute: the operator adds a route, the store is restored from a copy made before, and frontend
+// machines are added before the operator writes the configuration again.
+func copiedRoute(w *world, trouble bool) error {
+	if err := w.startSmall(); err != nil {
+		return err
+	}
+	w.sleepUntil(3 * time.Second)
+	w.startLoad(4, 10)
+	w.sleepUntil(6 * time.Second)
+	copied := time.Now()
+	c := baseConfig()
+	c.Version, c.Routes = 6, append(c.Routes, route("track", 10443, "booking", true))
+	w.mu.Lock()
+	w.putConfig(c)
+	w.mu.Unlock()
+	w.sleepUntil(9 * time.Second)
+	w.mu.Lock()
+	for range 60 {
+		w.clients.feed(c.Routes[3], 200*time.Millisecond)
+	}
+	w.mu.Unlock()
+	w.sleepUntil(12 * time.Second)
+	if trouble {
+		w.proxy.set(true)
+		w.log("store: away")
+		w.sleepUntil(12500 * time.Millisecond)
+		w.store.Restore(copied)
+		w.proxy.set(false)
+		w.log("store: back, restored from a copy %s old", time.Since(copied).Round(time.Millisecond))
+	}
+	w.sleepUntil(17 * time.Second)
+	if err := w.addEntries(south, north, south); err != nil {
+		return err
+	}
+	w.sleepUntil(18 * time.Second)
+	w.mu.Lock()
+	w.putConfig(c)
+	w.mu.Unlock()
+	w.sleepUntil(21 * time.Second)
+	return nil
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -14,6 +14,9 @@
 	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
 
+// requestDeadline is how long a requester waits for an answer.
+const requestDeadline = 2 * time.Second
+
 // clients stands in for all requesters, at one address.
 type clients struct {
 	w       *world
@@ -37,7 +40,7 @@
 	ended    bool
 	once     bool // the flow ends after its answer
 	request  string
-	answers  int
+	pending  bool // the request has no answer yet
 	received string
 }
 
@@ -114,7 +117,7 @@
 }
 
 func (f *clientFlow) write(now time.Time) {
-	f.last = now
+	f.last, f.pending = now, true
 	f.ep.Write([]byte("GET / HTTP/1.1\r\nHost: t\r\nX-Request-Id: " + f.request + "\r\n\r\n"))
 	f.poll(now)
 }
@@ -157,11 +160,10 @@
 			return
 		}
 		f.received = rest
-		if !strings.Contains(head, "X-Response-Signature: "+f.request) {
+		if !f.pending || !strings.Contains(head+"\r\n", "X-Response-Signature: "+f.request+"\r\n") {
 			f.c.w.fail("MIXED %s: the answer to %s is %q", f.key, f.request, head)
 		}
-		f.answers++
-		f.last = now
+		f.last, f.pending = now, false
 		f.c.w.log("requester: %s got the answer to %s", f.key, f.request)
 		if f.once {
 			f.ep.Finish()
@@ -231,8 +233,10 @@
 			return
 		case f.ended:
 			f = c.open(r, false)
-		case f.ep != nil && f.ep.RetransmitAt().IsZero():
+		case f.ep != nil && !f.pending:
 			f.next(now)
+		case f.ep != nil && now.Sub(f.last) > requestDeadline:
+			f.end("the deadline of " + f.request + " has passed")
 		}
 		c.w.after(pause, tick)
 	}
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -48,20 +49,21 @@
 // world is a small deployment on loopback addresses: the project's processes, and stand-ins for
 // the platform, the requesters and the targets. Its mutex guards all of its state.
 type world struct {
-	mu       sync.Mutex
-	ctx      context.Context
-	dir      string
-	record   *os.File
-	started  time.Time
-	network  *gdlisten.Network
-	store    *platformsim.Store
-	proxy    storeGate
-	storeAt  netip.AddrPort
-	config   gddiscovery.Config
-	machines []*machine
-	targets  []*target
-	clients  *clients
-	broken   []string
+	mu        sync.Mutex
+	ctx       context.Context
+	dir       string
+	record    *os.File
+	started   time.Time
+	network   *gdlisten.Network
+	store     *platformsim.Store
+	proxy     storeGate
+	storeAt   netip.AddrPort
+	config    gddiscovery.Config
+	lastEntry byte
+	machines  []*machine
+	targets   []*target
+	clients   *clients
+	broken    []string
 }
 
 // machine is a machine with one process of the project.
@@ -153,10 +155,14 @@
 }
 
 func (w *world) addEntries(zones ...string) error {
-	for i, z := range zones {
-		m := &machine{name: fmt.Sprintf("frontend-%s-%d", z, i+1), role: "entry", zone: z, ip: w.network.Addr(entryNet, byte(i+1))}
+	for _, z := range zones {
+		w.mu.Lock()
+		w.lastEntry++
+		m := &machine{name: fmt.Sprintf("frontend-%s-%d", z, w.lastEntry), role: "entry", zone: z, ip: w.network.Addr(entryNet, w.lastEntry), misses: 2}
 		w.machines = append(w.machines, m)
-		if err := w.start(m); err != nil {
+		err := w.start(m)
+		w.mu.Unlock()
+		if err != nil {
 			return err
 		}
 	}
@@ -233,26 +239,36 @@
 func (w *world) probeReady() {
 	client := &http.Client{Timeout: 400 * time.Millisecond}
 	for w.ctx.Err() == nil {
-		for _, m := range w.machines {
-			if m.role != "entry" {
-				continue
-			}
-			res, err := client.Get("http://" + netip.AddrPortFrom(m.ip, readyPort).String() + "/ready")
-			ok := err == nil && res.StatusCode == http.StatusOK
-			if err == nil {
-				_ = res.Body.Close()
-			}
-			w.mu.Lock()
-			m.misses++
-			if ok {
-				m.misses = 0
+		w.mu.Lock()
+		machines := slices.Clone(w.machines)
+		w.mu.Unlock()
+		for _, m := range machines {
+			if m.role == "entry" {
+				go w.probe(client, m)
 			}
-			w.mu.Unlock()
 		}
 		time.Sleep(500 * time.Millisecond)
 	}
 }
 
+func (w *world) probe(client *http.Client, m *machine) {
+	res, err := client.Get("http://" + netip.AddrPortFrom(m.ip, readyPort).String() + "/ready")
+	ok := err == nil && res.StatusCode == http.StatusOK
+	if err == nil {
+		_ = res.Body.Close()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	was := m.misses < 2
+	m.misses++
+	if ok {
+		m.misses = 0
+	}
+	if is := m.misses < 2; is != was {
+		w.log("platform: %s in rotation: %t", m.name, is)
+	}
+}
+
 // rotation returns the entry hosts in rotation.
 func (w *world) rotation() []*machine {
 	var in, all []*machine
