--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # With TROUBLE=0 the disruption is left out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/gdhost ] && [ -x review/bin/standin ] || exit 2
-exec review/bin/standin power-loss review/3/record.txt
+exec review/bin/standin idle-timeout review/3/record.txt
--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -15,6 +15,7 @@
 	"power-loss":     powerLoss,
 	"small-warmup":   smallWarmup,
 	"copied-route":   copiedRoute,
+	"long-watch":     longWatch,
 }
 
 // missedCheckIns is after how many check-in intervals of silence the store removes an entry.
@@ -314,3 +315,59 @@
 	w.sleepUntil(21 * time.Second)
 	return nil
 }
+
+// The configuration of longWatch: that of the site after six additions of as many routes.
+const (
+	manyRoutes    = 6 * 374
+	stormChanges  = 12
+	stormInterval = 330 * time.Millisecond
+	applyTime     = 3 * time.Second
+)
+
+// longWatch: the store rejects the frontend machines while the operator writes a series of
+// configurations with many routes.
+func longWatch(w *world, trouble bool) error {
+	c := baseConfig()
+	for i := range manyRoutes {
+		c.Routes = append(c.Routes, route(fmt.Sprintf("r-%07d", i), uint16(20000+i), "gallery", true))
+	}
+	if err := w.startWith(c); err != nil {
+		return err
+	}
+	w.sleepUntil(3 * time.Second)
+	w.startLoad(6, 10)
+	w.sleepUntil(6 * time.Second)
+	w.proxy.set(trouble)
+	w.log("store: rejects the frontend machines: %t", trouble)
+	for i := range stormChanges {
+		w.sleepUntil(7900*time.Millisecond + time.Duration(i)*stormInterval)
+		c.Version++
+		c.Routes = append(c.Routes[:len(c.Routes):len(c.Routes)], route(fmt.Sprintf("new-%d", i), uint16(11000+i), "booking", true))
+		w.mu.Lock()
+		w.putConfig(c)
+		w.mu.Unlock()
+	}
+	acked := time.Now()
+	w.sleepUntil(12 * time.Second)
+	w.proxy.set(false)
+	w.log("store: serves the frontend machines")
+	var probes []*clientFlow
+	for at := 12*time.Second + stableTime + 500*time.Millisecond; at < 27*time.Second; at += 500 * time.Millisecond {
+		w.sleepUntil(at)
+		w.mu.Lock()
+		for _, m := range w.rotation() {
+			probes = append(probes, w.clients.openVia(m, c.Routes[len(c.Routes)-1], true))
+		}
+		w.mu.Unlock()
+	}
+	w.sleepUntil(28 * time.Second)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, f := range probes {
+		if f.refused && f.started.Sub(acked) > applyTime {
+			w.fail("CONFIG %s by %s: %s is refused %s after its configuration was acknowledged",
+				f.key, f.via.name, f.route.Name, f.started.Sub(acked).Round(time.Millisecond))
+		}
+	}
+	return nil
+}
--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -35,10 +35,13 @@
 	route    gddiscovery.Route
 	seq      uint32
 	ep       *gdstream.Endpoint // nil until the flow is open
+	started  time.Time
 	opened   time.Time
 	last     time.Time // the last request or answer
 	ended    bool
-	once     bool // the flow ends after its answer
+	once     bool     // the flow ends after its answer
+	via      *machine // the entry host that gets the packets, or nil for the router's choice
+	refused  bool     // the system has reset the flow before it was open
 	request  string
 	pending  bool // the request has no answer yet
 	received string
@@ -73,11 +76,14 @@
 }
 
 // open opens a flow and sends a request on it. It is called with mu locked.
-func (c *clients) open(r gddiscovery.Route, once bool) *clientFlow {
+func (c *clients) open(r gddiscovery.Route, once bool) *clientFlow { return c.openVia(nil, r, once) }
+
+// openVia is open through one entry host.
+func (c *clients) openVia(via *machine, r gddiscovery.Route, once bool) *clientFlow {
 	c.port++
 	from, _ := gdflow.AddressFromAddrPort(netip.AddrPortFrom(c.ip, c.port))
-	f := &clientFlow{c: c, key: gdflow.NewKey(from, r.Address), route: r, seq: rand.Uint32(), once: once}
-	c.flows[f.key] = f
+	f := &clientFlow{c: c, key: gdflow.NewKey(from, r.Address), route: r, seq: rand.Uint32(), once: once, via: via}
+	c.flows[f.key], f.started = f, time.Now()
 	f.request = c.newRequest(r)
 	c.w.log("requester: %s opens, request %s", f.key, f.request)
 	for copies, at := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
@@ -124,8 +130,11 @@
 
 // send sends a packet through the entry host that the router picks for the flow.
 func (f *clientFlow) send(p platformsim.Packet) {
-	in := f.c.w.rotation()
-	m := in[f.key.Hash()%uint64(len(in))]
+	m := f.via
+	if m == nil {
+		in := f.c.w.rotation()
+		m = in[f.key.Hash()%uint64(len(in))]
+	}
 	_, _ = f.c.conn.WriteToUDPAddrPort(p.Append(nil), netip.AddrPortFrom(m.ip, datagramPort))
 }
 
@@ -180,6 +189,7 @@
 	t, holds := f.c.w.holder(f.key)
 	switch {
 	case f.ep == nil:
+		f.refused = true
 		f.end("refused with a reset of the system")
 		return
 	case !holds:
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -314,9 +314,11 @@
 	w.store.PutConfig(time.Now(), c)
 	var names []string
 	for _, r := range c.Routes {
-		names = append(names, r.Name)
+		if !strings.HasPrefix(r.Name, "r-") {
+			names = append(names, r.Name)
+		}
 	}
-	w.log("operator: configuration %d acknowledged, idle_timeout_ms %d, routes %s", c.Version, c.IdleTimeout.Milliseconds(), strings.Join(names, " "))
+	w.log("operator: configuration %d acknowledged, idle_timeout_ms %d, %d routes, among them %s", c.Version, c.IdleTimeout.Milliseconds(), len(c.Routes), strings.Join(names, " "))
 }
 
 // route returns a route of the address 198.18.0.1.
