Load the full state after an answer of the store that can't be read

Cause: the watch's answer, each configuration whole, is over the 4 MiB that the adapter takes. After that error gdentry repeated the same watch, and loaded the state only after ErrHistoryLost. The log had only the first failure, the rejection (event 300).

Ruled out: the time limit of the watch (the answer arrives within it here), the size of the values (374 routes work), the updates between entry hosts (no host had anything to tell).

Change: an answer that has begun and can't be read (too long, late, cut, invalid) is ErrUnreadable. gddiscovery.Requests, which holds what gdentry decided on calls, then requests the full state: only the latest change of each subject. A store that rejects or is silent is watched again as before, so that the history of routes is kept. Event 208 and unreadable_answers show it.

Beside: no message changes.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -13,6 +13,22 @@
 // revision. The full state must be loaded again.
 var ErrHistoryLost = errors.New("history is no longer available")
 
+// ErrUnreadable is returned by a source whose answer has begun but can't be read: it is too
+// long, does not arrive in time, was cut, or is invalid. The same request would get at least as
+// much again. The full state has only the latest change of each subject.
+var ErrUnreadable = errors.New("answer can't be read")
+
+// Unreadable returns an error that wraps err and is ErrUnreadable.
+func Unreadable(err error) error { return unreadableError{err} }
+
+type unreadableError struct{ error }
+
+// Is reports whether the target is ErrUnreadable.
+func (unreadableError) Is(target error) bool { return target == ErrUnreadable }
+
+// Unwrap returns the reason why the answer can't be read.
+func (e unreadableError) Unwrap() error { return e.error }
+
 // Kind is the kind of a subject.
 type Kind uint8
 
--- /dev/null
+++ b/internal/core/gddiscovery/requests.go
@@ -0,0 +1,64 @@
+package gddiscovery
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// watchWait is how long a watch waits for changes. A watch may receive nothing for a
+	// second without being disconnected, so no longer wait can be relied on.
+	watchWait = time.Second
+	// answerMargin is the time that the answer may take beyond that.
+	answerMargin = time.Second
+	// loadTimeout is the timeout for loading the full state.
+	loadTimeout = 3 * time.Second
+	// minRetryDelay is the delay before a failed request is followed by another one.
+	minRetryDelay = 100 * time.Millisecond
+	// maxRetryDelay is the maximum delay; the delay doubles with each failure.
+	maxRetryDelay = 800 * time.Millisecond
+)
+
+// Request is a request to the source.
+type Request struct {
+	full          bool
+	wait, timeout time.Duration
+}
+
+// Full reports whether the full state is requested, and not the changes since the last one.
+func (r Request) Full() bool { return r.full }
+
+// Wait returns how long the source may wait for changes.
+func (r Request) Wait() time.Duration { return r.wait }
+
+// Timeout returns the time after which the request fails.
+func (r Request) Timeout() time.Duration { return r.timeout }
+
+// Requests decides which requests to the source follow each other. The zero value is ready to use.
+type Requests struct {
+	failures int // consecutive
+	reload   bool
+}
+
+// Next returns the next request. loaded reports whether the full state was loaded before.
+func (q *Requests) Next(loaded bool) Request {
+	if q.reload || !loaded {
+		return Request{full: true, timeout: loadTimeout}
+	}
+	return Request{wait: watchWait, timeout: watchWait + answerMargin}
+}
+
+// Failures returns the number of requests that have failed since the last one that succeeded.
+func (q *Requests) Failures() int { return q.failures }
+
+// Succeeded records that a request was answered.
+func (q *Requests) Succeeded() { *q = Requests{} }
+
+// Failed records that a request has failed, and returns the delay before the next one. After
+// a watch whose answer can't be had, the full state is loaded.
+func (q *Requests) Failed(err error) time.Duration {
+	q.failures++
+	q.reload = q.reload || errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrUnreadable)
+	return min(minRetryDelay<<min(q.failures-1, 8), maxRetryDelay)
+}
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -85,6 +85,11 @@
 var SourceRestored = declare(207, Info, "platform's store began a new era, what the copy lacks is kept until it is written again",
 	"Check that the operators' last changes were written again.")
 
+// AnswerUnreadable reports an answer of the platform's store that has begun and could not be read.
+// Event 208.
+var AnswerUnreadable = declare(208, Error, "answer of the platform's store can't be read, the full state is loaded",
+	"Nothing if it is rare. The error says whether the answer was too long, cut, late or invalid; if it repeats, check the size of the configuration and the host's link.")
+
 // Events 300 to 399: the platform and the peers.
 var (
 	PlatformUnreachable = declare(300, Error, "platform unreachable",
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -21,6 +21,7 @@
 	farOffers                 tally.Counter
 	bulkQueued, bulkDropped   tally.Counter
 	failedReads, failedWrites tally.Counter
+	unreadable                tally.Counter
 	forwards, resets, drops   []tally.Counter
 	returns, spills           []tally.Counter
 	lookupTime                tally.Histogram
@@ -37,6 +38,7 @@
 	c.bulkQueued, c.bulkDropped = scope.Counter("bulk_packets_queued"), scope.Counter("bulk_packets_dropped")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
+	c.unreadable = scope.Counter("unreadable_answers")
 	c.era, c.revision, c.version = scope.Gauge("era"), scope.Gauge("revision"), scope.Gauge("version")
 	c.upstreams = scope.Gauge("upstreams")
 	c.lookupTime = scope.Histogram("settle_seconds", gdmetric.LatencyBuckets())
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -13,30 +13,22 @@
 )
 
 const (
-	// watchWait is how long a watch waits for changes. A watch may receive nothing for a
-	// second without being disconnected, so no longer wait can be relied on.
-	watchWait = time.Second
-	// answerMargin is the time that the answer may take beyond that.
-	answerMargin = time.Second
-	// loadTimeout is the timeout for loading the full state.
-	loadTimeout = 3 * time.Second
 	// catchUpWait is how long the watch after a load waits. It only gets the changes
 	// made while the state was transferred, which takes a third of a second on a slow
 	// link.
 	catchUpWait = time.Millisecond
+	// catchUpTimeout is the timeout for that watch.
+	catchUpTimeout = time.Second
 	// watchInterval is the delay between two watches, in which changes accumulate: a
 	// tenth of a second is a thirtieth of the shortest limit for a configuration.
 	watchInterval = 100 * time.Millisecond
-	// minRetryDelay is the delay before a failed call is retried.
-	minRetryDelay = 100 * time.Millisecond
-	// maxRetryDelay is the maximum delay; the delay doubles with each failure.
-	maxRetryDelay = 800 * time.Millisecond
 )
 
 // Source provides the state of the deployment.
 type Source interface {
 	// Load returns the full state. It and Watch return an error if the answer is from an
-	// earlier era than the source is known to be in.
+	// earlier era than the source is known to be in, and ErrUnreadable if it has begun and
+	// can't be read.
 	Load(ctx context.Context) (gddiscovery.Update, error)
 	// Watch returns the changes after the revision. It waits for one up to the duration. The
 	// error is ErrHistoryLost if the source has begun another era since.
@@ -45,7 +37,7 @@
 
 // follow loads the state, and watches the source while this host is a reader.
 func (e *EntryHost) follow(ctx context.Context) {
-	reload, failures := false, 0
+	var requests gddiscovery.Requests
 	for ctx.Err() == nil {
 		loaded, reading := e.role()
 		if loaded && !reading {
@@ -55,24 +47,32 @@
 			}
 			continue
 		}
-		err := e.refresh(ctx, reload || !loaded)
+		r := requests.Next(loaded)
+		err := e.refresh(ctx, r)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			if failures > 0 {
-				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", failures)
+			if n := requests.Failures(); n > 0 {
+				e.Log.Event(gdlog.PlatformReachable, "revision", e.revision(), "failures", n)
 			}
-			reload, failures = false, 0
+			requests.Succeeded()
 			sleep(ctx, watchInterval)
 			continue
 		}
-		if failures == 0 {
-			e.Log.Failure(gdlog.PlatformUnreachable, err, "revision", e.revision())
-		}
-		failures++
-		reload = reload || errors.Is(err, gddiscovery.ErrHistoryLost)
-		sleep(ctx, min(minRetryDelay<<min(failures-1, 8), maxRetryDelay))
+		e.recordFailure(err, r, requests.Failures())
+		sleep(ctx, requests.Failed(err))
+	}
+}
+
+// recordFailure records that a request to the source has failed, after a number of other ones.
+func (e *EntryHost) recordFailure(err error, r gddiscovery.Request, before int) {
+	if before == 0 {
+		e.Log.Failure(gdlog.PlatformUnreachable, err, "revision", e.revision())
+	}
+	if errors.Is(err, gddiscovery.ErrUnreadable) {
+		e.metrics.unreadable.Inc(1)
+		e.Log.Failure(gdlog.AnswerUnreadable, err, "revision", e.revision(), "full", r.Full(), "timeout", r.Timeout().String())
 	}
 }
 
@@ -89,26 +89,34 @@
 	return e.state.Revision()
 }
 
-// refresh makes one call to the source and applies the result.
-func (e *EntryHost) refresh(ctx context.Context, full bool) error {
-	limit := watchWait + answerMargin
-	if full {
-		limit = loadTimeout
+// refresh makes a request to the source and applies the result.
+func (e *EntryHost) refresh(ctx context.Context, r gddiscovery.Request) error {
+	if !r.Full() {
+		return e.watch(ctx, r.Wait(), r.Timeout())
 	}
-	ctx, cancel := context.WithTimeout(ctx, limit)
+	if err := e.load(ctx, r.Timeout()); err != nil {
+		return err
+	}
+	return e.watch(ctx, catchUpWait, catchUpTimeout)
+}
+
+// load loads the full state.
+func (e *EntryHost) load(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	requested := time.Now()
-	if full {
-		u, err := e.source().Load(ctx)
-		if err != nil {
-			return err
-		}
-		e.apply(requested, u, (*gddiscovery.State).Load)
-	}
-	wait := watchWait
-	if full {
-		wait = catchUpWait
+	u, err := e.source().Load(ctx)
+	if err != nil {
+		return err
 	}
+	e.apply(requested, u, (*gddiscovery.State).Load)
+	return nil
+}
+
+// watch requests the changes since the known revision.
+func (e *EntryHost) watch(ctx context.Context, wait, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	u, err := e.source().Watch(ctx, e.revision(), wait)
 	if err != nil {
 		return err
