Keep the upstream of a named service when another writer registers its address

Cause: a view keeps the latest registration of each address, whatever its service. The upstream was in no pool any more, no lookup asked its agent, and the answers of all others were taken as proof that its flows were gone.

Ruled out: the answer "absent" of an agent that is asked in the name of another service, which the claim suspects. The hidden upstream's agent is not asked at all while the history of routes is known.

Change: a registration whose service the configuration doesn't name is ignored while one of a named service has its IP address; alone it is used as before, since its service may be configured later. Same cause on related paths: an entry under the upstream's own ID counts as its removal, as an unreadable one did, and one without a start time replaces none that states it. Event 205 counts what is ignored.

Beside: no message changes; each host decides for itself. Old hosts still reset such flows until they are replaced.

--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -27,6 +27,8 @@
 	graceUntil time.Time
 	// written is the revision at which the subject was last written, not removed.
 	written Revision
+	// former is the upstream that was last registered under the ID with another service, or nil.
+	former *Upstream
 	// keptUntil is the time until which the record is kept unconfirmed, or zero.
 	keptUntil time.Time
 }
@@ -209,6 +211,10 @@
 
 // succeed takes over from the record that this one replaces what the change does not say.
 func (r *record) succeed(old *record, outage bool) {
+	r.former = old.former
+	if u, was := r.change.Upstream, old.change.Upstream; u != nil && was != nil && u.Service != was.Service {
+		r.former = was
+	}
 	if !r.change.Removed {
 		r.reconcile(old)
 		return
--- a/internal/core/gddiscovery/state_test.go
+++ b/internal/core/gddiscovery/state_test.go
@@ -195,6 +195,63 @@
 	}
 }
 
+// TestForeignRegistrationHidesNoUpstream guards against flows that are reset because an entry of
+// another writer took the place of their upstream's registration. Its service is not
+// configured, so it names no upstream, and the one that is registered at its address still runs.
+func TestForeignRegistrationHidesNoUpstream(t *testing.T) {
+	parcels := func(u *gddiscovery.Upstream) { u.Service = "parcels" }
+	for _, tt := range []struct {
+		name    string
+		own     func(*gddiscovery.Upstream)
+		foreign gddiscovery.Change
+		removed bool
+		ignored int
+	}{
+		{"at the address", nil, upstream(8, "other", parcels), false, 1},
+		{"started later", func(u *gddiscovery.Upstream) { u.StartUnixMilli = 1000 }, upstream(8, "other", func(u *gddiscovery.Upstream) {
+			u.Service, u.StartUnixMilli = "parcels", 2000
+		}), false, 1},
+		{"without a service", nil, upstream(8, "other", func(u *gddiscovery.Upstream) { u.Service = "" }), false, 1},
+		{"at another port of the host", nil, upstream(8, "other", func(u *gddiscovery.Upstream) {
+			u.Service, u.Address = "parcels", at(1).WithPort(9090)
+		}), false, 1},
+		{"under the upstream's ID", nil, upstream(8, "u1", parcels), true, 0},
+		{"under the upstream's ID, at another address", nil, upstream(8, "u1", func(u *gddiscovery.Upstream) {
+			u.Service, u.Address = "parcels", at(2)
+		}), true, 0},
+		{"of the same service, without a start time", func(u *gddiscovery.Upstream) { u.StartUnixMilli = 1000 }, upstream(8, "other", nil), false, 0},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			for _, first := range []bool{false, true} {
+				own := upstream(6, "u1", tt.own)
+				if first {
+					own.Revision = 9
+				}
+				s := loaded(t, config(5, 7), own)
+				s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{tt.foreign}, Revision: 11})
+				require.Len(t, s.View().Upstreams(), 1)
+				require.Equal(t, tt.ignored, s.View().Ignored())
+				m := member(t, s, at(1))
+				require.Equal(t, *own.Upstream, m.Upstream())
+				_, removed := m.Removed()
+				require.Equal(t, tt.removed && !first, removed)
+				p, _ := s.View().Pool("booking")
+				require.Equal(t, []*gddiscovery.Member{m}, p.Members())
+			}
+		})
+	}
+}
+
+// TestServiceIsConfiguredLater: an address has gone to a service that this host learns of later.
+func TestServiceIsConfiguredLater(t *testing.T) {
+	s := loaded(t, config(5, 7), upstream(6, "u1", nil), upstream(8, "u2", func(u *gddiscovery.Upstream) { u.Service = "parcels" }))
+	require.Equal(t, "booking", member(t, s, at(1)).Upstream().Service)
+	next := config(11, 8)
+	next.Config.Services = append(next.Config.Services, gddiscovery.Service{Name: "parcels"})
+	s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{next}, Revision: 11})
+	require.Equal(t, "parcels", member(t, s, at(1)).Upstream().Service)
+}
+
 func TestDomainOutAndBack(t *testing.T) {
 	s := loaded(t, config(5, 7), upstream(6, "u1", nil))
 	s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{evacuation(11, "a", false)}, Revision: 11})
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -14,11 +14,13 @@
 // View is an immutable snapshot of the deployment's state.
 type View struct {
 	config     *Config
+	named      map[string]struct{} // the services that the configuration names
 	routes     map[gdflow.Address]*Route
 	services   map[string]*Pool
 	domainsOut map[string]struct{}
 	upstreams  []*Member
 	byAddress  map[gdflow.Address]*Member
+	ignored    int
 	history    routeHistories
 	revision   Revision
 }
@@ -100,6 +102,10 @@
 // UpstreamAt returns the upstream at the address, or nil.
 func (v *View) UpstreamAt(a gdflow.Address) *Member { return v.byAddress[a] }
 
+// Ignored returns the number of registrations that are not used, because the configuration does
+// not name their service and an upstream of another service is registered on their host.
+func (v *View) Ignored() int { return v.ignored }
+
 // DomainsOut returns the number of failure domains that are out.
 func (v *View) DomainsOut() int { return len(v.domainsOut) }
 
@@ -117,7 +123,8 @@
 		}
 	}
 	v.routes, v.services = s.routing(v.config)
-	v.byAddress = s.latestUpstreams()
+	v.named = s.namedServices(v.config)
+	v.byAddress, v.ignored = s.latestUpstreams(v.named)
 	for _, m := range sorted(v.byAddress) {
 		_, m.domainOut = v.domainsOut[m.upstream.Domain]
 		v.upstreams = append(v.upstreams, m)
@@ -160,23 +167,69 @@
 	return emptyConfig
 }
 
-// latestUpstreams returns one upstream per address, the latest that was there.
-func (s *State) latestUpstreams() map[gdflow.Address]*Member {
-	byAddress := make(map[gdflow.Address]*Member)
+// namedServices returns the services that a configuration names. The set is shared by all views
+// of one configuration.
+func (s *State) namedServices(cfg *Config) map[string]struct{} {
+	if s.view != nil && s.view.config == cfg {
+		return s.view.named
+	}
+	named := make(map[string]struct{}, len(cfg.Services))
+	for _, svc := range cfg.Services {
+		named[svc.Name] = struct{}{}
+	}
+	for _, r := range cfg.Routes {
+		for _, share := range r.Shares {
+			named[share.Service] = struct{}{}
+		}
+	}
+	return named
+}
+
+// latestUpstreams returns one upstream per address, the latest that was there. A registration
+// of a service that the configuration doesn't name, such as one of another writer, is not
+// evidence that the upstream of a named one has left the host. It returns how many it ignores.
+func (s *State) latestUpstreams(named map[string]struct{}) (byAddress map[gdflow.Address]*Member, ignored int) {
+	byAddress = make(map[gdflow.Address]*Member)
+	add := func(m *Member) {
+		if old, ok := byAddress[m.Address()]; !ok || m.supersedes(old) {
+			byAddress[m.Address()] = m
+		}
+	}
+	var others []*Member
+	hosts := make(map[[4]byte]struct{})
 	for subject, r := range s.records {
-		u := r.change.Upstream
-		if subject.Kind != Registration || u == nil {
+		if subject.Kind != Registration || r.change.Upstream == nil {
 			continue
 		}
-		m := &Member{
-			upstream: *u, revision: r.change.Revision, seed: seedOf(u.Address),
-			updatedAt: r.updatedAt, graceUntil: r.graceUntil, removed: r.change.Removed,
+		m := r.member(named)
+		if _, ok := named[m.upstream.Service]; !ok {
+			others = append(others, m)
+			continue
 		}
-		if old, ok := byAddress[u.Address]; !ok || m.supersedes(old) {
-			byAddress[u.Address] = m
+		add(m)
+		hosts[m.Address().IP()] = struct{}{}
+	}
+	for _, m := range others {
+		if _, ok := hosts[m.Address().IP()]; ok {
+			ignored++
+			continue
 		}
+		add(m)
+	}
+	return byAddress, ignored
+}
+
+// member returns the upstream of a registration. If the latest one under its ID is of a service
+// that is not named, the former one counts as removed instead: the process may still run.
+func (r *record) member(named map[string]struct{}) *Member {
+	u, removed := r.change.Upstream, r.change.Removed
+	if _, ok := named[u.Service]; !ok && r.former != nil {
+		u, removed = r.former, true
+	}
+	return &Member{
+		upstream: *u, revision: r.change.Revision, seed: seedOf(u.Address),
+		updatedAt: r.updatedAt, graceUntil: r.graceUntil, removed: removed,
 	}
-	return byAddress
 }
 
 // sorted returns the upstreams in an order that does not depend on the host.
@@ -189,13 +242,14 @@
 	return members
 }
 
-// supersedes reports whether the upstream used the address after the other one.
+// supersedes reports whether the upstream used the address after the other one. One that states
+// its start is preferred to one that does not.
 func (m *Member) supersedes(o *Member) bool {
 	if m.removed != o.removed {
 		return o.removed
 	}
-	if m.upstream.StartUnixMilli != 0 && o.upstream.StartUnixMilli != 0 && m.upstream.StartUnixMilli != o.upstream.StartUnixMilli {
-		return m.upstream.StartUnixMilli > o.upstream.StartUnixMilli
+	if a, b := m.upstream.StartUnixMilli, o.upstream.StartUnixMilli; a != b {
+		return a > b
 	}
 	return m.revision > o.revision
 }
--- a/internal/core/gddispatch/holders_test.go
+++ b/internal/core/gddispatch/holders_test.go
@@ -310,6 +310,31 @@
 	}
 }
 
+// TestForeignRegistrationResetsNoFlow guards against resets of open flows after another writer has
+// registered the address of each upstream with a service that is not configured, under a name of its own or
+// under that of the upstream.
+func TestForeignRegistrationResetsNoFlow(t *testing.T) {
+	for _, own := range []bool{false, true} {
+		f := newSplitFleet(t, both)
+		f.openFlows(0, splitFlows)
+		var foreign []gddiscovery.Change
+		for _, c := range splitUpdate(both).Changes[1:] {
+			u := *c.Upstream
+			u.Service, u.StartUnixMilli = "parcels", u.StartUnixMilli+1000
+			if !own {
+				u.ID = "other-" + u.ID
+			}
+			f.revision++
+			foreign = append(foreign, gddiscovery.Change{
+				Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: u.ID}, Revision: f.revision, Upstream: &u,
+			})
+		}
+		f.apply(foreign...)
+		f.requireServed(0, splitFlows)
+		f.requireServed(1, splitFlows)
+	}
+}
+
 // TestSilentHolderIsNoAnswer: the upstream that an unanswered query went to is of another
 // service when the lookup ends. That proves nothing.
 func TestSilentHolderIsNoAnswer(t *testing.T) {
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -156,7 +156,7 @@
 	e.election.TriggerBeacon()
 	e.metrics.recordView(v)
 	e.Log.Event(gdlog.ViewChanged, "revision", v.Revision(), "version", v.Version(), "age", u.Age.String(),
-		"routes", v.Routes(), "upstreams", len(v.Upstreams()), "domains-out", v.DomainsOut(), "changes", len(u.Changes),
+		"routes", v.Routes(), "upstreams", len(v.Upstreams()), "ignored", v.Ignored(), "domains-out", v.DomainsOut(), "changes", len(u.Changes),
 		"source", source)
 	if v.Version() > 0 {
 		e.ready.Store(true)
