Give a transfer that was late more time instead of repeating it unchanged

A host whose load of the state takes longer than 3 s, or whose update from another host takes longer than 1 s, would never get either.

Cause: fixed timeouts for answers whose size the operators determine, and a repeat of the same step after each failure.

Ruled out: that the sizes can't occur.

Change: after an answer that has begun and was late the timeout doubles, up to 24 s for a load and 16 s for an update. Without an answer it stays, so that a silent store or host is left as soon as before.

--- a/internal/core/gddiscovery/requests.go
+++ b/internal/core/gddiscovery/requests.go
@@ -12,8 +12,10 @@
 	watchWait = time.Second
 	// answerMargin is the time that the answer may take beyond that.
 	answerMargin = time.Second
-	// loadTimeout is the timeout for loading the full state.
-	loadTimeout = 3 * time.Second
+	// loadTimeout is the timeout for loading the full state, and maxLoadTimeout that after loads
+	// that took longer: several times what the largest state takes over a link of 10 Mbit/s.
+	loadTimeout    = 3 * time.Second
+	maxLoadTimeout = 24 * time.Second
 	// minRetryDelay is the delay before a failed request is followed by another one.
 	minRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay is the maximum delay; the delay doubles with each failure.
@@ -39,12 +41,13 @@
 type Requests struct {
 	failures int // consecutive
 	reload   bool
+	late     int // consecutive loads that were late
 }
 
 // Next returns the next request. loaded reports whether the full state was loaded before.
 func (q *Requests) Next(loaded bool) Request {
 	if q.reload || !loaded {
-		return Request{full: true, timeout: loadTimeout}
+		return Request{full: true, timeout: Extended(loadTimeout, q.late, maxLoadTimeout)}
 	}
 	return Request{wait: watchWait, timeout: watchWait + answerMargin}
 }
@@ -55,10 +58,29 @@
 // Succeeded records that a request was answered.
 func (q *Requests) Succeeded() { *q = Requests{} }
 
-// Failed records that a request has failed, and returns the delay before the next one. After
-// a watch whose answer can't be had, the full state is loaded.
-func (q *Requests) Failed(err error) time.Duration {
+// Failed records that the request has failed, and returns the delay before the next one. After
+// a watch whose answer can't be had, the full state is loaded. A load that could not be read gets
+// more time.
+func (q *Requests) Failed(r Request, err error) time.Duration {
+	unreadable := errors.Is(err, ErrUnreadable)
+	q.late = NextLate(q.late, r.full && unreadable)
 	q.failures++
-	q.reload = q.reload || errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrUnreadable)
+	q.reload = q.reload || errors.Is(err, ErrHistoryLost) || unreadable
 	return min(minRetryDelay<<min(q.failures-1, 8), maxRetryDelay)
 }
+
+// NextLate returns the number of consecutive answers that have begun and could not be read, given
+// the number before the last answer. A source that does not answer at all gets no more time.
+func NextLate(late int, unreadable bool) int {
+	if !unreadable {
+		return 0
+	}
+	return late + 1
+}
+
+// Extended returns a timeout for an answer of unknown size: the first one, doubled for each answer
+// that was late before, up to the highest one.
+func Extended(first time.Duration, late int, highest time.Duration) time.Duration {
+	const maxDoublings = 8
+	return min(first<<min(late, maxDoublings), highest)
+}
--- a/internal/core/gddiscovery/requests_test.go
+++ b/internal/core/gddiscovery/requests_test.go
@@ -32,7 +32,7 @@
 			require.True(t, q.Next(false).Full(), "nothing was loaded yet")
 			var delay time.Duration
 			for _, err := range tt.failures {
-				delay = q.Failed(err)
+				delay = q.Failed(q.Next(true), err)
 			}
 			require.Equal(t, len(tt.failures), q.Failures())
 			require.Equal(t, tt.delay, delay)
@@ -43,3 +43,27 @@
 		})
 	}
 }
+
+// TestLongLoads guards against a host that repeats a load which takes longer than its timeout. A
+// source that does not answer gets no more time, so that the host tries again soon.
+func TestLongLoads(t *testing.T) {
+	silent := errors.New("no answer")
+	for _, takes := range []time.Duration{time.Second, 5 * time.Second, 20 * time.Second} {
+		var q gddiscovery.Requests
+		elapsed := time.Duration(0)
+		for r := q.Next(false); r.Timeout() < takes; r = q.Next(false) {
+			elapsed += r.Timeout() + q.Failed(r, gddiscovery.Unreadable(errors.New("timeout")))
+			require.Less(t, elapsed, 2*takes+3*time.Second)
+		}
+		require.Equal(t, 3*time.Second, afterFailure(&q, silent).Timeout())
+		require.Equal(t, 6*time.Second, afterFailure(&q, gddiscovery.ErrUnreadable).Timeout())
+		q.Succeeded()
+		require.Equal(t, 3*time.Second, q.Next(false).Timeout())
+	}
+}
+
+// afterFailure returns the request after a load that has failed.
+func afterFailure(q *gddiscovery.Requests, err error) gddiscovery.Request {
+	q.Failed(q.Next(false), err)
+	return q.Next(false)
+}
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -27,8 +27,10 @@
 	// changeRepeats is in how many beacons a reader sends each change. A host that missed
 	// the beacons of both readers fetches an update.
 	changeRepeats = 2
-	// fetchTimeout is the timeout for fetching an update from another entry host.
-	fetchTimeout = time.Second
+	// fetchTimeout is the timeout for fetching an update from another entry host, and
+	// maxFetchTimeout that after updates that took longer to arrive.
+	fetchTimeout    = time.Second
+	maxFetchTimeout = 16 * time.Second
 	// fetchInterval is the delay between two fetches, so that a series of configurations
 	// is fetched in few steps and does not saturate slow links.
 	fetchInterval = 200 * time.Millisecond
@@ -239,7 +241,10 @@
 
 // fetchUpdates fetches updates from hosts that have announced a higher revision.
 func (e *EntryHost) fetchUpdates(ctx context.Context) {
-	client := &http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	client := &http.Client{Transport: &http.Transport{
+		DialContext: (&net.Dialer{Timeout: fetchTimeout}).DialContext, ResponseHeaderTimeout: fetchTimeout, DisableKeepAlives: true,
+	}}
+	late := 0
 	for {
 		var host gdflow.Address
 		select {
@@ -247,12 +252,14 @@
 			return
 		case host = <-e.behind:
 		}
-		err := e.fetchUpdate(ctx, client, host, e.revision())
+		timeout := gddiscovery.Extended(fetchTimeout, late, maxFetchTimeout)
+		err := e.fetchUpdate(ctx, client, timeout, host, e.revision())
 		if errors.Is(err, errNotApplicable) {
-			err = e.fetchUpdate(ctx, client, host, 0)
+			err = e.fetchUpdate(ctx, client, timeout, host, 0)
 		}
+		late = gddiscovery.NextLate(late, errors.Is(err, gddiscovery.ErrUnreadable))
 		if err != nil {
-			e.Log.Failure(gdlog.PeerUnreachable, err, "peer", host.String())
+			e.Log.Failure(gdlog.PeerUnreachable, err, "peer", host.String(), "timeout", timeout.String())
 		}
 		sleep(ctx, fetchInterval)
 	}
@@ -264,7 +271,9 @@
 
 // fetchUpdate fetches and applies the changes after the revision, or the full state if
 // that is 0.
-func (e *EntryHost) fetchUpdate(ctx context.Context, client *http.Client, host gdflow.Address, after gddiscovery.Revision) error {
+func (e *EntryHost) fetchUpdate(ctx context.Context, client *http.Client, timeout time.Duration, host gdflow.Address, after gddiscovery.Revision) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	requested := time.Now()
 	u, err := fetch(ctx, client, host, after)
 	if err != nil {
@@ -304,5 +313,8 @@
 		return gddiscovery.Update{}, errors.Errorf("fetch updates from %s: %s", host, res.Status)
 	}
 	update, err := gdfeed.ReadUpdate(res.Body)
-	return update, errors.Wrapf(err, "fetch updates from %s", host)
+	if err != nil {
+		return gddiscovery.Update{}, gddiscovery.Unreadable(errors.Wrapf(err, "fetch updates from %s", host))
+	}
+	return update, nil
 }
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -61,7 +61,7 @@
 			continue
 		}
 		e.recordFailure(err, r, requests.Failures())
-		sleep(ctx, requests.Failed(err))
+		sleep(ctx, requests.Failed(r, err))
 	}
 }
 
--- a/internal/process/gdentry/unreadable_test.go
+++ b/internal/process/gdentry/unreadable_test.go
@@ -1,8 +1,10 @@
 package gdentry_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -15,7 +17,10 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdreaders"
 	"godwitdrift.example/godwitdrift/internal/process/gdentry"
+	"godwitdrift.example/godwitdrift/internal/rig/gdlisten"
+	"godwitdrift.example/godwitdrift/internal/wire/gdfeed"
 	"godwitdrift.example/godwitdrift/platform"
 	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
@@ -43,15 +48,15 @@
 			srv := httptest.NewServer(store.Handler("entry"))
 			defer srv.Close()
 			store.PutConfig(time.Now(), largeConfig(1, tt.routes))
-			net, feed := claimNetwork(t), freePort(t)
+			network, feed := claimNetwork(t), freePort(t)
 			ctx, stop := context.WithCancel(t.Context())
 			var g errgroup.Group
 			var all []*gdentry.EntryHost
 			for i := range hosts {
-				at := netip.AddrPortFrom(net.Addr(1, byte(1+i)), 0)
+				at := netip.AddrPortFrom(network.Addr(1, byte(1+i)), 0)
 				e := &gdentry.EntryHost{
 					CallerAddress: at, HopAddress: at, FeedAddress: netip.AddrPortFrom(at.Addr(), feed), Rank: uint32(i),
-					Seeds: []netip.Addr{net.Addr(1, 1), net.Addr(1, 2)}, Codec: platform.Codec{}, Scope: tally.NoopScope,
+					Seeds: []netip.Addr{network.Addr(1, 1), network.Addr(1, 2)}, Codec: platform.Codec{}, Scope: tally.NoopScope,
 					Source: &platform.Store{Address: srv.Listener.Addr().String(), HTTP: http.DefaultClient, Eras: &gddiscovery.EraTracker{}},
 				}
 				all = append(all, e)
@@ -81,3 +86,78 @@
 		})
 	}
 }
+
+// slowSource transfers the full state slowly.
+type slowSource struct {
+	*source
+	takes time.Duration
+}
+
+func (s slowSource) Load(ctx context.Context) (gddiscovery.Update, error) {
+	select {
+	case <-ctx.Done():
+		return gddiscovery.Update{}, gddiscovery.Unreadable(ctx.Err())
+	case <-time.After(s.takes):
+		return s.source.Load(ctx)
+	}
+}
+
+// TestSlowTransfers guards against hosts that repeat a transfer which always takes longer than its
+// timeout: that of the full state from the store, and that of an update from another host.
+func TestSlowTransfers(t *testing.T) {
+	state := []gddiscovery.Change{config(5, gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))}
+	start := func(t *testing.T, n *gdlisten.Network, feed uint16, s gdentry.Source) {
+		at := netip.AddrPortFrom(n.Addr(1, 1), 0)
+		e := &gdentry.EntryHost{
+			CallerAddress: at, HopAddress: at, FeedAddress: netip.AddrPortFrom(at.Addr(), feed),
+			Codec: platform.Codec{}, Source: s, Scope: tally.NoopScope,
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- e.Run(ctx) }()
+		require.Eventually(t, func() bool { return e.State(time.Now()).Version == 5 }, eventTimeout, time.Millisecond)
+		stop()
+		require.NoError(t, <-ended)
+	}
+	t.Run("from the store", func(t *testing.T) {
+		start(t, claimNetwork(t), freePort(t), slowSource{&source{changes: state, added: make(chan struct{}, 1)}, 4 * time.Second})
+	})
+	t.Run("from another host", func(t *testing.T) {
+		n, feed := claimNetwork(t), freePort(t)
+		at := netip.AddrPortFrom(n.Addr(1, 2), feed)
+		serveSlowUpdates(t, at, gddiscovery.Update{Changes: state, Revision: 5, Full: true})
+		beacons, err := gdfeed.EncodeBeacons(gdfeed.Beacon{Beacon: gdreaders.Beacon{Revision: 5, Reading: true}})
+		require.NoError(t, err)
+		c := listen(t, at.Addr(), feed)
+		done := make(chan struct{})
+		defer func() { <-done }()
+		ctx, stop := context.WithCancel(t.Context())
+		defer stop()
+		go func() {
+			defer close(done)
+			for ctx.Err() == nil {
+				_, _ = c.WriteToUDPAddrPort(beacons[0], netip.AddrPortFrom(n.Addr(1, 1), feed)) // it may not listen yet
+				time.Sleep(100 * time.Millisecond)
+			}
+		}()
+		start(t, n, feed, unresponsiveSource{})
+	})
+}
+
+// serveSlowUpdates serves an update whose second half comes 1.5 s after the first.
+func serveSlowUpdates(t *testing.T, at netip.AddrPort, u gddiscovery.Update) {
+	t.Helper()
+	var b bytes.Buffer
+	require.NoError(t, gdfeed.WriteUpdate(&b, u))
+	l, err := net.Listen("tcp4", at.String())
+	require.NoError(t, err)
+	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		half := b.Len() / 2
+		_, _ = w.Write(b.Bytes()[:half]) // the host may have disconnected
+		w.(http.Flusher).Flush()
+		time.Sleep(1500 * time.Millisecond)
+		_, _ = w.Write(b.Bytes()[half:])
+	})}
+	go func() { _ = srv.Serve(l) }()
+	t.Cleanup(func() { require.NoError(t, srv.Close()) })
+}
