Take the maximum age of a flow from the settings

Where flows may be open for longer than 60 s, an agent that runs for 60 s would claim to know all flows, a removed upstream would be forgotten after 60 s, and a host would trust a history of routes of 75 s. Each is a premise of the proof that a flow is gone.

Cause: 60 s as constants in gdguard and gddiscovery, in place of bounds.flow_max_s.

Change: platform.Settings reads it; Guard.MaxFlowAge and State.MaxFlowAge have it, with 60 s where the settings don't say it.

Tests: TestMaximumFlowAgeIsASetting in both packages; they need the new fields and don't compile on the code before.

Beside: no message changes. Old hosts keep 60 s until replaced.

--- a/cmd/gdhost/entry.go
+++ b/cmd/gdhost/entry.go
@@ -51,8 +51,8 @@
 				HopAddress:    netip.AddrPortFrom(s.CallerAddress().Addr(), s.HopPort()),
 				FeedAddress:   netip.AddrPortFrom(s.CallerAddress().Addr(), s.FeedPort()),
 				Seeds:         s.Seeds(), Domain: s.Domain(), Rank: s.Rank(),
-				LinkBytesPerSecond: s.LinkBytesPerSecond(),
-				Codec:              platform.Codec{}, Source: store(s),
+				LinkBytesPerSecond: s.LinkBytesPerSecond(), MaxFlowAge: s.MaxFlowAge(),
+				Codec: platform.Codec{}, Source: store(s),
 				Log: p.log, Scope: p.metrics.Scope(), Grace: s.GracePeriod(),
 			}
 			p.state = func(now time.Time) any { return e.State(now) }
--- a/internal/core/gddiscovery/former.go
+++ b/internal/core/gddiscovery/former.go
@@ -9,13 +9,11 @@
 )
 
 const (
-	// maxFlowDuration is the maximum duration of a flow in the users' settings.
-	maxFlowDuration = 60 * time.Second
+	// DefaultMaxFlowAge is the age that a flow reaches at most, unless the settings say another one.
+	DefaultMaxFlowAge = 60 * time.Second
 	// maxConfigDelay is how long a host may act on a configuration after this one has a later
 	// one: the bound that the users' requirements give in the worst case.
 	maxConfigDelay = 15 * time.Second
-	// routeHistory is how long flows of a former configuration may still be open.
-	routeHistory = maxFlowDuration + maxConfigDelay
 	// maxFormerRoutes limits the former routes of one address.
 	maxFormerRoutes = 8
 )
@@ -30,6 +28,8 @@
 // once a view has it.
 type routeHistories struct {
 	former map[gdflow.Address][]formerRoute
+	// ttl is how long flows of a former configuration may still be open.
+	ttl time.Duration
 	// completeSince is the time since which no configuration was missed. The zero time means
 	// that there was none before the first one known.
 	completeSince time.Time
@@ -40,7 +40,7 @@
 func (v *View) FormerRoutes(now time.Time, a gdflow.Address) iter.Seq[*Route] {
 	return func(yield func(*Route) bool) {
 		for _, f := range v.history.former[a] {
-			if now.Sub(f.until) >= routeHistory || !yield(f.route) {
+			if now.Sub(f.until) >= v.history.ttl || !yield(f.route) {
 				return
 			}
 		}
@@ -50,17 +50,20 @@
 // KnowsFormerRoutes reports whether FormerRoutes yields each route of which flows may still
 // be open. Otherwise an upstream of any service may hold a flow of any route.
 func (v *View) KnowsFormerRoutes(now time.Time) bool {
-	return now.Sub(v.history.completeSince) >= routeHistory
+	return now.Sub(v.history.completeSince) >= v.history.ttl
 }
 
+// formerTTL returns how long flows of a former configuration may still be open.
+func (s *State) formerTTL() time.Duration { return s.maxFlowAge() + maxConfigDelay }
+
 // forgetFormerRoutes records that configurations may have been missed until now.
 func (s *State) forgetFormerRoutes(now time.Time) { s.history.completeSince = now }
 
 // recordFormerRoutes records the routes that a new configuration changes or removes.
 func (s *State) recordFormerRoutes(now time.Time, old, next *Config) {
-	former := make(map[gdflow.Address][]formerRoute)
+	ttl, former := s.formerTTL(), make(map[gdflow.Address][]formerRoute)
 	for a, list := range s.history.former {
-		if now.Sub(list[0].until) < routeHistory {
+		if now.Sub(list[0].until) < ttl {
 			former[a] = list
 		}
 	}
@@ -73,7 +76,7 @@
 		if after, ok := shares[r.Address]; ok && slices.Equal(after, r.Shares) {
 			continue
 		}
-		list, complete := withFormer(now, former[r.Address], r)
+		list, complete := withFormer(now, ttl, former[r.Address], r)
 		former[r.Address] = list
 		if !complete {
 			s.forgetFormerRoutes(now)
@@ -84,11 +87,11 @@
 
 // withFormer returns the list with the route before the others. It reports false if it had to
 // drop a route that the rest does not stand for.
-func withFormer(now time.Time, list []formerRoute, r *Route) ([]formerRoute, bool) {
+func withFormer(now time.Time, ttl time.Duration, list []formerRoute, r *Route) ([]formerRoute, bool) {
 	out := make([]formerRoute, 1, len(list)+1)
 	out[0] = formerRoute{route: r, until: now}
 	for _, f := range list {
-		if now.Sub(f.until) < routeHistory && !slices.Equal(f.route.Shares, r.Shares) {
+		if now.Sub(f.until) < ttl && !slices.Equal(f.route.Shares, r.Shares) {
 			out = append(out, f)
 		}
 	}
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -1,6 +1,7 @@
 package gddiscovery
 
 import (
+	"cmp"
 	"sort"
 	"time"
 )
@@ -13,9 +14,6 @@
 	// outageAge is the age of the last confirmation above which removals are treated as
 	// expired registrations: one and a half times the longest wait for a healthy source.
 	outageAge = 2500 * time.Millisecond
-	// removedTTL is how long a removed upstream is retained for flows that it may
-	// still hold: the maximum duration of a flow in the users' settings.
-	removedTTL = maxFlowDuration
 )
 
 // record is the latest change of one subject.
@@ -35,6 +33,10 @@
 
 // State holds the latest change of each subject. The zero value is empty.
 type State struct {
+	// MaxFlowAge is the age that a flow reaches at most, or 0 for DefaultMaxFlowAge. It must be
+	// set before the first call. Removed upstreams are retained for as long.
+	MaxFlowAge time.Duration
+
 	records  map[Subject]*record
 	revision Revision
 	// completeSince is the revision from which on all changes are retained. Removals
@@ -48,6 +50,8 @@
 	view          *View
 }
 
+func (s *State) maxFlowAge() time.Duration { return cmp.Or(s.MaxFlowAge, DefaultMaxFlowAge) }
+
 // Revision returns the revision up to which the state is complete.
 func (s *State) Revision() Revision { return s.revision }
 
@@ -58,10 +62,10 @@
 func (s *State) Loaded() bool { return s.loaded }
 
 // Age returns the time since the state was last confirmed to be complete, or
-// removedTTL before the first full update.
+// the maximum age of a flow before the first full update.
 func (s *State) Age(now time.Time) time.Duration {
 	if !s.loaded {
-		return removedTTL
+		return s.maxFlowAge()
 	}
 	return now.Sub(s.confirmed)
 }
@@ -233,7 +237,7 @@
 func (s *State) expire(now time.Time) bool {
 	dropped := false
 	for subject, r := range s.records {
-		if r.change.Removed && now.Sub(r.updatedAt) > removedTTL {
+		if r.change.Removed && now.Sub(r.updatedAt) > s.maxFlowAge() {
 			delete(s.records, subject)
 			s.completeSince = max(s.completeSince, r.change.Revision)
 			dropped = true
--- a/internal/core/gddiscovery/state_test.go
+++ b/internal/core/gddiscovery/state_test.go
@@ -170,6 +170,22 @@
 	require.Nil(t, member(t, s, at(1)))
 }
 
+// TestMaximumFlowAgeIsASetting: a removed upstream is known, and a host that has missed
+// configurations distrusts its history of routes, for as long as flows may be open.
+func TestMaximumFlowAgeIsASetting(t *testing.T) {
+	const age, configDelay = 2 * time.Minute, 15 * time.Second
+	s := &gddiscovery.State{MaxFlowAge: age}
+	require.Equal(t, age, s.Age(start))
+	s.Load(start, gddiscovery.Update{Changes: []gddiscovery.Change{config(5, 7), upstream(6, "u1", nil)}, Revision: 10})
+	s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{removal(11, "u1")}, Revision: 11})
+	require.False(t, s.View().KnowsFormerRoutes(start.Add(age+configDelay-time.Second)))
+	require.True(t, s.View().KnowsFormerRoutes(start.Add(age+configDelay)))
+	s.Apply(start.Add(age-time.Second), gddiscovery.Update{Revision: 12})
+	require.NotNil(t, member(t, s, at(1)))
+	s.Apply(start.Add(age+time.Second), gddiscovery.Update{Revision: 13})
+	require.Nil(t, member(t, s, at(1)))
+}
+
 // TestReusedAddressBelongsToLatestUpstream: the upstream that used an address last is
 // the one in the view.
 func TestReusedAddressBelongsToLatestUpstream(t *testing.T) {
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -120,6 +120,7 @@
 
 func (s *State) buildView() *View {
 	v := &View{config: s.latestConfig(), revision: s.revision, domainsOut: make(map[string]struct{}), history: s.history}
+	v.history.ttl = s.formerTTL()
 	for subject, r := range s.records {
 		if subject.Kind == Evacuation && !r.change.Removed {
 			v.domainsOut[subject.Name] = struct{}{}
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -112,6 +112,8 @@
 	// ObservedFromStart reports that the agent has run since before the upstream's
 	// start, so that it has observed all of the upstream's flows.
 	ObservedFromStart bool
+	// MaxFlowAge is the age that a flow reaches at most, or 0 for gddiscovery.DefaultMaxFlowAge.
+	MaxFlowAge time.Duration
 	// AgentStarted is the start time of the agent's process. The wall clock may be
 	// wrong.
 	AgentStarted time.Time
@@ -162,7 +164,7 @@
 	if g.observingSince.IsZero() {
 		g.observingSince = now
 		g.flows = gdcache.Cache[gdflow.Key, *flow]{
-			MinTTL: closedTTL, MaxPerGeneration: maxFlows, Keep: func(now time.Time, f *flow) bool { return f.mayBeOpen(now) }, OnEvict: g.evicted,
+			MinTTL: closedTTL, MaxPerGeneration: maxFlows, Keep: g.mayBeOpen, OnEvict: g.evicted,
 		}
 		g.backlog = gdbacklog.Backlog[waiting]{MaxPackets: maxKeptPackets, MaxBytes: maxKeptBytes}
 	}
@@ -171,7 +173,7 @@
 }
 
 func (g *Guard) evicted(_ gdflow.Key, f *flow) {
-	if f.mayBeOpen(g.now) {
+	if g.mayBeOpen(g.now, f) {
 		g.forgotAt = g.now
 	}
 	if f.kept != nil {
--- a/internal/core/gdguard/holding.go
+++ b/internal/core/gdguard/holding.go
@@ -1,9 +1,11 @@
 package gdguard
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 )
 
@@ -12,10 +14,6 @@
 	// its upstream if both were started together. No platform restarts a process that
 	// fast, so no earlier agent can have accepted a flow.
 	maxStartSkew = 100 * time.Millisecond
-	// maxFlowDuration is the maximum duration of a flow in the users' settings. An
-	// agent that has run for longer has observed every flow that its upstream can
-	// hold.
-	maxFlowDuration = 60 * time.Second
 	// returnTimeout is how long an upstream takes at most to return a packet of a flow
 	// that it does not hold. It does so at once and on the same host.
 	returnTimeout = 5 * time.Millisecond
@@ -28,10 +26,13 @@
 	at  time.Time
 }
 
-// mayBeOpen reports whether the upstream may hold the flow, however long it was idle. Flows
-// older than maxFlowDuration may be discarded.
-func (f *flow) mayBeOpen(now time.Time) bool {
-	return (f.state == open || f.state == unknown) && !f.closed && now.Sub(f.usedAt) < maxFlowDuration
+// mayBeOpen reports whether the upstream may hold the flow, however long it was idle.
+func (g *Guard) mayBeOpen(now time.Time, f *flow) bool {
+	return (f.state == open || f.state == unknown) && !f.closed && now.Sub(f.usedAt) < g.maxFlowAge()
+}
+
+func (g *Guard) maxFlowAge() time.Duration {
+	return cmp.Or(g.MaxFlowAge, gddiscovery.DefaultMaxFlowAge)
 }
 
 // notHeld returns the reason for a packet of a flow that the upstream does not hold, as the
@@ -44,12 +45,12 @@
 }
 
 // knowsAllFlows reports whether the upstream can't hold a flow that the guard does not
-// know.
+// know. An agent that has run for longer than a flow may be open has observed every one.
 func (g *Guard) knowsAllFlows(now time.Time) bool {
-	if !g.forgotAt.IsZero() && now.Sub(g.forgotAt) <= maxFlowDuration {
+	if !g.forgotAt.IsZero() && now.Sub(g.forgotAt) <= g.maxFlowAge() {
 		return false
 	}
-	return g.ObservedFromStart || now.Sub(g.observingSince) > maxFlowDuration
+	return g.ObservedFromStart || now.Sub(g.observingSince) > g.maxFlowAge()
 }
 
 // startedTogether reports whether the upstream, which was started at the Unix
--- a/internal/core/gdguard/idle_test.go
+++ b/internal/core/gdguard/idle_test.go
@@ -48,6 +48,21 @@
 	}
 }
 
+// TestMaximumFlowAgeIsASetting: where flows may be open for two minutes, an idle one is remembered
+// for as long, and an agent knows all flows only after as long.
+func TestMaximumFlowAgeIsASetting(t *testing.T) {
+	const age = 2 * time.Minute
+	g := &gdguard.Guard{Service: "booking", MaxFlowAge: age}
+	hold(t, g, start, 1, 77)
+	for idle := 10 * time.Second; idle < age; idle += 10 * time.Second {
+		now := start.Add(idle)
+		require.Equal(t, gdguard.Unsure, g.Holding(now, header(1).Service, key(2)))
+		otherFlows(t, g, now, now.Add(5*time.Second), 1000+int(idle/time.Second), 5)
+	}
+	require.Equal(t, gdguard.Present, g.Holding(start.Add(age-time.Second), header(1).Service, key(1)))
+	require.Equal(t, gdguard.Absent, g.Holding(start.Add(age+time.Second), header(1).Service, key(2)))
+}
+
 // TestEndedFlowsAreForgotten: flows that both ends have ended, or one has reset, take no memory
 // after half a minute.
 func TestEndedFlowsAreForgotten(t *testing.T) {
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -81,6 +81,8 @@
 	Rank uint32
 	// LinkBytesPerSecond is the bandwidth of the host's link, or 0 if it is unknown.
 	LinkBytesPerSecond float64
+	// MaxFlowAge is the age that a flow reaches at most, or 0 for gddiscovery.DefaultMaxFlowAge.
+	MaxFlowAge time.Duration
 	// Codec decodes and encodes packets.
 	Codec Codec
 	// Source provides the state of the deployment.
@@ -143,6 +145,7 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
+	e.state.MaxFlowAge = e.MaxFlowAge
 	e.viewSender = e.newSender()
 	e.dispatcher.OnSuspect, e.dispatcher.OnUnreachable = e.onSuspect, e.onUnreachable
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
