Let the agent say of which service it is, whatever is registered at its address

An entry of another writer with a configured service and a later start at a running upstream's address resets the flows there, as one without a configured service did.

Cause: the registration counted as proof that the earlier upstream had left the address, and the agent's "not held" in the name of the other service as proof that the flow is gone.

Ruled out: telling such an entry from the reuse of an address by what the store says; both look the same.

Change: the earlier registration stays one that may hold flows (View.Displaced), without new ones, until it is removed. Asked in the name of another service, an agent proves nothing about its own; it is asked again in the name of the other registration on its host. Newer agents answer other-service in place of absent if the entry host knows it.

TestAddressOfAnotherService, the real reuse, passes as before. The fleet of these tests sends messages to an agent's host whatever the port, as the processes do.

An old agent's answer on a host with registrations of several services is no proof, until the earlier one is removed; the flow is silent instead of reset. Old entry hosts reset as before.

--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -20,6 +20,8 @@
 	domainsOut map[string]struct{}
 	upstreams  []*Member
 	byAddress  map[gdflow.Address]*Member
+	displaced  []*Member
+	shared     map[[4]byte]struct{} // the hosts with registrations of more than one service
 	ignored    int
 	history    routeHistories
 	revision   Revision
@@ -105,6 +107,28 @@
 // UpstreamAt returns the upstream at the address, or nil.
 func (v *View) UpstreamAt(a gdflow.Address) *Member { return v.byAddress[a] }
 
+// Displaced returns the upstreams that are registered at an address at which one of another
+// service is registered later. The later registration may be that of another writer, so that
+// they may still run; they get no new flows.
+func (v *View) Displaced() []*Member { return v.displaced }
+
+// DisplacedAt returns the displaced upstream of the service at the address, or nil.
+func (v *View) DisplacedAt(a gdflow.Address, service uint32) *Member {
+	for _, m := range v.displaced {
+		if m.Address() == a && ServiceHash(m.upstream.Service) == service {
+			return m
+		}
+	}
+	return nil
+}
+
+// SharedHost reports whether upstreams of several services are registered on the host, of which one
+// runs.
+func (v *View) SharedHost(a gdflow.Address) bool {
+	_, ok := v.shared[a.IP()]
+	return ok
+}
+
 // Ignored returns the number of registrations that are not used, because the configuration does
 // not name their service and an upstream of another service is registered on their host.
 func (v *View) Ignored() int { return v.ignored }
@@ -128,7 +152,9 @@
 	}
 	v.routes, v.services = s.routing(v.config)
 	v.named = s.namedServices(v.config)
-	v.byAddress, v.ignored = s.latestUpstreams(v.named)
+	regs := s.registrations(v.named)
+	v.byAddress, v.displaced, v.ignored = regs.latest, regs.displaced, regs.ignored
+	v.shared = regs.sharedHosts()
 	for _, m := range sorted(v.byAddress) {
 		_, m.domainOut = v.domainsOut[m.upstream.Domain]
 		v.upstreams = append(v.upstreams, m)
@@ -189,40 +215,6 @@
 	return named
 }
 
-// latestUpstreams returns one upstream per address, the latest that was there. A registration
-// of a service that the configuration doesn't name, such as one of another writer, is not
-// evidence that the upstream of a named one has left the host. It returns how many it ignores.
-func (s *State) latestUpstreams(named map[string]struct{}) (byAddress map[gdflow.Address]*Member, ignored int) {
-	byAddress = make(map[gdflow.Address]*Member)
-	add := func(m *Member) {
-		if old, ok := byAddress[m.Address()]; !ok || m.supersedes(old) {
-			byAddress[m.Address()] = m
-		}
-	}
-	var others []*Member
-	hosts := make(map[[4]byte]struct{})
-	for subject, r := range s.records {
-		if subject.Kind != Registration || r.change.Upstream == nil {
-			continue
-		}
-		m := r.member(named)
-		if _, ok := named[m.upstream.Service]; !ok {
-			others = append(others, m)
-			continue
-		}
-		add(m)
-		hosts[m.Address().IP()] = struct{}{}
-	}
-	for _, m := range others {
-		if _, ok := hosts[m.Address().IP()]; ok {
-			ignored++
-			continue
-		}
-		add(m)
-	}
-	return byAddress, ignored
-}
-
 // member returns the upstream of a registration. If the latest one under its ID is of a service
 // that is not named, the former one counts as removed instead: the process may still run.
 func (r *record) member(named map[string]struct{}) *Member {
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -329,16 +329,22 @@
 	}
 }
 
+// agentOn returns the agent on the host. Messages to it are sent to its host, whatever the
+// port of the upstream's address.
+func (f *fleet) agentOn(host gdflow.Address) *agent {
+	return f.agents[host.WithPort(upstreamAt(0).Port())]
+}
+
 // query delivers a query to an agent, and the reply to the entry host.
 func (f *fleet) query(i int, e *entry, to gdflow.Address, h gdguard.Header, keys []gdflow.Key) {
-	ag := f.agents[to]
+	ag := f.agentOn(to)
 	if ag == nil || ag.down {
 		return
 	}
 	var holdings []gdguard.Holding
 	ag.guard.UpdateStatus(f.now, h)
 	for _, k := range keys {
-		holdings = append(holdings, ag.guard.Holding(f.now, h.Service, k).For(h.Exact))
+		holdings = append(holdings, ag.guard.Report(f.now, h, k))
 	}
 	f.messages++
 	f.after(f.hopTo(i, ag.at), func() {
@@ -350,7 +356,7 @@
 
 // arrive delivers a packet to an agent.
 func (f *fleet) arrive(from, to gdflow.Address, h gdguard.Header, p gdflow.Packet) {
-	ag := f.agents[to]
+	ag := f.agentOn(to)
 	if ag == nil || ag.down {
 		return
 	}
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -41,37 +41,48 @@
 // handleNotHeld continues the lookup after an agent reported that its upstream does
 // not hold the flow.
 func (d *Dispatcher) handleNotHeld(now time.Time, r *gddiscovery.Route, info ReturnInfo, p gdflow.Packet, f *flow, raw []byte) {
-	unsure := info.Reason == gdguard.NotHeld && d.mayForget()
 	switch f.state {
 	case resolved:
 		if f.upstream.address.IP() != info.From.IP() {
 			d.forward(now, r, f.upstream, Action{Key: p.Key(), Packet: raw, Reason: Known})
 			return
 		}
-		d.startLookupAfter(now, r, attempt{holder: holder{address: info.From}, answered: true, unsure: unsure}, p, f, raw)
+		d.startLookupAfter(now, r, info, f.upstream, p, f, raw)
 	case lookingUp:
-		t := f.lookup.attemptAt(info.From)
-		if t == nil || t.answered {
-			return
-		}
-		t.answered, t.unsure = true, unsure
-		if t == f.lookup.last() || f.lookup.allAnswered() {
-			d.queryNext(now, r, p.Key(), f)
-		}
+		d.continueLookup(now, r, info, p.Key(), f)
 	case gone:
 		d.resetUnlessReset(p, FlowGone)
 	case notFound:
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: NotFound})
 	default:
-		d.startLookupAfter(now, r, attempt{holder: holder{address: info.From}, answered: true, unsure: unsure}, p, f, raw)
+		d.startLookupAfter(now, r, info, holder{address: info.From}, p, f, raw)
 	}
 }
 
-// startLookupAfter starts a lookup in which the agent of one upstream has already
-// reported that it does not hold the flow.
-func (d *Dispatcher) startLookupAfter(now time.Time, r *gddiscovery.Route, t attempt, p gdflow.Packet, f *flow, raw []byte) {
+// continueLookup continues a lookup after an agent has returned its packet.
+func (d *Dispatcher) continueLookup(now time.Time, r *gddiscovery.Route, info ReturnInfo, k gdflow.Key, f *flow) {
+	t := f.lookup.attemptAt(info.From)
+	if t == nil || t.answered {
+		return
+	}
+	if info.Reason == gdguard.WrongService {
+		d.noteOtherService(now, r, k, f.lookup, t)
+	} else {
+		t.answered, t.unsure = true, d.mayBeHeldAfter(info)
+	}
+	if t.answered && (t == f.lookup.last() || f.lookup.allAnswered()) {
+		d.queryNext(now, r, k, f)
+	}
+}
+
+// startLookupAfter starts a lookup in which the agent of the holder has already reported that
+// it does not hold the flow, or, on a host with upstreams of several services, that it is of another
+// one, so that it is asked again.
+func (d *Dispatcher) startLookupAfter(now time.Time, r *gddiscovery.Route, info ReturnInfo, at holder, p gdflow.Packet, f *flow, raw []byte) {
 	d.startLookup(now, f, lookingUp, p, raw)
-	f.lookup.attempts = append(f.lookup.attempts, t)
+	if info.Reason != gdguard.WrongService || !d.view.SharedHost(info.From) {
+		f.lookup.attempts = append(f.lookup.attempts, attempt{holder: at, answered: true, unsure: d.mayBeHeldAfter(info)})
+	}
 	d.queryNext(now, r, p.Key(), f)
 }
 
--- a/internal/core/gddispatch/holders.go
+++ b/internal/core/gddispatch/holders.go
@@ -64,7 +64,13 @@
 // holders yields the upstreams that can hold a flow of the route.
 func (d *Dispatcher) holders(now time.Time, r *gddiscovery.Route) iter.Seq[*gddiscovery.Member] {
 	return func(yield func(*gddiscovery.Member) bool) {
-		if !d.view.KnowsFormerRoutes(now) {
+		known := d.view.KnowsFormerRoutes(now)
+		for _, m := range d.view.Displaced() {
+			if (!known || d.hadService(now, r, gddiscovery.ServiceHash(m.Upstream().Service))) && !yield(m) {
+				return
+			}
+		}
+		if !known {
 			for _, m := range d.view.Upstreams() {
 				if !yield(m) {
 					return
@@ -157,6 +163,17 @@
 	return true
 }
 
+// otherHolder returns an upstream on the host that can hold a flow of the route, of another service
+// than the one in whose name the host was asked, or nil.
+func (d *Dispatcher) otherHolder(now time.Time, r *gddiscovery.Route, asked holder) *gddiscovery.Member {
+	for m := range d.holders(now, r) {
+		if h := d.holderOf(m); h.address.IP() == asked.address.IP() && h.service != asked.service {
+			return m
+		}
+	}
+	return nil
+}
+
 func anyMember(*gddiscovery.Member) bool { return true }
 
 // holder identifies the upstream of a flow. Its address may go to another service, whose
@@ -176,7 +193,7 @@
 func (d *Dispatcher) memberOf(h holder) *gddiscovery.Member {
 	m := d.view.UpstreamAt(h.address)
 	if m == nil || d.holderOf(m) != h {
-		return nil
+		return d.view.DisplacedAt(h.address, h.service)
 	}
 	return m
 }
--- a/internal/core/gddispatch/holders_test.go
+++ b/internal/core/gddispatch/holders_test.go
@@ -1,6 +1,7 @@
 package gddispatch_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -335,6 +336,35 @@
 	}
 }
 
+// TestRegistrationOfAnotherServiceProvesNothing: an entry with a configured service and the address
+// of each upstream may be that of another writer. The agents say of which service they are. The
+// upstreams' flows survive, those that they don't hold are reset, and no packet goes to the wrong one.
+func TestRegistrationOfAnotherServiceProvesNothing(t *testing.T) {
+	for _, shares := range [][]gddiscovery.Share{onlyBooking, both} {
+		for _, port := range []uint16{8080, 9090} {
+			f := newSplitFleet(t, shares)
+			f.openFlows(0, splitFlows)
+			var foreign []gddiscovery.Change
+			for i := range splitUpstreams {
+				u := gddiscovery.Upstream{ID: fmt.Sprint("other-", i), Address: upstreamAt(i).WithPort(port), Slots: 3, StartUnixMilli: 1 << 41}
+				u.Service = map[string]string{"booking": "gallery", "gallery": "booking"}[serviceOf(i)]
+				f.revision++
+				foreign = append(foreign, gddiscovery.Change{
+					Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: u.ID}, Revision: f.revision, Upstream: &u,
+				})
+			}
+			f.apply(foreign...)
+			f.requireServed(0, splitFlows)
+			f.requireServed(1, splitFlows)
+			f.request(0, callerKey(splitFlows))
+			f.request(1, callerKey(splitFlows))
+			f.run(time.Second)
+			require.Len(t, f.resets, 1)
+			require.Zero(t, f.misdelivered())
+		}
+	}
+}
+
 // TestSilentHolderIsNoAnswer: the upstream that an unanswered query went to is of another
 // service when the lookup ends. That proves nothing.
 func TestSilentHolderIsNoAnswer(t *testing.T) {
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -86,7 +86,7 @@
 	tried := len(f.lookup.attempts)
 	for m := range d.holders(now, r) {
 		known := slices.ContainsFunc(f.lookup.attempts[:tried], func(t attempt) bool { return t.address.IP() == m.Address().IP() })
-		if !known {
+		if !known && (!d.view.SharedHost(m.Address()) || f.lookup.attemptAt(m.Address()) == nil) {
 			f.lookup.attempts = append(f.lookup.attempts, attempt{holder: d.holderOf(m), queried: true})
 			d.addQuery(now, k, m)
 		}
@@ -94,6 +94,20 @@
 	d.setDeadline(k, f.lookup, now.Add(batchDelay+answerTimeout))
 }
 
+// noteOtherService records that the agent of a host is of another service than the one in whose name
+// it was asked. If an upstream of another one that can hold the flow is registered on the host,
+// it is asked again in the name of that one. A second such answer may be a repeat of the first.
+func (d *Dispatcher) noteOtherService(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup, t *attempt) {
+	m := d.otherHolder(now, r, t.holder)
+	if m == nil || t.renamed {
+		t.answered, t.unsure = true, t.renamed
+		return
+	}
+	t.holder, t.queried, t.renamed = d.holderOf(m), true, true
+	d.addQuery(now, k, m)
+	d.setDeadline(k, l, now.Add(batchDelay+answerTimeout))
+}
+
 // retryQueries queries the unresponsive upstreams again. It ends the lookup if
 // there are none or they were queried often enough.
 func (d *Dispatcher) retryQueries(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -5,6 +5,7 @@
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
 
 const (
@@ -28,6 +29,12 @@
 // not hold them, although the configuration lets them be idle for as long.
 func (d *Dispatcher) mayForget() bool { return d.view.IdleTimeout() > agentMemory }
 
+// mayBeHeldAfter reports whether the upstream may hold the flow of a packet that its agent has
+// returned. Agents of older builds don't say whether they have forgotten it, or would not know.
+func (d *Dispatcher) mayBeHeldAfter(info ReturnInfo) bool {
+	return info.Reason == gdguard.NotHeld && (d.mayForget() || d.view.SharedHost(info.From))
+}
+
 // mayBroadcast reports whether all upstreams that can hold a flow of the route may be queried: their
 // answers can prove that the flow is gone, because none is known to be unresponsive
 // unless its host can't be reached, and the rate limit of such lookups is not exceeded.
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -95,7 +95,9 @@
 		d.resolve(now, k, f, t.holder)
 		return
 	case holding == gdguard.Absent:
-		t.answered, t.unsure = true, d.mayForget()
+		t.answered, t.unsure = true, d.mayForget() || d.view.SharedHost(t.address)
+	case holding == gdguard.OtherService:
+		d.noteOtherService(now, r, k, l, t)
 	case holding == gdguard.Closed:
 		t.answered = true
 	case holding == gdguard.Unsure && !d.hadService(now, r, t.service), !d.takeProbe(now, l):
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -223,6 +223,7 @@
 	refusal  gdguard.Reason
 	recalled bool // it was not asked, since it is known to be busy
 	queried  bool // it was queried without a packet
+	renamed  bool // it was asked in the name of a second service
 	unsure   bool // it can't answer without a packet, and the limit of such packets was reached, or it may have forgotten the flow
 }
 
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -57,7 +57,7 @@
 	Forced, Urgent bool
 	// Confirm requests a report if the upstream holds the flow.
 	Confirm bool
-	// Exact reports that the entry host knows NotOpen and Closed. Older builds don't.
+	// Exact reports that the entry host knows NotOpen, Closed and OtherService. Older builds don't.
 	Exact bool
 }
 
--- a/internal/core/gdguard/holding.go
+++ b/internal/core/gdguard/holding.go
@@ -78,6 +78,18 @@
 	return Unsure
 }
 
+// Report returns what the agent reports about a flow in its reply to a query without a packet.
+func (g *Guard) Report(now time.Time, h Header, k gdflow.Key) Holding {
+	holding := g.Holding(now, h.Service, k)
+	switch {
+	case !h.Exact || holding != Absent:
+		return holding
+	case !g.serves(h):
+		return OtherService
+	}
+	return Closed
+}
+
 // reportHolding reports to the entry host that the upstream holds the flow: at once if
 // the guard knows it, otherwise when the upstream has sent a packet of the flow or has
 // not returned the delivered one in time.
--- a/internal/core/gdguard/idle_test.go
+++ b/internal/core/gdguard/idle_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
@@ -129,7 +130,12 @@
 		p.Returned = true
 		require.Equal(t, want, only(t, g.HandleUpstreamPacket(start, p)).Reason)
 	}
-	require.Equal(t, gdguard.Absent, gdguard.Absent.For(false))
-	require.Equal(t, gdguard.Closed, gdguard.Absent.For(true))
-	require.Equal(t, gdguard.Unsure, gdguard.Unsure.For(true))
+	g := &gdguard.Guard{Service: "booking", ObservedFromStart: true}
+	other := gddiscovery.ServiceHash("gallery")
+	require.Equal(t, gdguard.Absent, g.Report(start, gdguard.Header{Service: header(1).Service}, key(1)))
+	require.Equal(t, gdguard.Absent, g.Report(start, gdguard.Header{Service: other}, key(1)))
+	require.Equal(t, gdguard.Closed, g.Report(start, gdguard.Header{Service: header(1).Service, Exact: true}, key(1)))
+	require.Equal(t, gdguard.OtherService, g.Report(start, gdguard.Header{Service: other, Exact: true}, key(1)))
+	g = &gdguard.Guard{Service: "booking"}
+	require.Equal(t, gdguard.Unsure, g.Report(start, gdguard.Header{Service: header(1).Service, Exact: true}, key(1)))
 }
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -110,11 +110,13 @@
 	HalfOpen
 	// Closed: the upstream does not hold the flow, however long it was idle.
 	Closed
+	// OtherService: the agent is of another service than the one in whose name it was asked.
+	OtherService
 
 	holdings
 )
 
-var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present", HalfOpen: "half-open", Closed: "closed"}
+var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present", HalfOpen: "half-open", Closed: "closed", OtherService: "other-service"}
 
 func (h Holding) String() string {
 	if h >= holdings {
@@ -123,14 +125,6 @@
 	return holdingNames[h]
 }
 
-// For returns what is reported to an entry host that knows Closed, or one that does not.
-func (h Holding) For(exact bool) Holding {
-	if exact && h == Absent {
-		return Closed
-	}
-	return h
-}
-
 // NumHoldings returns the number of values of a Holding, for arrays of counters.
 func NumHoldings() int { return int(holdings) }
 
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -207,7 +207,7 @@
 func (s *sender) replyToQuery(now time.Time, entry gdflow.Address, m gdhop.Message) {
 	b := gdhop.AppendQueryReply(s.out.Buffer(), s.agent.Guard.Revision())
 	for _, k := range m.Keys {
-		h := s.agent.Guard.Holding(now, m.Header.Service, k).For(m.Header.Exact)
+		h := s.agent.Guard.Report(now, m.Header, k)
 		s.agent.metrics.holdings[h].Inc(1)
 		b = gdhop.AppendHolding(b, k, h)
 	}
