Keep the former upstream of an ID that is registered with another service

Change: the former upstream of an ID is displaced like one at the same address: it gets no new flows, and may hold flows until its agent says otherwise.

Test: the case with the upstream's own ID of TestRegistrationOfAnotherServiceProvesNothing failed before.

--- a/internal/core/gddiscovery/registrations.go
+++ b/internal/core/gddiscovery/registrations.go
@@ -6,7 +6,8 @@
 type registrations struct {
 	// latest has one upstream per address, the latest that was there.
 	latest map[gdflow.Address]*Member
-	// displaced are those at whose address one of another service is registered later.
+	// displaced are those at whose address, or under whose ID, one of another service is
+	// registered later.
 	displaced []*Member
 	// ignored counts those that name no upstream to use.
 	ignored int
@@ -30,6 +31,9 @@
 		}
 		regs.add(m)
 		hosts[m.Address().IP()] = struct{}{}
+		if r.former != nil && !m.removed {
+			regs.displaced = append(regs.displaced, r.memberOf(r.former, false))
+		}
 	}
 	for _, m := range others {
 		if _, ok := hosts[m.Address().IP()]; ok {
@@ -58,7 +62,7 @@
 func (regs *registrations) stillDisplaced() []*Member {
 	var out []*Member
 	for _, m := range regs.displaced {
-		if m.upstream.Service != regs.latest[m.Address()].upstream.Service {
+		if l := regs.latest[m.Address()]; l == nil || l.upstream.Service != m.upstream.Service {
 			out = append(out, m)
 		}
 	}
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -107,8 +107,8 @@
 // UpstreamAt returns the upstream at the address, or nil.
 func (v *View) UpstreamAt(a gdflow.Address) *Member { return v.byAddress[a] }
 
-// Displaced returns the upstreams that are registered at an address at which one of another
-// service is registered later. The later registration may be that of another writer, so that
+// Displaced returns the upstreams that are registered at an address, or under an ID, at which one
+// of another service is registered later. The later registration may be that of another writer, so that
 // they may still run; they get no new flows.
 func (v *View) Displaced() []*Member { return v.displaced }
 
@@ -222,6 +222,11 @@
 	if _, ok := named[u.Service]; !ok && r.former != nil {
 		u, removed = r.former, true
 	}
+	return r.memberOf(u, removed)
+}
+
+// memberOf returns an upstream that was registered under the record's ID.
+func (r *record) memberOf(u *Upstream, removed bool) *Member {
 	return &Member{
 		upstream: *u, revision: r.change.Revision, seed: seedOf(u.Address),
 		updatedAt: r.updatedAt, graceUntil: r.graceUntil, removed: removed,
--- a/internal/core/gddispatch/holders_test.go
+++ b/internal/core/gddispatch/holders_test.go
@@ -341,12 +341,18 @@
 // upstreams' flows survive, those that they don't hold are reset, and no packet goes to the wrong one.
 func TestRegistrationOfAnotherServiceProvesNothing(t *testing.T) {
 	for _, shares := range [][]gddiscovery.Share{onlyBooking, both} {
-		for _, port := range []uint16{8080, 9090} {
+		for _, tt := range []struct {
+			own  bool // under the upstream's own ID
+			port uint16
+		}{{false, 8080}, {false, 9090}, {true, 8080}} {
 			f := newSplitFleet(t, shares)
 			f.openFlows(0, splitFlows)
 			var foreign []gddiscovery.Change
 			for i := range splitUpstreams {
-				u := gddiscovery.Upstream{ID: fmt.Sprint("other-", i), Address: upstreamAt(i).WithPort(port), Slots: 3, StartUnixMilli: 1 << 41}
+				u := gddiscovery.Upstream{ID: fmt.Sprint("other-", i), Address: upstreamAt(i).WithPort(tt.port), Slots: 3, StartUnixMilli: 1 << 41}
+				if tt.own {
+					u.ID = upstreamAt(i).String()
+				}
 				u.Service = map[string]string{"booking": "gallery", "gallery": "booking"}[serviceOf(i)]
 				f.revision++
 				foreign = append(foreign, gddiscovery.Change{
