Don't take a new write for an earlier one because of its number

Cause: record.repeats compared numbers across eras, for every change of the later era. record.reconcile did the same, and cleared the time for which a registration is cold; found by reading, and shown by its test.

Change: only what the first full update of an era has may be from the copy. A registration there also has to be of the same process. An evacuation counts whatever its number: out in vain costs service until it is taken back again, in by mistake breaks a promise.

Tests: TestEvacuationWithAnEarlierNumber and TestRegistrationWithAnEarlierNumber (4 of 6 cases) failed on.

Beside: no message changes; old hosts ignore such an evacuation.

--- a/internal/core/gddiscovery/restore.go
+++ b/internal/core/gddiscovery/restore.go
@@ -94,23 +94,43 @@
 	return expiryGrace
 }
 
-// repeats reports whether a change of a later era is what the record was before it was
-// removed: the copy from which the source was restored is older than the removal.
+// noteCopy records what the first full update of an era has.
+func (s *State) noteCopy(u Update) {
+	if s.loaded && u.Revision.Era() == s.revision.Era() {
+		return
+	}
+	s.copied = u.Revision
+	for _, c := range u.Changes {
+		s.copied = max(s.copied, c.Revision)
+	}
+}
+
+// repeats reports whether a registration of a later era, which may be from the copy, is what the
+// record was before it was removed: the copy is older than the removal. An evacuation that may
+// be an earlier one counts: it is taken back again if it was.
 func (r *record) repeats(c Change) bool {
-	return r.change.Removed && !c.Removed && r.written != 0 &&
-		r.change.Revision.Era() < c.Revision.Era() && r.written.Number() == c.Revision.Number()
+	return c.Kind == Registration && r.change.Removed && !c.Removed && r.change.Revision.Era() < c.Revision.Era() &&
+		r.written.sameWrite(c.Revision) && c.Upstream.sameProcess(r.change.Upstream)
+}
+
+// sameWrite reports whether the revision is of the same write as a later one from the copy.
+func (r Revision) sameWrite(copied Revision) bool { return r != 0 && r.Number() == copied.Number() }
+
+// sameProcess reports whether both are registrations of one process, as far as they say.
+func (u *Upstream) sameProcess(o *Upstream) bool {
+	return u != nil && o != nil && u.ID == o.ID && u.Service == o.Service && u.Address == o.Address && u.StartUnixMilli == o.StartUnixMilli
 }
 
 // reconcile combines a registration with the one of an earlier era that it replaces: an
 // upstream that drains does not stop doing so, and it is cold for as long as either says.
-func (r *record) reconcile(old *record) {
+func (r *record) reconcile(old *record, copied bool) {
 	u, known := r.change.Upstream, old.change.Upstream
 	if u == nil || known == nil || old.change.Removed || r.change.Revision.Era() == old.change.Revision.Era() {
 		return
 	}
 	combined := *u
 	combined.Draining = u.Draining || known.Draining && u.StartUnixMilli == known.StartUnixMilli
-	if r.change.Revision.Number() == old.written.Number() {
+	if copied && old.written.sameWrite(r.change.Revision) && u.sameProcess(known) {
 		combined.ColdFor = 0 // it is the same registration, which the old record has from its time
 	}
 	left := old.updatedAt.Add(known.ColdFor).Sub(r.updatedAt)
--- a/internal/core/gddiscovery/restore_test.go
+++ b/internal/core/gddiscovery/restore_test.go
@@ -131,6 +131,73 @@
 	require.Zero(t, s.View().DomainsOut(), "written again and taken back")
 }
 
+// TestEvacuationWithAnEarlierNumber guards against an evacuation that is ignored because it gets
+// the number that an earlier one of the domain had before the restore: also when it was written
+// before the host saw the new era.
+func TestEvacuationWithAnEarlierNumber(t *testing.T) {
+	for _, watched := range []bool{true, false} {
+		s := beforeRestore(t)
+		s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{evacuation(104, "a", false)}, Revision: 104})
+		s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{evacuation(105, "a", true)}, Revision: 105})
+		require.Zero(t, s.View().DomainsOut())
+		again := evacuation(era1(104), "a", false)
+		if watched {
+			restored(s, start, config(era1(50), 4))
+			later := start.Add(10 * time.Second)
+			s.Apply(later, gddiscovery.Update{Changes: []gddiscovery.Change{again}, Revision: era1(104), EachChange: true})
+		} else {
+			restored(s, start, config(era1(50), 4), again)
+		}
+		require.Equal(t, 1, s.View().DomainsOut())
+		s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{evacuation(era1(105), "a", true)}, Revision: era1(105)})
+		require.Zero(t, s.View().DomainsOut())
+	}
+}
+
+// TestRegistrationWithAnEarlierNumber: the same for registrations. One that is written after the
+// restore is not the earlier one of its number, and neither is that of another process in the copy.
+func TestRegistrationWithAnEarlierNumber(t *testing.T) {
+	cold := func(startMilli int64) func(u *gddiscovery.Upstream) {
+		return func(u *gddiscovery.Upstream) { u.StartUnixMilli, u.ColdFor = startMilli, 4*time.Second }
+	}
+	for _, tt := range []struct {
+		name    string
+		ended   bool
+		again   int64 // the start time of the process that registers again
+		watched bool
+		accepts bool
+		cold    time.Duration
+	}{
+		{"ended, and written again", true, 1000, true, true, 4 * time.Second},
+		{"ended, and in the copy", true, 1000, false, false, 0},
+		{"ended, and another process in the copy", true, 2000, false, true, 4 * time.Second},
+		{"written again", false, 1000, true, true, 4 * time.Second},
+		{"in the copy", false, 1000, false, true, 3 * time.Second},
+		{"another process in the copy", false, 2000, false, true, 4 * time.Second},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := beforeRestore(t)
+			s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{upstream(106, "u1", cold(1000))}, Revision: 106})
+			if tt.ended {
+				s.Apply(start, gddiscovery.Update{Changes: []gddiscovery.Change{removal(107, "u1")}, Revision: 107})
+			}
+			now := start.Add(time.Second)
+			again := upstream(era1(106), "u1", cold(tt.again))
+			if tt.watched {
+				restored(s, start, config(era1(50), 4))
+				s.Apply(now, gddiscovery.Update{Changes: []gddiscovery.Change{again}, Revision: era1(106), EachChange: true})
+			} else {
+				restored(s, now, config(era1(50), 4), again)
+			}
+			m := member(t, s, at(1))
+			require.Equal(t, tt.accepts, m.AcceptsNew(now))
+			if tt.accepts {
+				require.Equal(t, tt.cold, m.ColdLeft(now))
+			}
+		})
+	}
+}
+
 // TestEarlierEraIsIgnored: an answer was delayed, or came over an old connection.
 func TestEarlierEraIsIgnored(t *testing.T) {
 	s := beforeRestore(t)
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -44,10 +44,13 @@
 	completeSince Revision
 	configs       []configAt // the latest configurations, oldest first
 	history       routeHistories
-	confirmed     time.Time
-	settledAt     time.Time // until then the state may lack running upstreams
-	loaded        bool
-	view          *View
+	// copied is the highest revision in the first full update of the era. What is written later
+	// is not from the copy, although its number may have been given out before.
+	copied    Revision
+	confirmed time.Time
+	settledAt time.Time // until then the state may lack running upstreams
+	loaded    bool
+	view      *View
 }
 
 func (s *State) maxFlowAge() time.Duration { return cmp.Or(s.MaxFlowAge, DefaultMaxFlowAge) }
@@ -83,6 +86,7 @@
 	for _, c := range u.Changes {
 		present[c.Subject] = struct{}{}
 	}
+	s.noteCopy(u)
 	for subject, r := range s.records {
 		_, ok := present[subject]
 		if !ok && !r.change.Removed && r.change.Revision <= u.Revision && r.change.Revision.Era() == u.Revision.Era() {
@@ -171,7 +175,7 @@
 			return v > r.change.version()
 		}
 	}
-	return c.Revision > r.change.Revision && !r.repeats(c)
+	return c.Revision > r.change.Revision
 }
 
 // put applies a change, unless a newer one of its subject is known.
@@ -181,7 +185,8 @@
 		// A configuration is never removed, and one that can't be read is ignored.
 		return false
 	}
-	if known && !old.precedes(c) {
+	copied := c.Revision <= s.copied
+	if known && (!old.precedes(c) || copied && old.repeats(c)) {
 		return false
 	}
 	r := &record{change: c, updatedAt: now}
@@ -190,7 +195,7 @@
 		r.written = c.Revision
 	}
 	if known {
-		r.succeed(old, outage)
+		r.succeed(old, outage, copied)
 	}
 	s.records[c.Subject] = r
 	if c.Config != nil {
@@ -214,13 +219,13 @@
 }
 
 // succeed takes over from the record that this one replaces what the change does not say.
-func (r *record) succeed(old *record, outage bool) {
+func (r *record) succeed(old *record, outage, copied bool) {
 	r.former = old.former
 	if u, was := r.change.Upstream, old.change.Upstream; u != nil && was != nil && u.Service != was.Service {
 		r.former = was
 	}
 	if !r.change.Removed {
-		r.reconcile(old)
+		r.reconcile(old, copied)
 		return
 	}
 	r.written = old.written
