Limit cold upstreams whose limit is below one flow a second

Cause: the status of an upstream has whole flows a second, the fraction was cut off, and 0 stands for no limit.

Ruled out: the decoder and the messages between entry hosts, which keep the fraction.

Change: a limit above 0 is told as at least 1.

Test: TestColdLimit failed on (1e-9, where 0 was told).

Beside: old agents get 1 in place of 0 and apply it; old entry hosts tell 0, and agents of either build believe it until those are replaced.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -378,13 +378,22 @@
 		ViewAge:            d.viewAge(now),
 		AcceptsNew:         m.AcceptsNew(now),
 		Slots:              uint8(min(max(m.Upstream().Slots, 1), maxSlots)),
-		ColdFlowsPerSecond: uint16(min(max(p.Service().ColdFlowsPerSecond, 0), 1<<16-1)),
+		ColdFlowsPerSecond: coldFlows(p.Service().ColdFlowsPerSecond),
 		ColdLeft:           m.ColdLeft(now),
 		ColdFor:            p.Service().ColdFor,
 		StartUnixMilli:     m.Upstream().StartUnixMilli,
 	}
 }
 
+// coldFlows returns the limit of new flows of a cold upstream per second, as agents get it. A
+// fraction below 1 is a limit, too; 0 is none.
+func coldFlows(perSecond float64) uint16 {
+	if perSecond <= 0 {
+		return 0
+	}
+	return uint16(min(max(perSecond, 1), 1<<16-1))
+}
+
 // viewAge returns how long ago the view was known to be current, or 0 if that is not known.
 func (d *Dispatcher) viewAge(now time.Time) time.Duration {
 	if d.confirmed.IsZero() {
