Limit an upstream that may be cold until its registration can have come

Cause: the agent took any view that is later than its own start for evidence that the upstream had not restarted. A restarted upstream registers up to a heartbeat after its start, and any other change in the store confirms the view before.

Ruled out: the status of the second upstream itself (event 606 has the start time of the former process until it registers); the entry hosts' limit, there is none.

Change: a view counts only from two seconds, or one and a half heartbeats if that is more, after the agent's start; the settings' heartbeat_ms is read.

Tests: TestUpstreamThatHasNotRegistered (3 of 7 cases) failed on.

Beside: the agent decides alone, from the age of the view that entry hosts tell since.

--- a/cmd/gdhost/agent.go
+++ b/cmd/gdhost/agent.go
@@ -32,7 +32,7 @@
 				return errors.Errorf("settings of %s name no upstream", s.Name())
 			}
 			a := &gdpacketagent.Agent{
-				Guard:           gdguard.Guard{Service: s.Service(), ObservedFromStart: s.FirstStart(), MaxFlowAge: s.MaxFlowAge()},
+				Guard:           gdguard.Guard{Service: s.Service(), ObservedFromStart: s.FirstStart(), MaxFlowAge: s.MaxFlowAge(), Heartbeat: s.Heartbeat()},
 				HopAddress:      netip.AddrPortFrom(s.CallerAddress().Addr(), s.HopPort()),
 				UpstreamAddress: s.UpstreamAddress(), OutboundAddress: s.OutboundAddress(), CallerPort: s.CallerAddress().Port(),
 				Codec: platform.Codec{},
--- a/internal/core/gdguard/cold.go
+++ b/internal/core/gdguard/cold.go
@@ -68,15 +68,21 @@
 	f.wasIdle, f.usedAt = false, now
 }
 
-// freshness records whether a status is known that is later than the agent's start. One from
-// before doesn't show a restart of the upstream that the agent was too late to observe.
+// freshness records whether a status is known from a view that is so much later than the agent's
+// start that it has the registration of an upstream that was started before. An earlier one doesn't
+// show a restart that the agent was too late to observe.
 type freshness struct{ fresh, stale bool }
 
+// registeredAt returns when an upstream has registered that was started before the agent.
+func (g *Guard) registeredAt() time.Time {
+	return g.AgentStarted.Add(max(restoreGrace, g.Heartbeat+g.Heartbeat/2))
+}
+
 // noteViewAge records how old the view is from which the status comes.
 func (g *Guard) noteViewAge(now time.Time, s UpstreamStatus) {
 	switch {
 	case s.ViewAge == 0:
-	case now.Add(-s.ViewAge).Before(g.AgentStarted) && s.StartUnixMilli < g.AgentStarted.Add(-maxStartSkew).UnixMilli():
+	case now.Add(-s.ViewAge).Before(g.registeredAt()) && s.StartUnixMilli < g.AgentStarted.Add(-maxStartSkew).UnixMilli():
 		g.freshness.stale = true
 	default:
 		g.freshness.fresh = true
@@ -84,7 +90,7 @@
 }
 
 // mayHaveRestarted reports whether the upstream may have restarted before the agent's start without
-// any status showing it: while the source is away, entry hosts don't learn of it.
+// any status showing it: it has not registered yet, or the source is away.
 func (g *Guard) mayHaveRestarted() bool {
 	return g.freshness.stale && !g.freshness.fresh && !g.ObservedFromStart
 }
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -35,7 +35,8 @@
 	closedTTL = 15 * time.Second
 	// restoreGrace is how long an upstream that accepted no new flows still refuses them
 	// when the source of the status was restored from a copy: the time that the users'
-	// requirements give a running upstream to register again.
+	// requirements give a running upstream to register again. It is also how long after the
+	// agent's start the registration of an upstream may come that was started before.
 	restoreGrace = 2 * time.Second
 	// maxFlows limits one generation of the flow cache, and the open flows that it keeps: the
 	// connections of one upstream in the users' settings, plus some for flows that have ended.
@@ -114,6 +115,8 @@
 	ObservedFromStart bool
 	// MaxFlowAge is the age that a flow reaches at most, or 0 for gddiscovery.DefaultMaxFlowAge.
 	MaxFlowAge time.Duration
+	// Heartbeat is the interval at which the upstream registers, or 0 if it is unknown.
+	Heartbeat time.Duration
 	// AgentStarted is the start time of the agent's process. The wall clock may be
 	// wrong.
 	AgentStarted time.Time
--- a/internal/core/gdguard/restore_test.go
+++ b/internal/core/gdguard/restore_test.go
@@ -102,7 +102,7 @@
 		{"the source is away, and an old entry host doesn't tell", old(status(104, hourAgo)), time.Second / 2, 0, status(104, hourAgo), 0, perSecond / 2},
 		{"the source is away, and the agent has run for longer", old(status(104, hourAgo)), time.Second, 0, old(status(104, hourAgo)), 0, flows},
 		{"the source is away, and the flows are more than a cold upstream can hold", old(status(104, hourAgo)), time.Second / 2, 2*perSecond + 1, old(status(104, hourAgo)), 0, flows},
-		{"the source is back", old(status(104, hourAgo)), time.Second / 2, 0, current(status(104, hourAgo)), 0, flows},
+		{"the view is later, but the upstream may not have registered", old(status(104, hourAgo)), time.Second / 2, 0, current(status(104, hourAgo)), 0, perSecond / 2},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -125,3 +125,48 @@
 		})
 	}
 }
+
+// TestUpstreamThatHasNotRegistered guards against a cold upstream without a limit: it was started
+// together with its agent, or before, and the view that is later than the agent's start still has
+// its former process, because it registers within its heartbeat or two seconds. Load: 50 new flows.
+func TestUpstreamThatHasNotRegistered(t *testing.T) {
+	const flows, perSecond, coldFor = 50, 4, 20 * time.Second
+	status := func(now time.Time, view time.Duration, startMilli int64) gdguard.Header {
+		h := header(104)
+		h.Forced = true
+		h.Status = gdguard.UpstreamStatus{
+			Revision: 104, AcceptsNew: true, Slots: 100, ColdFlowsPerSecond: perSecond, ColdFor: coldFor, StartUnixMilli: startMilli,
+			ViewAge: max(now.Sub(start.Add(view)), time.Nanosecond),
+		}
+		return h
+	}
+	hourAgo := start.Add(-time.Hour).UnixMilli()
+	for _, tt := range []struct {
+		name       string
+		heartbeat  time.Duration
+		view       time.Duration // when the view was current, after the agent's start
+		startMilli int64
+		limited    bool
+	}{
+		{"view of before the start", 0, -time.Second, hourAgo, true},
+		{"view right after the start", 0, 100 * time.Millisecond, hourAgo, true},
+		{"view within the heartbeat", 770 * time.Millisecond, 900 * time.Millisecond, hourAgo, true},
+		{"view after it", 770 * time.Millisecond, 2 * time.Second, hourAgo, false},
+		{"view within a long heartbeat", 4 * time.Second, 4 * time.Second, hourAgo, true},
+		{"view after a long heartbeat", 4 * time.Second, 6 * time.Second, hourAgo, false},
+		{"a later process is registered", 0, time.Second, start.Add(500 * time.Millisecond).UnixMilli(), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			g := &gdguard.Guard{Service: "booking", AgentStarted: start, Heartbeat: tt.heartbeat}
+			now := start.Add(max(tt.view, 0) + 1200*time.Millisecond)
+			accepted := 0
+			for i := range flows {
+				if only(t, g.HandleEntryPacket(now, entry, status(now, tt.view, tt.startMilli), openPacket(i))).Verb == gdguard.Deliver {
+					accepted++
+				}
+				g.HandleUpstreamPacket(now, packet(i, gdflow.Accept, 7, 1, 0))
+			}
+			require.Equal(t, map[bool]int{true: perSecond, false: flows}[tt.limited], accepted)
+		})
+	}
+}
