End the lookup of a flow whose route is gone

What callers saw: nothing yet; the review read it. From 1,024 lookups that count for good, a host holds no packet for a lookup and offers no flow.

Cause: a packet of a flow without a route deletes the flow's record, also while its lookup is in progress, and Dispatcher.lookups still counts it.

Ruled out: the other ways that delete a record; an eviction and a timeout end the lookup.

Change: Dispatcher.forget ends the lookup with the record.

Beside: no message changes.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -207,7 +207,7 @@
 func (d *Dispatcher) handleCallerPacket(now time.Time, p gdflow.Packet, raw []byte) {
 	r, ok := d.view.Route(p.Key().Service())
 	if !ok {
-		d.flows.Delete(p.Key())
+		d.forget(now, p.Key())
 		d.resetUnlessReset(p, NoRoute)
 		return
 	}
@@ -219,6 +219,14 @@
 	}
 }
 
+// forget deletes the record of a flow, and ends its lookup.
+func (d *Dispatcher) forget(now time.Time, k gdflow.Key) {
+	if f, known := d.flows.Get(now, k); known {
+		d.endLookup(f)
+		d.flows.Delete(k)
+	}
+}
+
 // flow returns the record of a flow and creates it if there is none.
 func (d *Dispatcher) flow(now time.Time, k gdflow.Key) *flow {
 	f, known := d.flows.Get(now, k)
