Keep pools of displaced upstreams, and the first of several under one ID

What callers saw: nothing; found on reading the diff. A lookup would have failed on a missing pool (and ended the process) if an upstream of a service that only a route names was displaced, or one of a service that the configuration doesn't name had been registered under the ID before.

Cause: pools were made for the latest upstreams only, and the former upstream of an ID was the last one, whatever its service.

Change: displaced upstreams have a pool; the former upstream is the first with another service, until that service is registered again, and counts only if the configuration names its service. Besides, a watch that fails right after a load no longer repeats the load, and has two seconds again.

Beside: no message changes.

--- a/internal/core/gddiscovery/registrations.go
+++ b/internal/core/gddiscovery/registrations.go
@@ -25,14 +25,14 @@
 			continue
 		}
 		m := r.member(named)
-		if _, ok := named[m.upstream.Service]; !ok {
+		if !isNamed(named, &m.upstream) {
 			others = append(others, m)
 			continue
 		}
 		regs.add(m)
 		hosts[m.Address().IP()] = struct{}{}
-		if r.former != nil && !m.removed {
-			regs.displaced = append(regs.displaced, r.memberOf(r.former, false))
+		if f := r.former; f != nil && !m.removed && isNamed(named, f) {
+			regs.displaced = append(regs.displaced, r.memberOf(f, false))
 		}
 	}
 	for _, m := range others {
--- a/internal/core/gddiscovery/requests.go
+++ b/internal/core/gddiscovery/requests.go
@@ -52,6 +52,9 @@
 	return Request{wait: watchWait, timeout: watchWait + answerMargin}
 }
 
+// Loaded records that the full state was loaded, also if the watch after it fails.
+func (q *Requests) Loaded() { q.reload, q.late = false, 0 }
+
 // Failures returns the number of requests that have failed since the last one that succeeded.
 func (q *Requests) Failures() int { return q.failures }
 
--- a/internal/core/gddiscovery/requests_test.go
+++ b/internal/core/gddiscovery/requests_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// TestWatchAfterLoadFails: a load that succeeded is not repeated because the watch after it failed,
+// as with a store that answers slowly.
+func TestWatchAfterLoadFails(t *testing.T) {
+	var q gddiscovery.Requests
+	q.Failed(q.Next(true), gddiscovery.ErrHistoryLost)
+	r := q.Next(true)
+	require.True(t, r.Full())
+	q.Loaded()
+	q.Failed(r, errors.New("no answer"))
+	require.False(t, q.Next(true).Full())
+}
+
 // afterFailure returns the request after a load that has failed.
 func afterFailure(q *gddiscovery.Requests, err error) gddiscovery.Request {
 	q.Failed(q.Next(false), err)
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -25,7 +25,7 @@
 	graceUntil time.Time
 	// written is the revision at which the subject was last written, not removed.
 	written Revision
-	// former is the upstream that was last registered under the ID with another service, or nil.
+	// former is an upstream that was registered under the ID with another service, or nil.
 	former *Upstream
 	// keptUntil is the time until which the record is kept unconfirmed, or zero.
 	keptUntil time.Time
@@ -220,10 +220,7 @@
 
 // succeed takes over from the record that this one replaces what the change does not say.
 func (r *record) succeed(old *record, outage, copied bool) {
-	r.former = old.former
-	if u, was := r.change.Upstream, old.change.Upstream; u != nil && was != nil && u.Service != was.Service {
-		r.former = was
-	}
+	r.former = formerOf(old, r.change.Upstream)
 	if !r.change.Removed {
 		r.reconcile(old, copied)
 		return
@@ -237,6 +234,21 @@
 	}
 }
 
+// formerOf returns the upstream that was registered with another service under the ID of the record
+// before one replaces it: the first of several.
+func formerOf(old *record, next *Upstream) *Upstream {
+	was := old.change.Upstream
+	switch {
+	case next == nil || was == nil || next.Service == was.Service:
+		return old.former
+	case old.former == nil:
+		return was
+	case old.former.Service == next.Service:
+		return nil // it has registered again
+	}
+	return old.former
+}
+
 // expire deletes the records of subjects that were removed so long ago that no flow
 // can depend on them.
 func (s *State) expire(now time.Time) bool {
--- a/internal/core/gddiscovery/state_test.go
+++ b/internal/core/gddiscovery/state_test.go
@@ -258,6 +258,44 @@
 	}
 }
 
+// TestRegistrationsUnderOneID: the services that were registered under an ID one after the other,
+// and which upstreams of it may still run. A route names ledger, which is not among the services.
+func TestRegistrationsUnderOneID(t *testing.T) {
+	for _, tt := range []struct {
+		services, displaced []string
+		latest              string
+	}{
+		{[]string{"booking", "gallery"}, []string{"booking"}, "gallery"},
+		{[]string{"ledger", "gallery"}, []string{"ledger"}, "gallery"},
+		{[]string{"booking", "gallery", "booking"}, nil, "booking"},
+		{[]string{"parcels", "booking"}, nil, "booking"},
+		{[]string{"booking", "parcels", "booking"}, nil, "booking"},
+		{[]string{"booking", "parcels", "gallery"}, []string{"booking"}, "gallery"},
+		{[]string{"booking", "parcels"}, nil, "booking"},
+		{[]string{"parcels", "others"}, nil, "others"},
+	} {
+		c := config(5, 7)
+		c.Config.Routes[0].Shares = append(c.Config.Routes[0].Shares, gddiscovery.Share{Service: "ledger", Weight: 1})
+		s := loaded(t, c)
+		for i, service := range tt.services {
+			r := gddiscovery.Revision(11 + i)
+			s.Apply(start, gddiscovery.Update{Revision: r, Changes: []gddiscovery.Change{
+				upstream(r, "u1", func(u *gddiscovery.Upstream) { u.Service = service }),
+			}})
+		}
+		require.Equal(t, tt.latest, member(t, s, at(1)).Upstream().Service, "%v", tt.services)
+		var displaced []string
+		for _, m := range s.View().Displaced() {
+			displaced = append(displaced, m.Upstream().Service)
+			_, ok := s.View().Pool(m.Upstream().Service)
+			require.True(t, ok, "lookups need its pool")
+			require.Equal(t, m, s.View().DisplacedAt(at(1), gddiscovery.ServiceHash(m.Upstream().Service)))
+		}
+		require.Equal(t, tt.displaced, displaced, "%v", tt.services)
+		require.Equal(t, len(displaced) > 0, s.View().SharedHost(at(1)))
+	}
+}
+
 // TestServiceIsConfiguredLater: an address has gone to a service that this host learns of later.
 func TestServiceIsConfiguredLater(t *testing.T) {
 	s := loaded(t, config(5, 7), upstream(6, "u1", nil), upstream(8, "u2", func(u *gddiscovery.Upstream) { u.Service = "parcels" }))
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -158,16 +158,25 @@
 	for _, m := range sorted(v.byAddress) {
 		_, m.domainOut = v.domainsOut[m.upstream.Domain]
 		v.upstreams = append(v.upstreams, m)
-		p, ok := v.services[m.upstream.Service]
-		if !ok {
-			p = newPool(Service{Name: m.upstream.Service})
-			v.services[m.upstream.Service] = p
-		}
+		p := v.poolOf(m)
 		p.members = append(p.members, m)
 	}
+	for _, m := range v.displaced {
+		v.poolOf(m)
+	}
 	return v
 }
 
+// poolOf returns the pool of the upstream's service, and creates it if there is none.
+func (v *View) poolOf(m *Member) *Pool {
+	p, ok := v.services[m.upstream.Service]
+	if !ok {
+		p = newPool(Service{Name: m.upstream.Service})
+		v.services[m.upstream.Service] = p
+	}
+	return p
+}
+
 func newPool(s Service) *Pool { return &Pool{service: s, hash: ServiceHash(s.Name)} }
 
 // routing returns the tables of a configuration. The routes are shared by all
@@ -219,12 +228,17 @@
 // that is not named, the former one counts as removed instead: the process may still run.
 func (r *record) member(named map[string]struct{}) *Member {
 	u, removed := r.change.Upstream, r.change.Removed
-	if _, ok := named[u.Service]; !ok && r.former != nil {
-		u, removed = r.former, true
+	if f := r.former; f != nil && !isNamed(named, u) && isNamed(named, f) {
+		u, removed = f, true
 	}
 	return r.memberOf(u, removed)
 }
 
+func isNamed(named map[string]struct{}, u *Upstream) bool {
+	_, ok := named[u.Service]
+	return ok
+}
+
 // memberOf returns an upstream that was registered under the record's ID.
 func (r *record) memberOf(u *Upstream, removed bool) *Member {
 	return &Member{
--- a/internal/process/gdentry/follow.go
+++ b/internal/process/gdentry/follow.go
@@ -18,7 +18,7 @@
 	// link.
 	catchUpWait = time.Millisecond
 	// catchUpTimeout is the timeout for that watch.
-	catchUpTimeout = time.Second
+	catchUpTimeout = 2 * time.Second
 	// watchInterval is the delay between two watches, in which changes accumulate: a
 	// tenth of a second is a thirtieth of the shortest limit for a configuration.
 	watchInterval = 100 * time.Millisecond
@@ -48,7 +48,7 @@
 			continue
 		}
 		r := requests.Next(loaded)
-		err := e.refresh(ctx, r)
+		err := e.refresh(ctx, r, &requests)
 		if ctx.Err() != nil {
 			return
 		}
@@ -90,13 +90,14 @@
 }
 
 // refresh makes a request to the source and applies the result.
-func (e *EntryHost) refresh(ctx context.Context, r gddiscovery.Request) error {
+func (e *EntryHost) refresh(ctx context.Context, r gddiscovery.Request, requests *gddiscovery.Requests) error {
 	if !r.Full() {
 		return e.watch(ctx, r.Wait(), r.Timeout())
 	}
 	if err := e.load(ctx, r.Timeout()); err != nil {
 		return err
 	}
+	requests.Loaded()
 	return e.watch(ctx, catchUpWait, catchUpTimeout)
 }
 
