Set the maximum age of a flow under the lock, and fit a mutant to its source

Change: initState sets it with mu locked. The mutant of flow-stays/split makes the same fault as before, a history of routes that is always trusted, in the new text.

--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -145,7 +145,6 @@
 	if err := e.listen(); err != nil {
 		return err
 	}
-	e.state.MaxFlowAge = e.MaxFlowAge
 	e.viewSender = e.newSender()
 	e.dispatcher.OnSuspect, e.dispatcher.OnUnreachable = e.onSuspect, e.onUnreachable
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
@@ -153,7 +152,7 @@
 	e.probes = make(chan probeRequest, maxProbes)
 	e.dispatcher.LinkBytesPerSecond, e.dispatcher.StartedAt, e.dispatcher.Domain = e.LinkBytesPerSecond, time.Now(), e.Domain
 	e.pacer.BytesPerSecond, e.paced = pacedShare*e.LinkBytesPerSecond, make(chan struct{}, 1)
-	e.initElection()
+	e.initState()
 	e.history.Repeats = changeRepeats
 	e.metrics.init(e.Scope)
 	e.dispatcher.OnResolved = e.metrics.lookupTime.RecordDuration
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -39,10 +39,11 @@
 	afterParam  = "after"
 )
 
-// initElection initialises the reader election.
-func (e *EntryHost) initElection() {
+// initState initialises the state and the reader election.
+func (e *EntryHost) initState() {
 	e.mu.Lock() // settings may be reloaded during the start
 	defer e.mu.Unlock()
+	e.state.MaxFlowAge = e.MaxFlowAge
 	self, _ := gdflow.AddressFromAddrPort(e.FeedAddress)
 	e.election = gdreaders.Election{Self: self, Rank: e.Rank, Domain: e.Domain, Seeds: e.seedAddresses()}
 }
--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -58,7 +58,7 @@
 		}},
 		{flowStays, "split", []string{"split", "terminate-entry"}, []edit{
 			{holder, "if !yield(r) {", "if !yield(r) || true {"},
-			{holder, "if !d.view.KnowsFormerRoutes(now) {", "if false {"},
+			{holder, "known := d.view.KnowsFormerRoutes(now)", "known := true"},
 		}},
 		{configInTime, "", []string{"config"}, []edit{
 			{state, "c.Kind == Configuration && (c.Removed || c.Config == nil)", "c.Kind == Configuration && known"},
