Tell the agent of a displaced upstream that it accepts no new flows

What callers saw: nothing; found on reading the diff. A query to the agent of a displaced upstream said that it accepts new flows, also while its failure domain is out, so that it would have taken one from an entry host with an older view.

Cause: a displaced member has no mark of its own, and its domain is not looked up.

Change: Member.displaced ends AcceptsNew, as View.Displaced says.

Test: TestRegistrationsUnderOneID failed with the new check.

Beside: the status has the same fields; an old agent refuses new flows as of an upstream that drains.

--- a/internal/core/gddiscovery/registrations.go
+++ b/internal/core/gddiscovery/registrations.go
@@ -58,11 +58,12 @@
 	}
 }
 
-// stillDisplaced returns the displaced upstreams of other services than the latest one.
+// stillDisplaced marks and returns the displaced upstreams of other services than the latest one.
 func (regs *registrations) stillDisplaced() []*Member {
 	var out []*Member
 	for _, m := range regs.displaced {
 		if l := regs.latest[m.Address()]; l == nil || l.upstream.Service != m.upstream.Service {
+			m.displaced = true
 			out = append(out, m)
 		}
 	}
--- a/internal/core/gddiscovery/state_test.go
+++ b/internal/core/gddiscovery/state_test.go
@@ -289,6 +289,7 @@
 			displaced = append(displaced, m.Upstream().Service)
 			_, ok := s.View().Pool(m.Upstream().Service)
 			require.True(t, ok, "lookups need its pool")
+			require.False(t, m.AcceptsNew(start), "its agent is told so with each query")
 			require.Equal(t, m, s.View().DisplacedAt(at(1), gddiscovery.ServiceHash(m.Upstream().Service)))
 		}
 		require.Equal(t, tt.displaced, displaced, "%v", tt.services)
--- a/internal/core/gddiscovery/view.go
+++ b/internal/core/gddiscovery/view.go
@@ -53,6 +53,7 @@
 	graceUntil time.Time
 	removed    bool
 	domainOut  bool
+	displaced  bool // an upstream of another service is registered in its place
 }
 
 // Upstream returns the upstream's registration.
@@ -63,7 +64,7 @@
 
 // AcceptsNew reports whether the upstream accepts new flows.
 func (m *Member) AcceptsNew(now time.Time) bool {
-	if m.domainOut || m.upstream.Draining {
+	if m.domainOut || m.upstream.Draining || m.displaced {
 		return false
 	}
 	return !m.removed || now.Before(m.graceUntil)
