Count answers that could not be read in one small type

Reason: "late", "unreadable" and two free functions stood for one thing, and an invalid answer counted as late. gddiscovery.Unread counts such answers and extends the timeout, for loads and updates alike; the bound of the doublings has a name.

Beside: no message changes.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -14,8 +14,8 @@
 var ErrHistoryLost = errors.New("history is no longer available")
 
 // ErrUnreadable is returned by a source whose answer has begun but can't be read: it is too
-// long, does not arrive in time, was cut, or is invalid. The same request would get at least as
-// much again. The full state has only the latest change of each subject.
+// long, does not arrive in time, was cut, or is invalid. The same request would get the same
+// again, or more. The full state is shorter: it has only the latest change of each subject.
 var ErrUnreadable = errors.New("answer can't be read")
 
 // Unreadable returns an error that wraps err and is ErrUnreadable.
--- a/internal/core/gddiscovery/requests.go
+++ b/internal/core/gddiscovery/requests.go
@@ -20,6 +20,8 @@
 	minRetryDelay = 100 * time.Millisecond
 	// maxRetryDelay is the maximum delay; the delay doubles with each failure.
 	maxRetryDelay = 800 * time.Millisecond
+	// maxDoublings keeps doubled durations from an overflow.
+	maxDoublings = 8
 )
 
 // Request is a request to the source.
@@ -41,19 +43,19 @@
 type Requests struct {
 	failures int // consecutive
 	reload   bool
-	late     int // consecutive loads that were late
+	unread   Unread // loads
 }
 
 // Next returns the next request. loaded reports whether the full state was loaded before.
 func (q *Requests) Next(loaded bool) Request {
 	if q.reload || !loaded {
-		return Request{full: true, timeout: Extended(loadTimeout, q.late, maxLoadTimeout)}
+		return Request{full: true, timeout: q.unread.Extend(loadTimeout, maxLoadTimeout)}
 	}
 	return Request{wait: watchWait, timeout: watchWait + answerMargin}
 }
 
 // Loaded records that the full state was loaded, also if the watch after it fails.
-func (q *Requests) Loaded() { q.reload, q.late = false, 0 }
+func (q *Requests) Loaded() { q.reload, q.unread = false, 0 }
 
 // Failures returns the number of requests that have failed since the last one that succeeded.
 func (q *Requests) Failures() int { return q.failures }
@@ -65,25 +67,29 @@
 // a watch whose answer can't be had, the full state is loaded. A load that could not be read gets
 // more time.
 func (q *Requests) Failed(r Request, err error) time.Duration {
-	unreadable := errors.Is(err, ErrUnreadable)
-	q.late = NextLate(q.late, r.full && unreadable)
+	if r.full {
+		q.unread.Note(err)
+	}
 	q.failures++
-	q.reload = q.reload || errors.Is(err, ErrHistoryLost) || unreadable
-	return min(minRetryDelay<<min(q.failures-1, 8), maxRetryDelay)
+	q.reload = q.reload || errors.Is(err, ErrHistoryLost) || errors.Is(err, ErrUnreadable)
+	return min(minRetryDelay<<min(q.failures-1, maxDoublings), maxRetryDelay)
 }
 
-// NextLate returns the number of consecutive answers that have begun and could not be read, given
-// the number before the last answer. A source that does not answer at all gets no more time.
-func NextLate(late int, unreadable bool) int {
-	if !unreadable {
-		return 0
+// Unread counts the answers in a row that have begun and could not be read. They may need more
+// time.
+type Unread int
+
+// Note records how a request ended. A source that does not answer at all gets no more time.
+func (u *Unread) Note(err error) {
+	if !errors.Is(err, ErrUnreadable) {
+		*u = 0
+		return
 	}
-	return late + 1
+	*u++
 }
 
-// Extended returns a timeout for an answer of unknown size: the first one, doubled for each answer
-// that was late before, up to the highest one.
-func Extended(first time.Duration, late int, highest time.Duration) time.Duration {
-	const maxDoublings = 8
-	return min(first<<min(late, maxDoublings), highest)
+// Extend returns the timeout for the next answer: the first one, doubled for each that could not
+// be read, up to the highest one.
+func (u Unread) Extend(first, highest time.Duration) time.Duration {
+	return min(first<<min(u, maxDoublings), highest)
 }
--- a/internal/process/gdentry/feed.go
+++ b/internal/process/gdentry/feed.go
@@ -28,7 +28,7 @@
 	// the beacons of both readers fetches an update.
 	changeRepeats = 2
 	// fetchTimeout is the timeout for fetching an update from another entry host, and
-	// maxFetchTimeout that after updates that took longer to arrive.
+	// maxFetchTimeout the highest one after updates that took longer to arrive.
 	fetchTimeout    = time.Second
 	maxFetchTimeout = 16 * time.Second
 	// fetchInterval is the delay between two fetches, so that a series of configurations
@@ -245,7 +245,7 @@
 	client := &http.Client{Transport: &http.Transport{
 		DialContext: (&net.Dialer{Timeout: fetchTimeout}).DialContext, ResponseHeaderTimeout: fetchTimeout, DisableKeepAlives: true,
 	}}
-	late := 0
+	var unread gddiscovery.Unread
 	for {
 		var host gdflow.Address
 		select {
@@ -253,12 +253,12 @@
 			return
 		case host = <-e.behind:
 		}
-		timeout := gddiscovery.Extended(fetchTimeout, late, maxFetchTimeout)
+		timeout := unread.Extend(fetchTimeout, maxFetchTimeout)
 		err := e.fetchUpdate(ctx, client, timeout, host, e.revision())
 		if errors.Is(err, errNotApplicable) {
 			err = e.fetchUpdate(ctx, client, timeout, host, 0)
 		}
-		late = gddiscovery.NextLate(late, errors.Is(err, gddiscovery.ErrUnreadable))
+		unread.Note(err)
 		if err != nil {
 			e.Log.Failure(gdlog.PeerUnreachable, err, "peer", host.String(), "timeout", timeout.String())
 		}
