--- a/internal/process/gdentry/restore_test.go
+++ b/internal/process/gdentry/restore_test.go
@@ -19,6 +19,16 @@
 	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
 
+// allHave reports whether the version of the configuration is in force on all hosts.
+func allHave(hosts []*gdentry.EntryHost, version uint64) bool {
+	for _, e := range hosts {
+		if e.State(time.Now()).Version != version {
+			return false
+		}
+	}
+	return true
+}
+
 // TestStoreIsRestoredFromACopy: the copy lacks the latest configuration, and the next one
 // gets a lower revision number. No host goes back, one that starts after the restore learns
 // what the copy lacks, and the next configuration takes effect on all.
@@ -50,16 +60,7 @@
 		}
 		return out
 	}
-	allAt := func(version uint64) func() bool {
-		return func() bool {
-			for _, v := range versions() {
-				if v != version {
-					return false
-				}
-			}
-			return true
-		}
-	}
+	allAt := func(version uint64) func() bool { return func() bool { return allHave(hosts, version) } }
 	put := func(version uint64) {
 		store.PutConfig(time.Now(), gddiscovery.Config{
 			Version: version, Services: []gddiscovery.Service{{Name: "booking"}},
--- a/internal/process/gdentry/unreadable_test.go
+++ b/internal/process/gdentry/unreadable_test.go
@@ -62,16 +62,7 @@
 				all = append(all, e)
 				g.Go(func() error { return e.Run(ctx) })
 			}
-			allAt := func(version uint64) func() bool {
-				return func() bool {
-					for _, e := range all {
-						if e.State(time.Now()).Version != version {
-							return false
-						}
-					}
-					return true
-				}
-			}
+			allAt := func(version uint64) func() bool { return func() bool { return allHave(all, version) } }
 			require.Eventually(t, allAt(1), eventTimeout, time.Millisecond)
 			store.SetFaults("", platformsim.Faults{Unavailable: true})
 			last := uint64(1)
