--- a/internal/core/gdcache/cache.go
+++ b/internal/core/gdcache/cache.go
@@ -24,7 +24,7 @@
 	// together with at most MaxPerGeneration others. It stays also when the cache is full.
 	Keep func(now time.Time, v V) bool
 	// OnEvict, if set, is called with each entry that is evicted.
-	OnEvict func(K, V)
+	OnEvict func(now time.Time, k K, v V)
 
 	young, old map[K]V
 	rotatedAt  time.Time
@@ -98,7 +98,7 @@
 			c.young[k] = v
 			kept++
 		case c.OnEvict != nil:
-			c.OnEvict(k, v)
+			c.OnEvict(now, k, v)
 		}
 	}
 	clear(c.old)
--- a/internal/core/gdcache/cache_test.go
+++ b/internal/core/gdcache/cache_test.go
@@ -12,7 +12,7 @@
 func TestUnusedEntriesExpire(t *testing.T) {
 	now := time.Unix(1000, 0)
 	var dropped []string
-	m := gdcache.Cache[string, int]{MinTTL: 10 * time.Second, MaxPerGeneration: 100, OnEvict: func(k string, _ int) { dropped = append(dropped, k) }}
+	m := gdcache.Cache[string, int]{MinTTL: 10 * time.Second, MaxPerGeneration: 100, OnEvict: func(_ time.Time, k string, _ int) { dropped = append(dropped, k) }}
 	m.Put(now, "used", 1)
 	m.Put(now, "unused", 2)
 	for i := range 30 {
@@ -54,7 +54,7 @@
 	until := now.Add(time.Minute)
 	evicted := make(map[int]bool)
 	m := gdcache.Cache[int, bool]{
-		MinTTL: 10 * time.Second, MaxPerGeneration: limit, OnEvict: func(k int, _ bool) { evicted[k] = true },
+		MinTTL: 10 * time.Second, MaxPerGeneration: limit, OnEvict: func(_ time.Time, k int, _ bool) { evicted[k] = true },
 		Keep: func(now time.Time, keep bool) bool { return keep && now.Before(until) },
 	}
 	for i := range 3 {
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if info.Reason == gdguard.WrongService {
-		d.noteOtherService(now, r, k, f.lookup, t)
+		d.noteWrongService(now, r, k, f.lookup, t)
 	} else {
 		t.answered, t.unsure = true, d.mayBeHeldAfter(info)
 	}
--- a/internal/core/gddispatch/idle_test.go
+++ b/internal/core/gddispatch/idle_test.go
@@ -47,8 +47,8 @@
 	}{
 		{"old, short timeout", short, gdguard.NotHeld, gdguard.Absent, gddispatch.Reset},
 		{"old, long timeout", long, gdguard.NotHeld, gdguard.Absent, gddispatch.Drop},
-		{"new, long timeout", long, gdguard.NotOpen, gdguard.Closed, gddispatch.Reset},
-		{"one of them old, long timeout", long, gdguard.NotOpen, gdguard.Absent, gddispatch.Drop},
+		{"new, long timeout", long, gdguard.FlowClosed, gdguard.Closed, gddispatch.Reset},
+		{"one of them old, long timeout", long, gdguard.FlowClosed, gdguard.Absent, gddispatch.Drop},
 		{"of another service", long, gdguard.WrongService, gdguard.Closed, gddispatch.Reset},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -94,10 +94,10 @@
 	d.setDeadline(k, f.lookup, now.Add(batchDelay+answerTimeout))
 }
 
-// noteOtherService records that the agent of a host is of another service than the one in whose name
+// noteWrongService records that the agent of a host is of another service than the one in whose name
 // it was asked. If an upstream of another one that can hold the flow is registered on the host,
 // it is asked again in the name of that one. A second such answer may be a repeat of the first.
-func (d *Dispatcher) noteOtherService(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup, t *attempt) {
+func (d *Dispatcher) noteWrongService(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup, t *attempt) {
 	m := d.otherHolder(now, r, t.holder)
 	if m == nil || t.renamed {
 		t.answered, t.unsure = true, t.renamed
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -96,8 +96,8 @@
 		return
 	case holding == gdguard.Absent:
 		t.answered, t.unsure = true, d.mayForget() || d.view.SharedHost(t.address)
-	case holding == gdguard.OtherService:
-		d.noteOtherService(now, r, k, l, t)
+	case holding == gdguard.HoldingWrongService:
+		d.noteWrongService(now, r, k, l, t)
 	case holding == gdguard.Closed:
 		t.answered = true
 	case holding == gdguard.Unsure && !d.hadService(now, r, t.service), !d.takeProbe(now, l):
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -49,7 +49,7 @@
 	FlowGone
 	// NotFound: some upstreams did not report whether they hold the flow.
 	NotFound
-	// NotReady: no view has been set yet.
+	// NotReady: no view has been set yet, or it may lack a route that a restored source has lost.
 	NotReady
 	// Waiting: a lookup or an offer is in progress.
 	Waiting
--- a/internal/core/gdguard/guard.go
+++ b/internal/core/gdguard/guard.go
@@ -58,7 +58,7 @@
 	Forced, Urgent bool
 	// Confirm requests a report if the upstream holds the flow.
 	Confirm bool
-	// Exact reports that the entry host knows NotOpen, Closed and OtherService. Older builds don't.
+	// Exact reports that the entry host knows FlowClosed, Closed and HoldingWrongService. Older builds don't.
 	Exact bool
 }
 
@@ -157,7 +157,6 @@
 	// start times that were known then.
 	exitedAt      time.Time
 	exitedStarts  []int64
-	now           time.Time // the time of the current call
 	lastReceived  time.Time // the last packet of the upstream
 	lastPortProbe time.Time
 	actions       []Action
@@ -171,13 +170,12 @@
 		}
 		g.backlog = gdbacklog.Backlog[waiting]{MaxPackets: maxKeptPackets, MaxBytes: maxKeptBytes}
 	}
-	g.now = now
 	g.actions = g.actions[:0]
 }
 
-func (g *Guard) evicted(_ gdflow.Key, f *flow) {
-	if g.mayBeOpen(g.now, f) {
-		g.forgotAt = g.now
+func (g *Guard) evicted(now time.Time, _ gdflow.Key, f *flow) {
+	if g.mayBeOpen(now, f) {
+		g.forgotAt = now
 	}
 	if f.kept != nil {
 		g.backlog.Expedite(f.kept)
--- a/internal/core/gdguard/holding.go
+++ b/internal/core/gdguard/holding.go
@@ -39,7 +39,7 @@
 // entry host knows it.
 func notHeld(exact bool) Reason {
 	if exact {
-		return NotOpen
+		return FlowClosed
 	}
 	return NotHeld
 }
@@ -85,7 +85,7 @@
 	case !h.Exact || holding != Absent:
 		return holding
 	case !g.serves(h):
-		return OtherService
+		return HoldingWrongService
 	}
 	return Closed
 }
--- a/internal/core/gdguard/idle_test.go
+++ b/internal/core/gdguard/idle_test.go
@@ -118,7 +118,7 @@
 // TestAnswersForOlderBuilds: an entry host that does not know the newer values gets the older
 // ones.
 func TestAnswersForOlderBuilds(t *testing.T) {
-	for exact, want := range map[bool]gdguard.Reason{false: gdguard.NotHeld, true: gdguard.NotOpen} {
+	for exact, want := range map[bool]gdguard.Reason{false: gdguard.NotHeld, true: gdguard.FlowClosed} {
 		g := &gdguard.Guard{Service: "booking", ObservedFromStart: true}
 		h := header(1)
 		h.Exact = exact
@@ -135,7 +135,7 @@
 	require.Equal(t, gdguard.Absent, g.Report(start, gdguard.Header{Service: header(1).Service}, key(1)))
 	require.Equal(t, gdguard.Absent, g.Report(start, gdguard.Header{Service: other}, key(1)))
 	require.Equal(t, gdguard.Closed, g.Report(start, gdguard.Header{Service: header(1).Service, Exact: true}, key(1)))
-	require.Equal(t, gdguard.OtherService, g.Report(start, gdguard.Header{Service: other, Exact: true}, key(1)))
+	require.Equal(t, gdguard.HoldingWrongService, g.Report(start, gdguard.Header{Service: other, Exact: true}, key(1)))
 	g = &gdguard.Guard{Service: "booking"}
 	require.Equal(t, gdguard.Unsure, g.Report(start, gdguard.Header{Service: header(1).Service, Exact: true}, key(1)))
 }
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -31,8 +31,8 @@
 	Silent
 	// Exited: the upstream's process is gone.
 	Exited
-	// NotOpen: the upstream does not hold the flow, however long it was idle.
-	NotOpen
+	// FlowClosed: the upstream does not hold the flow, however long it was idle.
+	FlowClosed
 
 	reasons
 )
@@ -40,7 +40,7 @@
 var reasonNames = [reasons]string{
 	NotHeld: "not-held", Busy: "busy", Draining: "draining", Leaving: "leaving", Cold: "cold",
 	WrongService: "wrong-service", Full: "full", Silent: "silent", Exited: "ended",
-	NotOpen: "not-open",
+	FlowClosed: "closed",
 }
 
 // NumReasons returns the number of reasons, for arrays of counters.
@@ -110,13 +110,13 @@
 	HalfOpen
 	// Closed: the upstream does not hold the flow, however long it was idle.
 	Closed
-	// OtherService: the agent is of another service than the one in whose name it was asked.
-	OtherService
+	// HoldingWrongService: the agent is of another service than the one in whose name it was asked.
+	HoldingWrongService
 
 	holdings
 )
 
-var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present", HalfOpen: "half-open", Closed: "closed", OtherService: "other-service"}
+var holdingNames = [holdings]string{Unsure: "unsure", Absent: "absent", Present: "present", HalfOpen: "half-open", Closed: "closed", HoldingWrongService: "wrong-service"}
 
 func (h Holding) String() string {
 	if h >= holdings {
