review 7: a host without a route's configuration resets the route's open flows

Case: planned work only. Configurations add a route each 0.5 s while the 4 frontend machines are restarted in turn. Flows on the new route are opened through a machine that has the configuration; when the rotation changes, their packets reach one that doesn't have it yet, which resets them.

Ruled out: flows whose route a configuration drops; no route is dropped.

--- a/review/standin-2/check.go
+++ b/review/standin-2/check.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -74,3 +75,23 @@
 		return b.seq == a.seq && b.size == a.size && a.at.Sub(b.at) < minRetransmission
 	})
 }
+
+// checkResets returns errBroken if the system has reset an open flow.
+func (w *world) checkResets() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	open, reset := 0, 0
+	for _, f := range w.callers.flows {
+		if f.end != nil {
+			open++
+		}
+		if !f.reset.IsZero() {
+			reset++
+		}
+	}
+	w.noteLocked("check", "%d flows, %d were opened, of which the system has reset %d", len(w.callers.flows), open, reset)
+	if reset > 0 {
+		return fmt.Errorf("%d flows: %w", reset, errBroken)
+	}
+	return nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -28,6 +28,7 @@
 // cases are the cases by the name of their folder.
 var cases = map[string]func(*world) error{
 	"6": silentTarget,
+	"7": changedRoutes,
 }
 
 func main() { os.Exit(run()) }
