review 8: a target that a host doesn't know yet counts as proof that its flows are gone

Case: planned work only. A zone with the only targets of some services is evacuated, each service gets one more target elsewhere, and the 4 frontend machines are restarted in turn. A flow is opened at the new target through a machine that knows it; when the rotation changes, its packets reach one that doesn't. That one asks the old target's agent alone, which has shown no higher revision, and resets the flow.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -29,6 +29,7 @@
 var cases = map[string]func(*world) error{
 	"6": silentTarget,
 	"7": changedRoutes,
+	"8": addedTargets,
 }
 
 func main() { os.Exit(run()) }
