review 9: no limit for a cold target that could not register while the store was away

Case, from the entry 'Open' of docs/incidents/unregistered-start.md: the store is down for 4.5 s; meanwhile a zone with two targets and their daemons loses power, and comes back cold. When the store returns, the first of the two to register confirms a view that still has the other one's former entry; its agent takes that for proof that it is warm.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,7 @@
 	"6": silentTarget,
 	"7": changedRoutes,
 	"8": addedTargets,
+	"9": coldUnregistered,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -71,6 +72,7 @@
 // start starts the target. Its identity must be set.
 func (t *target) start() error {
 	t.work, t.flows, t.born, t.state = 20*time.Millisecond, make(map[gdflow.Key]*targetFlow), time.Now().UnixMilli(), "ready"
+	t.busy, t.queue, t.sequence, t.written, t.closed = 0, nil, 0, "", false
 	at := netip.AddrPortFrom(t.ip, appPort)
 	var err error
 	if t.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err != nil {
@@ -82,8 +84,8 @@
 	}
 	t.health = &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(t.serveHealth)}
 	go func() { _ = t.health.Serve(l) }()
-	go t.read()
-	go t.register()
+	go t.read(t.conn)
+	go t.register(t.conn)
 	t.w.mu.Lock()
 	defer t.w.mu.Unlock()
 	t.w.noteLocked("target", "%s of %s starts at %s", t.id, t.service, at)
@@ -115,11 +117,13 @@
 
 // register writes the target's entry in the store at each check-in, if more than its sequence
 // has changed.
-func (t *target) register() {
+func (t *target) register(conn *net.UDPConn) {
 	for t.w.ctx.Err() == nil {
 		t.w.mu.Lock()
-		t.writeEntry()
-		closed := t.closed
+		closed := t.closed || t.conn != conn
+		if !closed {
+			t.writeEntry()
+		}
 		t.w.mu.Unlock()
 		if closed {
 			return
@@ -129,7 +133,7 @@
 }
 
 func (t *target) writeEntry() {
-	if t.silent || t.closed {
+	if t.silent || t.closed || t.w.away {
 		return
 	}
 	t.sequence++
@@ -164,15 +168,12 @@
 	})
 }
 
-func (t *target) read() {
+func (t *target) read(conn *net.UDPConn) {
 	buf := make([]byte, 2048)
 	for {
-		n, _, err := t.conn.ReadFromUDPAddrPort(buf)
+		n, _, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			t.w.mu.Lock()
-			closed := t.closed
-			t.w.mu.Unlock()
-			if closed {
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
 			continue
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -69,6 +69,7 @@
 	version  int
 	arrivals []arrival
 	probedAt time.Time // the last readiness checks
+	away     bool      // the store is
 }
 
 // machine is a machine with one process of the system.
@@ -83,6 +84,7 @@
 	exited      chan struct{}
 	misses      int
 	stopping    bool
+	downUntil   time.Time // it has no power
 }
 
 func newWorld(dir string, record io.Writer, trouble bool) (*world, error) {
@@ -242,7 +244,10 @@
 		_ = cmd.Wait()
 		close(exited)
 		m.w.note("platform", "%s has ended: %s", m.name, cmd.ProcessState)
-		time.Sleep(restartDelay)
+		m.w.mu.Lock()
+		wait := max(restartDelay, time.Until(m.downUntil))
+		m.w.mu.Unlock()
+		time.Sleep(wait)
 		m.w.mu.Lock()
 		again := !m.stopping
 		m.w.mu.Unlock()
