--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -195,7 +195,7 @@
 	line("listen.ready", netip.AddrPortFrom(m.ip, readyPort))
 	line("internal_ports", "7720,7735")
 	line("seeds", fmt.Sprintf("%s:%d,%s:%d,%s:%d", n.Addr(entryNet, 1), controlPort, n.Addr(entryNet, 2), controlPort, n.Addr(entryNet, 3), controlPort))
-	line("bootstrap", time.Since(m.w.started) < 5*time.Second)
+	line("bootstrap", m.exited == nil) // its first start
 	line("limits.link_mbps", "1000.0")
 	line("heartbeat_ms", heartbeat.Milliseconds())
 	line("bounds.stable_ms", stableTime.Milliseconds())
