Report an unknown flow as held only after its upstream has sent something

What callers saw: after planned restarts of the agents, an upstream fell silent.

Cause: a restarted agent delivers a packet of a flow that it does not know, and reported the flow as held unless its upstream returned the packet within 5 ms. A silent upstream returns nothing. The entry host believes the report.

Change: the report waits for a packet of the upstream, of the flow or, 5 ms after the delivery, of any flow: then it has received the packet and not returned it. Until then the agent answers "unsure". The entry host gives it 100 ms and the flow's next packet, since upstreams acknowledge every second one. Related paths: an exit of the upstream no longer leaves deliveries that are reported as held later, and no longer resets flows that were only claimed.

--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -3,8 +3,6 @@
 import (
 	"container/heap"
 	"encoding/binary"
-	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -119,6 +117,7 @@
 	guard        gdguard.Guard
 	down         bool // the host, including the upstream
 	held         map[gdflow.Key]uint32
+	received     map[gdflow.Key]int       // packets with data of flows that it holds
 	kept         map[uint64]gdflow.Packet // packets that the guard keeps back
 	misdelivered map[gdflow.Key]int       // packets of flows that it does not hold
 	requests     int                      // requests on flows that it holds
@@ -194,7 +193,7 @@
 
 // addAgent starts an agent and, if fresh is set, its upstream.
 func (f *fleet) addAgent(i int, fresh bool) *agent {
-	ag := &agent{at: upstreamAt(i), guard: gdguard.Guard{Service: "booking", ObservedFromStart: fresh}, misdelivered: make(map[gdflow.Key]int), kept: make(map[uint64]gdflow.Packet)}
+	ag := &agent{at: upstreamAt(i), guard: gdguard.Guard{Service: "booking", ObservedFromStart: fresh}, received: make(map[gdflow.Key]int), misdelivered: make(map[gdflow.Key]int), kept: make(map[uint64]gdflow.Packet)}
 	if old := f.agents[ag.at]; old != nil && !fresh {
 		ag.held, ag.requests, ag.opened, ag.maxRunning = old.held, old.requests, old.opened, old.maxRunning
 	} else {
@@ -335,137 +334,6 @@
 	return f.agents[host.WithPort(upstreamAt(0).Port())]
 }
 
-// query delivers a query to an agent, and the reply to the entry host.
-func (f *fleet) query(i int, e *entry, to gdflow.Address, h gdguard.Header, keys []gdflow.Key) {
-	ag := f.agentOn(to)
-	if ag == nil || ag.down {
-		return
-	}
-	var holdings []gdguard.Holding
-	ag.guard.UpdateStatus(f.now, h)
-	for _, k := range keys {
-		holdings = append(holdings, ag.guard.Report(f.now, h, k))
-	}
-	f.messages++
-	f.after(f.hopTo(i, ag.at), func() {
-		if !e.down {
-			f.act(i, e, e.core.HandleHoldings(f.now, ag.at.WithPort(7720), ag.guard.Revision(), keys, holdings))
-		}
-	})
-}
-
-// arrive delivers a packet to an agent.
-func (f *fleet) arrive(from, to gdflow.Address, h gdguard.Header, p gdflow.Packet) {
-	ag := f.agentOn(to)
-	if ag == nil || ag.down {
-		return
-	}
-	for _, a := range append([]gdguard.Action(nil), ag.guard.HandleEntryPacket(f.now, from, h, p)...) {
-		f.actGuard(ag, a, p)
-	}
-}
-
-func (f *fleet) actGuard(ag *agent, a gdguard.Action, p gdflow.Packet) {
-	switch {
-	case a.Verb == gdguard.Keep:
-		ag.kept[a.Kept] = p
-		f.after(ag.guard.NextTick().Sub(f.now), func() { f.tickGuard(ag) })
-	case a.Kept != 0:
-		p = ag.kept[a.Kept]
-		delete(ag.kept, a.Kept)
-	}
-	answer := func(do func(i int, e *entry)) {
-		f.messages++
-		for i := range 64 {
-			if e := f.entries[entryAt(i)]; e != nil && entryAt(i) == a.Entry {
-				f.after(f.hopTo(i, ag.at), func() {
-					if !e.down {
-						do(i, e)
-					}
-				})
-			}
-		}
-	}
-	switch a.Verb {
-	case gdguard.Deliver:
-		f.deliver(ag, p)
-	case gdguard.Return:
-		info := gddispatch.ReturnInfo{From: ag.at.WithPort(7720), Load: ag.guard.Load(), Wait: a.Wait, Revision: ag.guard.Revision(), Reason: a.Reason}
-		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleReturned(f.now, info, p, f.raw(p))) })
-	case gdguard.ReportAccepted:
-		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleAccepted(f.now, ag.at.WithPort(7720), a.Key)) })
-	case gdguard.ReportHeld:
-		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleHeld(f.now, ag.at.WithPort(7720), a.Key)) })
-	case gdguard.Reset:
-		f.resets[a.Key] = gddispatch.FlowGone
-	}
-}
-
-// tickGuard releases the requests that the agent may not keep back any longer.
-func (f *fleet) tickGuard(ag *agent) {
-	for _, a := range append([]gdguard.Action(nil), ag.guard.Tick(f.now)...) {
-		f.actGuard(ag, a, gdflow.Packet{})
-	}
-	if at := ag.guard.NextTick(); !at.IsZero() {
-		f.after(at.Sub(f.now), func() { f.tickGuard(ag) })
-	}
-}
-
-// deliver passes a packet to the upstream, which answers at once or when the request
-// is processed.
-func (f *fleet) deliver(ag *agent, p gdflow.Packet) {
-	if ag.unresponsive {
-		return
-	}
-	_, held := ag.held[p.Key()]
-	switch {
-	case p.Opens():
-		ag.opened++
-		ag.held[p.Key()] = rand.New(rand.NewPCG(1, uint64(len(f.packets)))).Uint32()
-		f.reply(ag, gdflow.Accept, p.Key(), 0)
-	case !held:
-		ag.misdelivered[p.Key()]++
-		back := p
-		back.Returned = true
-		for _, a := range append([]gdguard.Action(nil), ag.guard.HandleUpstreamPacket(f.now, back)...) {
-			f.actGuard(ag, a, p)
-		}
-	case p.Size > 0 && p.Seq == 0: // later packets belong to the same request
-		ag.requests++
-		ag.running++
-		ag.maxRunning = max(ag.maxRunning, ag.running)
-		// The upstream processes as many requests as it has slots; the rest is queued.
-		slots := int(max(ag.guard.Status().Slots, 1))
-		if len(ag.free) < slots {
-			ag.free = append(ag.free, f.now)
-		}
-		next := slices.Index(ag.free, slices.MinFunc(ag.free, time.Time.Compare))
-		if ag.free[next].Before(f.now) {
-			ag.free[next] = f.now
-		}
-		ag.free[next] = ag.free[next].Add(f.work)
-		f.after(ag.free[next].Sub(f.now), func() {
-			ag.running--
-			f.slowest = max(f.slowest, f.now.Sub(f.opened[p.Key()]))
-			f.reply(ag, gdflow.Data, p.Key(), 500)
-		})
-	}
-}
-
-func (f *fleet) reply(ag *agent, kind gdflow.Kind, k gdflow.Key, size int) {
-	if ag.down || ag.unresponsive {
-		return
-	}
-	p := gdflow.NewPacket(k, kind)
-	p.Size, p.Seq = size, ag.held[k]
-	if kind == gdflow.Accept && f.requestOnOpen {
-		f.after(2*hop, func() { f.request(int(k.Caller().IP()[3])%4, k) })
-	}
-	for _, a := range append([]gdguard.Action(nil), ag.guard.HandleUpstreamPacket(f.now, p)...) {
-		f.actGuard(ag, a, p)
-	}
-}
-
 // misdelivered returns how many packets have reached an upstream that does not hold
 // their flow.
 func (f *fleet) misdelivered() int {
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -158,7 +158,12 @@
 		return
 	}
 	for i := range f.lookup.attempts {
-		if t := &f.lookup.attempts[i]; !t.answered {
+		t := &f.lookup.attempts[i]
+		switch {
+		case t.answered:
+		case t.undecided:
+			t.answered, t.unsure = true, true
+		default:
 			f.lookup.unanswered = true
 			d.hosts.timedOut(now, t.address)
 			if d.hosts.silent(t.address) {
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -17,6 +17,10 @@
 	// maxQueryPacket is the size of the data in bytes up to which a packet itself is the query
 	// for its flow. It saves a round trip, and costs not much more than the query.
 	maxQueryPacket = 300
+	// undecidedTimeout is how long an agent that has delivered the packet of a lookup has to find
+	// out whether its upstream holds the flow: longer than most requests take, since an answer
+	// shows it.
+	undecidedTimeout = 100 * time.Millisecond
 	// maxRetries is how often an upstream is queried again that does not report
 	// whether it holds a flow. The timeout doubles each time: half a second in all,
 	// in which a host that was paused or flooded answers.
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -77,13 +77,34 @@
 			continue
 		}
 		t := f.lookup.attemptAt(from)
-		if r, ok := d.view.Route(k.Service()); ok && t != nil && !t.answered && t.queried {
+		r, ok := d.view.Route(k.Service())
+		switch {
+		case !ok || t == nil || t.answered:
+		case t.queried:
 			d.handleHolding(now, r, k, f, t, holdings[i])
+		case holdings[i] == gdguard.Unsure:
+			d.awaitDecision(now, r, k, f.lookup, t)
 		}
 	}
 	return d.actions
 }
 
+// awaitDecision gives an agent more time that has delivered the packet of the lookup: a packet of its
+// upstream may still show whether that one holds the flow. It also gets the next packet of the flow, since an
+// upstream need not acknowledge each one.
+func (d *Dispatcher) awaitDecision(now time.Time, r *gddiscovery.Route, k gdflow.Key, l *lookup, t *attempt) {
+	if !t.undecided && len(l.pending) > 0 {
+		next := l.pending[0]
+		l.pending = l.pending[1:]
+		d.forward(now, r, t.holder, Action{
+			Key: k, Packet: next.raw, PacketSeq: next.seq, PacketSize: next.size, Urgent: isUrgent(r), Reason: Known,
+			Header: gdguard.Header{Confirm: true},
+		})
+	}
+	t.undecided = true
+	d.setDeadline(k, l, now.Add(undecidedTimeout))
+}
+
 // handleHolding continues the lookup of one flow.
 func (d *Dispatcher) handleHolding(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow, t *attempt, holding gdguard.Holding) {
 	l := f.lookup
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -224,7 +224,9 @@
 	recalled bool // it was not asked, since it is known to be busy
 	queried  bool // it was queried without a packet
 	renamed  bool // it was asked in the name of a second service
-	unsure   bool // it can't answer without a packet, and the limit of such packets was reached, or it may have forgotten the flow
+	// undecided: its agent has delivered the packet, and nothing shows yet whether it holds the flow.
+	undecided bool
+	unsure    bool // it can't answer without a packet, and the limit of such packets was reached, or it may have forgotten the flow
 }
 
 func (l *lookup) last() *attempt { return &l.attempts[len(l.attempts)-1] }
--- a/internal/core/gdguard/backlog.go
+++ b/internal/core/gdguard/backlog.go
@@ -33,14 +33,21 @@
 // KeptPackets returns the number of their packets.
 func (g *Guard) KeptPackets() int { return g.backlog.Packets() }
 
-// NextTick returns when Tick is to be called, or the zero time if nothing is kept back.
+// NextTick returns when Tick is to be called, or the zero time if nothing is due.
 // It changes with each other call.
-func (g *Guard) NextTick() time.Time { return g.backlog.NextDue() }
+func (g *Guard) NextTick() time.Time {
+	kept, settled := g.backlog.NextDue(), g.nextSettled()
+	if kept.IsZero() || !settled.IsZero() && settled.Before(kept) {
+		return settled
+	}
+	return kept
+}
 
-// Tick releases kept requests as time has passed.
+// Tick releases kept requests and settles probed flows as time has passed.
 func (g *Guard) Tick(now time.Time) []Action {
 	g.init(now)
 	g.work.expire(now)
+	g.settleProbed(now)
 	g.releaseKept(now)
 	return g.actions
 }
--- a/internal/core/gdguard/guard_test.go
+++ b/internal/core/gdguard/guard_test.go
@@ -209,9 +209,10 @@
 		require.Equal(t, entry, actions[0].Entry)
 		require.Equal(t, gdguard.SendToCaller, actions[1].Verb)
 	})
-	t.Run("restarted agent treats a flow as held if its packet is not returned", func(t *testing.T) {
+	t.Run("restarted agent treats a flow as held if its packet is not returned before later ones of the upstream", func(t *testing.T) {
 		g := &gdguard.Guard{Service: "booking"}
 		g.HandleEntryPacket(start, entry, confirm, data)
+		g.HandleUpstreamPacket(start.Add(5*time.Millisecond), packet(3, gdflow.Data, 1, 1, 0))
 		actions := g.HandleEntryPacket(start.Add(6*time.Millisecond), other, header(1), packet(2, gdflow.Data, 1, 1, 0))
 		require.Equal(t, gdguard.Action{Verb: gdguard.ReportHeld, Key: key(1), Entry: entry}, actions[0])
 		require.Len(t, actions, 2)
--- a/internal/core/gdguard/holding.go
+++ b/internal/core/gdguard/holding.go
@@ -17,13 +17,30 @@
 	// returnTimeout is how long an upstream takes at most to return a packet of a flow
 	// that it does not hold. It does so at once and on the same host.
 	returnTimeout = 5 * time.Millisecond
+	// maxProbeTime is how long a packet of the upstream can settle a probed flow. The caller
+	// sends its packet again by then, which probes the flow again.
+	maxProbeTime = 2 * time.Second
 )
 
 // probedFlow is an unknown flow of which a packet was delivered to the upstream.
 type probedFlow struct {
 	key gdflow.Key
 	f   *flow
-	at  time.Time
+	// deliveredAt is when the first packet was delivered, and askedAt when an entry host last asked.
+	deliveredAt, askedAt time.Time
+	answered             bool // the entry host was told that nothing is known yet
+}
+
+// due returns when the flow is to be settled, or the zero time if only a packet of the upstream can
+// settle it.
+func (t *probedFlow) due(lastReceived time.Time) time.Time {
+	switch {
+	case lastReceived.Sub(t.deliveredAt) >= returnTimeout:
+		return lastReceived
+	case !t.answered:
+		return t.askedAt.Add(returnTimeout)
+	}
+	return time.Time{}
 }
 
 // mayBeOpen reports whether the upstream may hold the flow, however long it was idle.
@@ -90,29 +107,57 @@
 	return Closed
 }
 
-// reportHolding reports to the entry host that the upstream holds the flow: at once if
-// the guard knows it, otherwise when the upstream has sent a packet of the flow or has
-// not returned the delivered one in time.
+// reportHolding reports to the entry host whether the upstream holds the flow: at once if the guard
+// knows it, otherwise when the upstream has shown it.
 func (g *Guard) reportHolding(now time.Time, k gdflow.Key, f *flow) {
 	switch {
 	case f.state == open:
 		g.add(Action{Verb: ReportHeld, Key: k, Entry: f.entry})
-	case f.state == unknown && !f.reportHeld:
+	case f.state != unknown:
+	case f.reportHeld:
+		if i := slices.IndexFunc(g.probed, func(t probedFlow) bool { return t.f == f }); i >= 0 {
+			g.probed[i].askedAt, g.probed[i].answered = now, false
+		}
+	default:
 		f.reportHeld = true
-		g.probed = append(g.probed, probedFlow{key: k, f: f, at: now})
+		g.probed = append(g.probed, probedFlow{key: k, f: f, deliveredAt: now, askedAt: now})
 	}
 }
 
-// settleProbed marks the probed flows whose packets the upstream did not return as held.
+// settleProbed marks the probed flows as held whose packets the upstream has received and not
+// returned. That it has received them is shown by a later packet, of any flow: an upstream that
+// is gone or stalled returns nothing either.
 func (g *Guard) settleProbed(now time.Time) {
-	i := 0
-	for ; i < len(g.probed) && now.Sub(g.probed[i].at) >= returnTimeout; i++ {
-		if t := g.probed[i]; t.f.state == unknown {
+	g.probed = slices.DeleteFunc(g.probed, func(t probedFlow) bool { return t.f.state != unknown || !t.f.reportHeld })
+	left := g.probed[:0]
+	for _, t := range g.probed {
+		switch {
+		case g.lastReceived.Sub(t.deliveredAt) >= returnTimeout:
 			t.f.state, t.f.reportHeld = open, false
 			g.add(Action{Verb: ReportHeld, Key: t.key, Entry: t.f.entry})
+			continue
+		case now.Sub(t.deliveredAt) >= maxProbeTime:
+			t.f.reportHeld = false
+			continue
+		case !t.answered && now.Sub(t.askedAt) >= returnTimeout:
+			t.answered = true
+			g.add(Action{Verb: ReportUnsure, Key: t.key, Entry: t.f.entry})
+		}
+		left = append(left, t)
+	}
+	clear(g.probed[len(left):])
+	g.probed = left
+}
+
+// nextSettled returns when settleProbed is due, or the zero time.
+func (g *Guard) nextSettled() time.Time {
+	var next time.Time
+	for i := range g.probed {
+		if at := g.probed[i].due(g.lastReceived); !at.IsZero() && (next.IsZero() || at.Before(next)) {
+			next = at
 		}
 	}
-	g.probed = slices.Delete(g.probed, 0, i)
+	return next
 }
 
 // mayHold reports whether the upstream holds the flow of the packet, or may hold it.
--- a/internal/core/gdguard/probe.go
+++ b/internal/core/gdguard/probe.go
@@ -67,6 +67,14 @@
 	return true
 }
 
+// SilentFor returns how long the upstream has sent nothing.
+func (g *Guard) SilentFor(now time.Time) time.Duration {
+	if g.lastReceived.IsZero() {
+		return now.Sub(g.observingSince)
+	}
+	return now.Sub(g.lastReceived)
+}
+
 // HandleUpstreamExit handles the exit of the upstream's process. It resets all of its
 // flows, so that the callers can retry at once.
 func (g *Guard) HandleUpstreamExit(now time.Time) []Action {
@@ -86,6 +94,7 @@
 		g.dropKept(now, r, UpstreamExited)
 	}
 	g.flows.Clear()
+	g.probed = nil
 	g.forgotAt = time.Time{}
 	g.work.clear()
 	return g.actions
--- a/internal/core/gdguard/types.go
+++ b/internal/core/gdguard/types.go
@@ -142,6 +142,9 @@
 	ReportAccepted
 	// ReportHeld reports to the entry host that the upstream holds the flow.
 	ReportHeld
+	// ReportUnsure reports to the entry host that nothing shows yet whether the upstream holds the
+	// flow.
+	ReportUnsure
 	// Drop drops the packet.
 	Drop
 	// Reset resets the flow at the caller: the upstream's process is gone.
@@ -154,7 +157,7 @@
 type Action struct {
 	// Key is the flow.
 	Key gdflow.Key
-	// Entry is the entry host's address, for Return, ReportAccepted and ReportHeld.
+	// Entry is the entry host's address, for Return and the reports.
 	Entry gdflow.Address
 	// Wait is, for a Return with Busy, how long the request would wait for a slot.
 	Wait time.Duration
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -145,6 +145,9 @@
 		"The reason says why. If it is often not-found, look for unresponsive hosts.")
 	PacketRefused = declare(516, Info, "packet refused by the agent", "Nothing: the entry host tries the next upstream.")
 	FlowAccepted  = declare(517, Info, "flow accepted by an upstream", nothing)
+	// FlowUndecided is written when an agent can't tell yet whether its upstream holds a flow.
+	FlowUndecided = declare(518, Info, "nothing shows yet whether the upstream holds the flow",
+		"Nothing if it is rare. If silent-for grows, check the upstream: it receives packets and sends none.")
 	// RequestReleased is written when the agent no longer keeps a request back.
 	RequestReleased = declare(519, Info, "request that was kept back released",
 		"Nothing if it is rare. If the outcome is often bound-reached, the service needs more upstreams.")
--- a/internal/process/gdpacketagent/agent.go
+++ b/internal/process/gdpacketagent/agent.go
@@ -75,7 +75,7 @@
 	fromUpstream *net.UDPConn
 	toUpstream   *net.UDPConn
 	probe        chan struct{}
-	wake         chan struct{} // a request is kept back
+	wake         chan struct{} // something is due at the guard
 	kept         packetStore
 	serving      atomic.Bool // all sockets are open
 	leaving      atomic.Bool
@@ -123,7 +123,7 @@
 	g.Go(func() error { return a.readUpstream(work) })
 	g.Go(func() error { a.watchUpstream(work); return nil })
 	g.Go(func() error { a.probeUpstream(work); return nil })
-	g.Go(func() error { a.releaseDue(work); return nil })
+	g.Go(func() error { a.tick(work); return nil })
 	g.Go(func() error {
 		defer stop()
 		a.drain(ctx, work)
--- a/internal/process/gdpacketagent/backlog.go
+++ b/internal/process/gdpacketagent/backlog.go
@@ -10,7 +10,7 @@
 	"godwitdrift.example/godwitdrift/internal/operate/gdlog"
 )
 
-// minTickInterval is the minimum time between two passes over the requests that are due.
+// minTickInterval is the minimum time between two passes over what is due.
 const minTickInterval = time.Millisecond
 
 // packetStore has copies of the packets that the guard keeps back. The guard limits their
@@ -32,8 +32,8 @@
 	return raw
 }
 
-// wakeReleaseDue wakes releaseDue if a request is kept back. It is called with mu locked.
-func (a *Agent) wakeReleaseDue() {
+// wakeTick wakes tick if the guard has something due. It is called with mu locked.
+func (a *Agent) wakeTick() {
 	if a.Guard.NextTick().IsZero() {
 		return
 	}
@@ -43,9 +43,8 @@
 	}
 }
 
-// releaseDue delivers the kept requests that may not be kept any longer, while there are
-// any.
-func (a *Agent) releaseDue(ctx context.Context) {
+// tick lets the guard do what is due, while there is anything.
+func (a *Agent) tick(ctx context.Context) {
 	out := a.newSender()
 	t := time.NewTimer(0)
 	defer t.Stop()
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -138,7 +138,7 @@
 			if a.Guard.ShouldProbe(now) {
 				a.requestProbe()
 			}
-			a.wakeReleaseDue()
+			a.wakeTick()
 		},
 		OnReadError: func() { a.metrics.failedReads.Inc(1) },
 	}
@@ -190,6 +190,8 @@
 			}
 			s.out.Queue(gdhop.AppendFlowNotice(s.out.Buffer(), t, a.Key, agent.Guard.Load(), agent.Guard.ExpectedWait(now)), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, ev, "flow", a.Key, "entry", a.Entry, "load", agent.Guard.Load())
+		case gdguard.ReportUnsure:
+			s.replyUnsure(now, a)
 		}
 	}
 }
@@ -214,6 +216,16 @@
 	s.out.Queue(b, entry.WithPort(s.agent.HopAddress.Port()).AddrPort())
 }
 
+// replyUnsure tells an entry host that nothing shows yet whether the upstream holds a flow of which
+// a packet was delivered.
+func (s *sender) replyUnsure(now time.Time, a *gdguard.Action) {
+	agent := s.agent
+	agent.metrics.holdings[gdguard.Unsure].Inc(1)
+	b := gdhop.AppendHolding(gdhop.AppendQueryReply(s.out.Buffer(), agent.Guard.Revision()), a.Key, gdguard.Unsure)
+	s.out.Queue(b, a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
+	agent.metrics.event(now, agent.Log, gdlog.FlowUndecided, "flow", a.Key, "entry", a.Entry, "silent-for", agent.Guard.SilentFor(now).String())
+}
+
 func (s *sender) flush() {
 	if lost := s.out.Flush(); lost > 0 {
 		s.agent.metrics.failedWrites.Inc(int64(lost))
