Compare the view with the store before a flow without a route is reset

Cause: a host whose view has no route for a packet in the middle of a flow reset the flow at once. It learns of a configuration up to 0.2 s after the host that let the flow in.

Ruled out: the readers, which hear of the configuration in time; the flows' upstreams, which hold them.

Change: the host holds the packet and asks the store for changes without waiting for any. Only a view that has all that the store had when the packet came, and no route, leads to a reset. Beacons that are late enough do as well. A flow that was here before its route was removed, and the first transmission of an opening packet, are answered at once as before. Related path: a copy of an opening packet, which may be of an open flow, waits in the same way.

The fleet of the tests verifies views as entry hosts do.

Beside: no message changes; older hosts reset as before.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -98,13 +98,16 @@
 	probes         bucket
 	queries        queryBatches
 	early          []earlyPacket // packets that arrived before the first view
+	verified       time.Time     // the view has all that the source had then
+	unrouted       []earlyPacket // packets without a route that wait until the view is verified
+	unroutedDue    time.Time     // the zero time if there are none
 	cutOff         bool
 	pingAt         time.Time // the zero time unless cut off
 	lookups        int
 	actions        []Action
 }
 
-// earlyPacket is a packet that waits for the first view.
+// earlyPacket is a packet that waits for the first view, or until the view is verified.
 type earlyPacket struct {
 	received time.Time
 	packet   gdflow.Packet
@@ -143,12 +146,18 @@
 		}
 	}
 	d.early = nil
+	if !d.unroutedDue.IsZero() {
+		d.settleUnrouted(now)
+	}
 	return d.actions
 }
 
 // ConfirmView records that the view was current at the time, and that it may lack running
 // upstreams until settledAt, which is the zero time if it lists all.
-func (d *Dispatcher) ConfirmView(at, settledAt time.Time) { d.confirmed, d.settledAt = at, settledAt }
+func (d *Dispatcher) ConfirmView(at, settledAt time.Time) {
+	d.confirmed, d.settledAt = at, settledAt
+	d.noteVerified(at.Add(-maxConfirmationError))
+}
 
 // Flows returns the number of cached flows.
 func (d *Dispatcher) Flows() int { return d.flows.Len() }
@@ -196,7 +205,7 @@
 func (d *Dispatcher) handleCallerPacket(now time.Time, p gdflow.Packet, raw []byte) {
 	r, ok := d.view.Route(p.Key().Service())
 	if !ok {
-		d.handleWithoutRoute(now, p)
+		d.handleWithoutRoute(now, p, raw)
 		return
 	}
 	f := d.flow(now, p.Key())
@@ -208,14 +217,23 @@
 }
 
 // handleWithoutRoute decides on a packet without a route. The view of a host that knows only a
-// copy from which the source was restored may lack it; callers send their packets again.
-func (d *Dispatcher) handleWithoutRoute(now time.Time, p gdflow.Packet) {
-	if now.Before(d.settledAt) {
+// copy from which the source was restored may lack it; callers send their packets again. A flow
+// that may be open is reset only if its route was there before, or once the view is verified: this
+// host may be the last to learn of the route.
+func (d *Dispatcher) handleWithoutRoute(now time.Time, p gdflow.Packet, raw []byte) {
+	_, known := d.flows.Get(now, p.Key())
+	first := p.Opens() && p.Retransmits() == 0
+	switch {
+	case now.Before(d.settledAt):
 		d.add(Action{Verb: Drop, Key: p.Key(), Reason: NotReady})
-		return
+	case first || known && !p.Opens():
+		d.forget(now, p.Key())
+		d.resetUnlessReset(p, NoRoute)
+	case p.Kind == gdflow.Reset:
+		d.add(Action{Verb: Drop, Key: p.Key(), Reason: NoRoute})
+	default:
+		d.holdUnrouted(now, p, raw)
 	}
-	d.forget(now, p.Key())
-	d.resetUnlessReset(p, NoRoute)
 }
 
 // forget deletes the record of a flow, and ends its lookup.
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -77,6 +77,8 @@
 	core     gddispatch.Dispatcher
 	down     bool
 	nextTick time.Time // when the next Tick is scheduled, if later than now
+	verifyAt time.Time // when the next verification of the view is or may be sent
+	verifies bool      // one is scheduled
 	link     link
 }
 
@@ -298,8 +300,15 @@
 			}
 		case gddispatch.Forward:
 			f.forward(i, e, a)
+		case gddispatch.Verify:
+			f.verify(i, e)
 		}
 	}
+	f.scheduleEntryTick(i, e)
+}
+
+// scheduleEntryTick calls the entry host's Tick when it is due.
+func (f *fleet) scheduleEntryTick(i int, e *entry) {
 	next := e.core.NextTick()
 	if !next.IsZero() && (!e.nextTick.After(f.now) || next.Before(e.nextTick)) {
 		e.nextTick = next
@@ -312,6 +321,25 @@
 	}
 }
 
+// verify compares the view of an entry host with the source, which it equals, unless another
+// verification is scheduled.
+func (f *fleet) verify(i int, e *entry) {
+	const interval, call = 20 * time.Millisecond, 5 * time.Millisecond
+	if f.unconfirmed || e.verifies {
+		return
+	}
+	e.verifies = true
+	f.after(max(e.verifyAt.Sub(f.now), 0), func() {
+		e.verifies, e.verifyAt = false, f.now.Add(call+interval)
+		requested := f.now
+		f.after(call, func() {
+			if !e.down {
+				f.act(i, e, e.core.VerifyView(f.now, requested))
+			}
+		})
+	})
+}
+
 // forward sends a packet to an agent.
 func (f *fleet) forward(i int, e *entry, a gddispatch.Action) {
 	f.messages++
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -116,7 +116,7 @@
 
 // NextTick returns when Tick is due, or the zero time if there is nothing to do.
 func (d *Dispatcher) NextTick() time.Time {
-	next := earliest(d.queries.due, d.pingAt)
+	next := earliest(earliest(d.queries.due, d.pingAt), d.unroutedDue)
 	if len(d.timers) > 0 {
 		next = earliest(next, d.timers[0].at)
 	}
@@ -145,6 +145,9 @@
 	if !d.pingAt.IsZero() && !d.pingAt.After(now) {
 		d.ping(now)
 	}
+	if !d.unroutedDue.IsZero() && !d.unroutedDue.After(now) {
+		d.settleUnrouted(now)
+	}
 	return d.actions
 }
 
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -24,6 +24,8 @@
 	Query
 	// Probe finds out whether a host responds at all, and whether the control does.
 	Probe
+	// Verify requests a call of VerifyView.
+	Verify
 )
 
 // Reason is the reason for an Action.
--- a/internal/process/gdentry/counters.go
+++ b/internal/process/gdentry/counters.go
@@ -21,7 +21,7 @@
 	farOffers                 tally.Counter
 	bulkQueued, bulkDropped   tally.Counter
 	failedReads, failedWrites tally.Counter
-	unreadable                tally.Counter
+	unreadable, verifications tally.Counter
 	forwards, resets, drops   []tally.Counter
 	returns, spills           []tally.Counter
 	lookupTime                tally.Histogram
@@ -38,7 +38,7 @@
 	c.bulkQueued, c.bulkDropped = scope.Counter("bulk_packets_queued"), scope.Counter("bulk_packets_dropped")
 	c.accepted = scope.Counter("flows_accepted")
 	c.failedReads, c.failedWrites = scope.Counter("failed_reads"), scope.Counter("failed_writes")
-	c.unreadable = scope.Counter("unreadable_answers")
+	c.unreadable, c.verifications = scope.Counter("unreadable_answers"), scope.Counter("views_verified")
 	c.era, c.revision, c.version = scope.Gauge("era"), scope.Gauge("revision"), scope.Gauge("version")
 	c.upstreams = scope.Gauge("upstreams")
 	c.lookupTime = scope.Histogram("settle_seconds", gdmetric.LatencyBuckets())
@@ -77,6 +77,7 @@
 		c.statuses.Inc(1)
 	case gddispatch.Probe:
 		c.probes.Inc(1)
+	case gddispatch.Verify:
 	default:
 		c.drops[r].Inc(1)
 	}
--- a/internal/process/gdentry/entry.go
+++ b/internal/process/gdentry/entry.go
@@ -103,6 +103,7 @@
 	becameReader chan struct{}
 	behind       chan gdflow.Address
 	probes       chan probeRequest
+	verify       chan struct{}
 	feed         *net.UDPConn
 	updates      net.Listener
 	callers      *net.UDPConn
@@ -149,7 +150,7 @@
 	e.dispatcher.OnSuspect, e.dispatcher.OnUnreachable = e.onSuspect, e.onUnreachable
 	e.wake, e.becameReader = make(chan struct{}, 1), make(chan struct{}, 1)
 	e.behind = make(chan gdflow.Address, 1)
-	e.probes = make(chan probeRequest, maxProbes)
+	e.probes, e.verify = make(chan probeRequest, maxProbes), make(chan struct{}, 1)
 	e.dispatcher.LinkBytesPerSecond, e.dispatcher.StartedAt, e.dispatcher.Domain = e.LinkBytesPerSecond, time.Now(), e.Domain
 	e.pacer.BytesPerSecond, e.paced = pacedShare*e.LinkBytesPerSecond, make(chan struct{}, 1)
 	e.initState()
@@ -166,6 +167,7 @@
 	g.Go(func() error { e.fetchUpdates(work); return nil })
 	g.Go(func() error { e.runBeacons(work); return nil })
 	g.Go(func() error { e.runProbes(work); return nil })
+	g.Go(func() error { e.verifyViews(work); return nil })
 	g.Go(func() error { e.tick(work); return nil })
 	g.Go(func() error { e.sendPaced(work); return nil })
 	g.Go(func() error {
--- a/internal/process/gdentry/packets.go
+++ b/internal/process/gdentry/packets.go
@@ -192,6 +192,9 @@
 		case gddispatch.Probe:
 			s.host.requestProbe(a.To, a.Control)
 			continue
+		case gddispatch.Verify:
+			s.host.requestVerification()
+			continue
 		case gddispatch.Reset:
 			b := s.host.Codec.AppendReset(s.out.Buffer(), a.Key, a.Seq)
 			s.out.Queue(b, a.Key.Caller().WithPort(s.host.CallerAddress.Port()).AddrPort())
--- /dev/null
+++ b/internal/process/gdentry/verify_test.go
@@ -0,0 +1,76 @@
+package gdentry_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+
+	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
+	"godwitdrift.example/godwitdrift/internal/core/gdflow"
+	"godwitdrift.example/godwitdrift/internal/process/gdentry"
+	"godwitdrift.example/godwitdrift/platform"
+)
+
+// lateWatchSource answers a watch that waits for changes only when it has ended, and with none.
+type lateWatchSource struct{ *source }
+
+func (s lateWatchSource) Watch(ctx context.Context, after gddiscovery.Revision, wait time.Duration) (gddiscovery.Update, error) {
+	if wait < 10*time.Millisecond {
+		return s.source.Watch(ctx, after, wait)
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return gddiscovery.Update{}, ctx.Err()
+	case <-t.C:
+		return gddiscovery.Update{Revision: after}, nil
+	}
+}
+
+// TestLateHostAsksBeforeItResets: an entry host that has not heard yet of a configuration asks the source
+// before it resets a flow on a route that it does not know.
+func TestLateHostAsksBeforeItResets(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		added bool // the source has the route
+	}{{"the route is new", true}, {"there is no route", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := deploy(t)
+			d.openFlow()
+			at := func(a netip.AddrPort) netip.AddrPort { return netip.AddrPortFrom(d.network.Addr(1, 4), a.Port()) }
+			late := lateWatchSource{&source{added: make(chan struct{}, 1)}}
+			d.source.mu.Lock()
+			late.changes = append(late.changes, config(1, gdflow.AddressFrom([4]byte{198, 18, 0, 9}, 443)), d.source.changes[1])
+			d.source.mu.Unlock()
+			second := &gdentry.EntryHost{
+				CallerAddress: at(d.entry.CallerAddress), HopAddress: at(d.entry.HopAddress), FeedAddress: at(d.entry.FeedAddress),
+				Codec: platform.Codec{}, Source: late, Scope: tally.NoopScope,
+			}
+			ctx, stop := context.WithCancel(t.Context())
+			ended := make(chan error, 1)
+			go func() { ended <- second.Run(ctx) }()
+			require.Eventually(t, second.Ready, eventTimeout, time.Millisecond)
+			if tc.added {
+				late.mu.Lock()
+				late.changes = append(late.changes, config(3, d.key.Service()))
+				late.mu.Unlock()
+			}
+			_, err := d.caller.WriteToUDPAddrPort(d.packet(true, ack, 18, 1001, "more"), second.CallerAddress)
+			require.NoError(t, err)
+			if tc.added {
+				require.Equal(t, d.packet(true, ack, 18, 1001, "more"), d.read(d.upstream))
+			} else {
+				require.Equal(t, byte(rst), d.read(d.caller)[30])
+			}
+			stop()
+			require.NoError(t, <-ended)
+			d.stop()
+			require.NoError(t, <-d.ended)
+		})
+	}
+}
