Prove a flow gone only by a view as new as its packet

Cause: a host looks a flow up at the upstreams of its view. If all say that they don't hold it, the view's age of up to 2.5 s passed for proof, unless an agent had shown a later revision. Agents of upstreams without new flows show none, and the new upstream, whose agent does, was not asked.

Ruled out: agents that know their flows wrongly; each answer was true.

TestAgentsOfOlderBuilds and TestDropSaysWhatWasMissing answer the requests for a comparison.

Beside: no message changes; older hosts reset as before.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -101,6 +101,7 @@
 	verified       time.Time     // the view has all that the source had then
 	unrouted       []earlyPacket // packets without a route that wait until the view is verified
 	unroutedDue    time.Time     // the zero time if there are none
+	awaiting       []gdflow.Key  // the flows whose lookups wait until the view is verified
 	cutOff         bool
 	pingAt         time.Time // the zero time unless cut off
 	lookups        int
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -65,6 +65,9 @@
 	requestOnOpen bool
 	// way, if set, returns the latency of a message from an entry host to an agent.
 	way func(i int, agent gdflow.Address) time.Duration
+	// verifies, if set, ends a verification of an entry host's view. Otherwise the view is that of
+	// the source.
+	verifies func(e *entry, requested time.Time) []gddispatch.Action
 	// unconfirmed stops the confirmations of the entry hosts' views.
 	unconfirmed bool
 	opened      map[gdflow.Key]time.Time
@@ -78,7 +81,7 @@
 	down     bool
 	nextTick time.Time // when the next Tick is scheduled, if later than now
 	verifyAt time.Time // when the next verification of the view is or may be sent
-	verifies bool      // one is scheduled
+	verifies bool      // one is scheduled or in progress
 	link     link
 }
 
@@ -325,7 +328,7 @@
 // verification is scheduled.
 func (f *fleet) verify(i int, e *entry) {
 	const interval, call = 20 * time.Millisecond, 5 * time.Millisecond
-	if f.unconfirmed || e.verifies {
+	if e.verifies || f.unconfirmed && f.verifies == nil {
 		return
 	}
 	e.verifies = true
@@ -333,7 +336,11 @@
 		e.verifies, e.verifyAt = false, f.now.Add(call+interval)
 		requested := f.now
 		f.after(call, func() {
-			if !e.down {
+			switch {
+			case e.down:
+			case f.verifies != nil:
+				f.act(i, e, f.verifies(e, requested))
+			default:
 				f.act(i, e, e.core.VerifyView(f.now, requested))
 			}
 		})
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -160,20 +160,11 @@
 		d.reoffer(now, t.key, f)
 		return
 	}
-	for i := range f.lookup.attempts {
-		t := &f.lookup.attempts[i]
-		switch {
-		case t.answered:
-		case t.undecided:
-			t.answered, t.unsure = true, true
-		default:
-			f.lookup.unanswered = true
-			d.hosts.timedOut(now, t.address)
-			if d.hosts.silent(t.address) {
-				d.probeHost(now, t.address)
-			}
-		}
+	if d.stillAwaits(now, f.lookup) {
+		d.awaitView(now, t.key, f.lookup)
+		return
 	}
+	d.noteTimeouts(now, f.lookup)
 	d.updateCutOff(now)
 	r, ok := d.view.Route(t.key.Service())
 	if !ok {
@@ -187,3 +178,21 @@
 		d.queryNext(now, r, t.key, f)
 	}
 }
+
+// noteTimeouts records which upstreams have not answered in time.
+func (d *Dispatcher) noteTimeouts(now time.Time, l *lookup) {
+	for i := range l.attempts {
+		t := &l.attempts[i]
+		switch {
+		case t.answered:
+		case t.undecided:
+			t.answered, t.unsure = true, true
+		default:
+			l.unanswered = true
+			d.hosts.timedOut(now, t.address)
+			if d.hosts.silent(t.address) {
+				d.probeHost(now, t.address)
+			}
+		}
+	}
+}
--- a/internal/core/gddispatch/idle_test.go
+++ b/internal/core/gddispatch/idle_test.go
@@ -78,6 +78,8 @@
 					case gddispatch.Query:
 						queries++
 						actions = append(actions, d.HandleHoldings(now, a.To, 0, a.Keys, []gdguard.Holding{tt.holding})...)
+					case gddispatch.Verify:
+						actions = append(actions, d.VerifyView(now, now)...)
 					default:
 						require.Equal(t, tt.want, a.Verb)
 					}
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -31,10 +31,10 @@
 	notFoundDelay    = 150 * time.Millisecond
 	maxNotFoundDelay = 1200 * time.Millisecond
 	// viewPollInterval is the interval at which a lookup that needs a newer view
-	// checks for one: half the beacon interval. maxViewPolls limits the wait to less
-	// than a second.
+	// checks for one: half the beacon interval. maxViewPolls limits the wait to what a
+	// beacon takes that says that the view is current.
 	viewPollInterval = 50 * time.Millisecond
-	maxViewPolls     = 8
+	maxViewPolls     = 28
 )
 
 // bestRanked returns the upstream that ranks first for the flow among those that
@@ -116,9 +116,8 @@
 // there are none or they were queried often enough.
 func (d *Dispatcher) retryQueries(now time.Time, r *gddiscovery.Route, k gdflow.Key, f *flow) {
 	l := f.lookup
-	if l.allAnswered() && l.viewPolls < maxViewPolls && d.triedAll(now, r, l) && d.viewBehind(l) {
-		l.viewPolls++
-		d.setDeadline(k, l, now.Add(viewPollInterval))
+	if l.viewPolls < maxViewPolls && d.noneHolds(now, r, l) && !d.viewSuffices(now, l) {
+		d.awaitView(now, k, l)
 		return
 	}
 	if l.retries >= maxRetries || d.provesGone(now, r, l) || l.allAnswered() {
--- a/internal/core/gddispatch/missing_test.go
+++ b/internal/core/gddispatch/missing_test.go
@@ -45,6 +45,10 @@
 					got = a.Missing
 					break
 				}
+				if a.Verb == gddispatch.Verify {
+					actions = d.VerifyView(start, start)
+					continue
+				}
 				actions = nil
 				if tt.silent == 0 || a.To != upstreamAt(0) {
 					info := gddispatch.ReturnInfo{From: a.To, Reason: gdguard.NotHeld, Revision: tt.revision}
--- a/internal/core/gddispatch/proof.go
+++ b/internal/core/gddispatch/proof.go
@@ -15,7 +15,7 @@
 	// 40 upstreams.
 	broadcastsPerSecond = 500
 	broadcastBurst      = 250
-	// maxViewAge is the maximum age of a view that proves that a flow is gone.
+	// maxViewAge is the maximum age of a view at which all upstreams are queried for a flow.
 	maxViewAge = 2500 * time.Millisecond
 	// removalGrace is the time after its removal from the view at which an
 	// unresponsive upstream counts as gone: the time that the users' requirements
@@ -50,7 +50,7 @@
 	return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)
 }
 
-// viewListsAll reports whether the view lists all upstreams that may hold a flow: it is
+// viewListsAll reports whether the view is likely to list all upstreams that may hold a flow: it is
 // recent, and no upstream still has to register again at a restored source.
 func (d *Dispatcher) viewListsAll(now time.Time) bool {
 	return now.Sub(d.confirmed) <= maxViewAge && !now.Before(d.settledAt)
@@ -78,12 +78,23 @@
 	d.add(a)
 }
 
-// provesGone reports whether the lookup has proved that no upstream holds the flow:
-// each one that could hold it has answered that it does not, or its host can't be reached
-// and the route's requests may be sent again; and the view is recent enough to list them
-// all.
+// provesGone reports whether the lookup has proved that no upstream holds the flow: none of the view
+// does, and the view lists them all.
 func (d *Dispatcher) provesGone(now time.Time, r *gddiscovery.Route, l *lookup) bool {
-	if len(l.attempts) == 0 || !d.viewListsAll(now) || !d.triedAll(now, r, l) {
+	return d.noneHolds(now, r, l) && d.viewSuffices(now, l)
+}
+
+// viewSuffices reports whether the view lists each upstream that may hold the flow of the lookup. A flow that
+// was opened through another host may be at an upstream of which this one has not heard yet.
+func (d *Dispatcher) viewSuffices(now time.Time, l *lookup) bool {
+	return d.verifiedSince(now, l.started) && !d.viewBehind(l)
+}
+
+// noneHolds reports whether no upstream of the view holds the flow of the lookup: each one that could
+// hold it has answered that it does not, or its host can't be reached and the route's requests may be
+// sent again.
+func (d *Dispatcher) noneHolds(now time.Time, r *gddiscovery.Route, l *lookup) bool {
+	if len(l.attempts) == 0 || !d.triedAll(now, r, l) {
 		return false
 	}
 	for _, t := range l.attempts {
@@ -92,7 +103,7 @@
 			return false
 		}
 	}
-	return !d.viewBehind(l)
+	return true
 }
 
 // viewBehind reports whether agents had reported a higher revision than the view's
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -190,6 +190,7 @@
 	started          time.Time
 	retries          int                  // how often the unresponsive upstreams were queried again
 	viewPolls        int                  // how often the lookup waited for a newer view
+	awaits           *gddiscovery.View    // the view that does not suffice, while the lookup waits for a newer one
 	requiredRevision gddiscovery.Revision // the revision that a view needs to prove that the flow is gone, or 0
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
--- a/internal/core/gddispatch/verify.go
+++ b/internal/core/gddispatch/verify.go
@@ -22,6 +22,9 @@
 	unroutedTTL = 1400 * time.Millisecond
 	// maxUnrouted limits these packets, to 0.3 MB.
 	maxUnrouted = 256
+	// maxAwaiting limits the lookups that go on as soon as the view is verified. Others do so at
+	// their next poll.
+	maxAwaiting = 4096
 )
 
 // VerifyView records that the view has all that the source had at the time, and decides on what has
@@ -29,12 +32,43 @@
 func (d *Dispatcher) VerifyView(now, at time.Time) []Action {
 	d.init()
 	d.noteVerified(at)
-	if d.view != nil && !d.unroutedDue.IsZero() {
+	if d.view == nil {
+		return d.actions
+	}
+	if !d.unroutedDue.IsZero() {
 		d.settleUnrouted(now)
 	}
+	keys := d.awaiting
+	d.awaiting = nil
+	for _, k := range keys {
+		f, ok := d.flows.Get(now, k)
+		r, routed := d.view.Route(k.Service())
+		if ok && routed && f.lookup != nil && f.lookup.awaits != nil {
+			f.lookup.awaits = nil
+			d.queryNext(now, r, k, f)
+		}
+	}
 	return d.actions
 }
 
+// stillAwaits reports whether a lookup waits and nothing has changed that could end its wait.
+func (d *Dispatcher) stillAwaits(now time.Time, l *lookup) bool {
+	return l.awaits != nil && l.awaits == d.view && l.viewPolls < maxViewPolls && !d.viewSuffices(now, l)
+}
+
+// awaitView makes a lookup wait for a newer view, or until the view is verified.
+func (d *Dispatcher) awaitView(now time.Time, k gdflow.Key, l *lookup) {
+	if l.awaits == nil && len(d.awaiting) < maxAwaiting {
+		d.awaiting = append(d.awaiting, k)
+	}
+	l.awaits = d.view
+	l.viewPolls++
+	d.setDeadline(k, l, now.Add(viewPollInterval))
+	if d.verified.Before(l.started) {
+		d.add(Action{Verb: Verify})
+	}
+}
+
 func (d *Dispatcher) noteVerified(at time.Time) {
 	if at.After(d.verified) {
 		d.verified = at
