Leave rows out of the list of hosts that can't be decoded

Cause: the list was decoded as a whole, so that one odd row hid all hosts from processes and from the status command.

Change: each row is decoded alone. Rows without a name, or with a port out of range, are left out.

Test: TestOddHostsHideNoOthers failed before.

Beside: no message changes.

--- a/cmd/godwitdrift/platform.go
+++ b/cmd/godwitdrift/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -19,7 +21,10 @@
 
 func newPlatform(url string, client *http.Client) platform {
 	url = strings.TrimSuffix(url, "/")
-	return platform{client: &gdplatform.Client{URL: url, HTTP: client, Timeout: requestTimeout}}
+	return platform{client: &gdplatform.Client{
+		URL: url, HTTP: client, Timeout: requestTimeout,
+		OnInvalidHost: func(err error) { fmt.Fprintln(os.Stderr, "godwitdrift:", err) },
+	}}
 }
 
 // readResult is a value, or the error of reading it.
--- a/internal/platform/gdplatform/client.go
+++ b/internal/platform/gdplatform/client.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,6 +35,9 @@
 	// ETagKeys are the keys whose ETag the client stores and sends with the next read,
 	// so that the platform responds to an unchanged value without a body.
 	ETagKeys []string
+	// OnInvalidHost, if set, is called with the error of each row of the list of hosts that can't be
+	// decoded.
+	OnInvalidHost func(error)
 
 	mu    sync.Mutex
 	etags map[string]string
@@ -112,7 +117,7 @@
 }
 
 // Hosts reads the list of live and leaving hosts. The platform may serve an outdated
-// list.
+// list. Rows that can't be decoded are left out.
 func (c *Client) Hosts(ctx context.Context) ([]Host, error) {
 	res, err := c.get(ctx, "/v1/hosts", MaxHostsBytes)
 	if err != nil {
@@ -122,12 +127,42 @@
 		return nil, errors.Errorf("read hosts from platform %s: status %d", c.URL, res.status)
 	}
 	var list struct {
-		Hosts []Host `json:"hosts"`
+		Hosts []json.RawMessage `json:"hosts"`
 	}
 	if err := json.Unmarshal(res.body, &list); err != nil {
 		return nil, errors.Wrapf(err, "decode hosts from platform %s", c.URL)
 	}
-	return list.Hosts, nil
+	hosts := make([]Host, 0, len(list.Hosts))
+	for i, row := range list.Hosts {
+		h, err := decodeHost(row)
+		if err == nil {
+			hosts = append(hosts, h)
+		} else if c.OnInvalidHost != nil {
+			c.OnInvalidHost(errors.Wrapf(err, "decode host %d from platform %s", i, c.URL))
+		}
+	}
+	return hosts, nil
+}
+
+func decodeHost(row []byte) (Host, error) {
+	var h Host
+	if err := json.Unmarshal(row, &h); err != nil {
+		return Host{}, err
+	}
+	if h.Name == "" {
+		return Host{}, errors.New("name is missing")
+	}
+	if h.Address == "" {
+		return h, nil // operators may still reach it
+	}
+	_, port, err := net.SplitHostPort(h.Address)
+	if err != nil {
+		return Host{}, errors.Wrapf(err, "address of %q", h.Name)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return Host{}, errors.Errorf("address of %q: port %q is not between 1 and 65535", h.Name, port)
+	}
+	return h, nil
 }
 
 // response is an HTTP response whose body has been read.
--- a/internal/platform/gdplatform/client_test.go
+++ b/internal/platform/gdplatform/client_test.go
@@ -69,6 +69,28 @@
 	}
 }
 
+// TestOddHostsHideNoOthers: one row of the list that can't be decoded must not keep a process from following the
+// others.
+func TestOddHostsHideNoOthers(t *testing.T) {
+	const good = `{"name":"entry-1","role":"balancer","domain":"bilbao","address":"192.0.2.7:7000","state":"live"}`
+	for _, odd := range []string{
+		"7", "null", "{}", `"entry-2"`, strings.Repeat("[", 5000) + strings.Repeat("]", 5000), `{"name":7}`,
+		`{"name":"entry-2","address":"192.0.2.8:65536"}`, `{"name":"entry-2","address":1e999}`, `{"name":"entry-2","address":"192.0.2.8"}`,
+	} {
+		c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"hosts":[` + odd + "," + good + `]}`))
+		})
+		var reported []error
+		c.OnInvalidHost = func(err error) { reported = append(reported, err) }
+		hosts, err := c.Hosts(context.Background())
+		require.NoError(t, err, "%.40s", odd)
+		require.Len(t, hosts, 1)
+		require.Equal(t, "entry-1", hosts[0].Name)
+		require.Len(t, reported, 1)
+		require.ErrorContains(t, reported[0], "decode host 0")
+	}
+}
+
 func TestHosts(t *testing.T) {
 	c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte(`{"hosts":[{"name":"entry-1","role":"balancer","domain":"bilbao",` +
--- a/internal/process/gdserve/common.go
+++ b/internal/process/gdserve/common.go
@@ -92,13 +92,17 @@
 		return nil, err
 	}
 	c := do.MustInvoke[gdsettings.Common](inj)
+	log := do.MustInvoke[gdlog.Logger](inj)
 	s := &gdconfsync.Syncer{
-		Name:     c.Name,
-		Seed:     rand.Uint64(),
-		Seeds:    seeds(c),
-		Platform: &gdplatform.Client{URL: c.PlatformURL, ETagKeys: []string{config.IndexKey}},
+		Name:  c.Name,
+		Seed:  rand.Uint64(),
+		Seeds: seeds(c),
+		Platform: &gdplatform.Client{
+			URL: c.PlatformURL, ETagKeys: []string{config.IndexKey},
+			OnInvalidHost: func(err error) { log.Failure(gdlog.ValueInvalid, err) },
+		},
 		Peers:    dialer,
-		OnChange: logConfiguration(do.MustInvoke[gdlog.Logger](inj)),
+		OnChange: logConfiguration(log),
 	}
 	dialer.Version = s.Version
 	return s, nil
