Look a flow up again if only an older agent's notice names its upstream

Cause: an agent of that build reports a flow as held because its silent upstream does not return the packet, and an entry host that has resolved a flow never looked it up again while nobody answers.

Change: an agent also reports a flow that it holds by a reply to a query, for which it now has evidence. An entry host that knows the upstream only from the notice remembers that. When the caller sends its data again, the host forwards the packet as before and looks the flow up at the upstreams that have not claimed it. Such a notice no longer replaces a known upstream.

Ruled out: a longer wait for other claims (the true holder need not have been asked), a flag in the notice (older hosts reject notices of another size).

Test: TestSilentUpstreamsTakeNoFlowsOfOthers with older agents, 3 new cases.

Beside: older entry hosts ignore the reply and take the notice.

--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -259,23 +259,7 @@
 func (d *Dispatcher) handleData(now time.Time, r *gddiscovery.Route, f *flow, p gdflow.Packet, raw []byte) {
 	switch f.state {
 	case resolved:
-		m := d.memberOf(f.upstream)
-		if m == nil {
-			// The address was reassigned to another service, or is no longer in the view.
-			d.startLookup(now, f, lookingUp, p, raw)
-			d.queryNext(now, r, p.Key(), f)
-			return
-		}
-		if d.noteRetransmission(now, f, p) && d.givesUp(now, r, f.upstream.address) {
-			// A request that can't be delivered has no answer. The caller's
-			// acknowledgements of an answer are forwarded as before.
-			f.state = gone
-			d.add(Action{Verb: Reset, Key: p.Key(), To: f.upstream.address, Seq: p.Ack, Reason: Unreachable})
-			return
-		}
-		d.forwardTo(now, m, Action{
-			Key: p.Key(), Packet: raw, PacketSeq: p.Seq, PacketSize: p.Size, Urgent: isUrgent(r), Reason: Known,
-		})
+		d.handleResolved(now, r, f, p, raw)
 	case opening:
 		f.lookup.maybeAccepted = true // by another upstream, or the caller would send no data
 		if f.lookup.deferred {
--- a/internal/core/gddispatch/fleet_agent_test.go
+++ b/internal/core/gddispatch/fleet_agent_test.go
@@ -86,11 +86,19 @@
 		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleReturned(f.now, info, p, f.raw(p))) })
 	case gdguard.ReportAccepted:
 		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleAccepted(f.now, ag.at.WithPort(7720), a.Key)) })
-	case gdguard.ReportHeld:
-		answer(func(i int, e *entry) { f.act(i, e, e.core.HandleHeld(f.now, ag.at.WithPort(7720), a.Key)) })
-	case gdguard.ReportUnsure:
+	case gdguard.ReportHeld, gdguard.ReportUnsure:
 		answer(func(i int, e *entry) {
-			f.act(i, e, e.core.HandleHoldings(f.now, ag.at.WithPort(7720), ag.guard.Revision(), []gdflow.Key{a.Key}, []gdguard.Holding{gdguard.Unsure}))
+			from, held := ag.at.WithPort(7720), a.Verb == gdguard.ReportHeld
+			if !ag.older {
+				holding := gdguard.Unsure
+				if held {
+					holding = gdguard.Present
+				}
+				f.act(i, e, e.core.HandleHoldings(f.now, from, ag.guard.Revision(), []gdflow.Key{a.Key}, []gdguard.Holding{holding}))
+			}
+			if held || ag.older {
+				f.act(i, e, e.core.HandleHeld(f.now, from, a.Key))
+			}
 		})
 	}
 }
--- a/internal/core/gddispatch/fleet_test.go
+++ b/internal/core/gddispatch/fleet_test.go
@@ -131,6 +131,7 @@
 	opened       int
 	free         []time.Time // when each slot becomes free
 	unresponsive bool        // the upstream does not answer
+	older        bool        // of a build that takes silence for holding
 }
 
 var start = time.Date(2026, 12, 4, 0, 0, 0, 0, time.UTC)
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -9,6 +9,31 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdguard"
 )
 
+// handleResolved handles a packet in the middle of a flow whose upstream is known.
+func (d *Dispatcher) handleResolved(now time.Time, r *gddiscovery.Route, f *flow, p gdflow.Packet, raw []byte) {
+	m := d.memberOf(f.upstream)
+	if m == nil {
+		// The address was reassigned to another service, or is no longer in the view.
+		d.startLookup(now, f, lookingUp, p, raw)
+		d.queryNext(now, r, p.Key(), f)
+		return
+	}
+	again := f.retransmits(p)
+	if d.noteRetransmission(now, f, p) && d.givesUp(now, r, f.upstream.address) {
+		// A request that can't be delivered has no answer. The caller's
+		// acknowledgements of an answer are forwarded as before.
+		f.state = gone
+		d.add(Action{Verb: Reset, Key: p.Key(), To: f.upstream.address, Seq: p.Ack, Reason: Unreachable})
+		return
+	}
+	d.forwardTo(now, m, Action{
+		Key: p.Key(), Packet: raw, PacketSeq: p.Seq, PacketSize: p.Size, Urgent: isUrgent(r), Reason: Known,
+	})
+	if again && f.doubt != nil && !now.Before(f.doubt.nextLookup) {
+		d.lookUpAgain(now, r, f, p, raw)
+	}
+}
+
 // HandleReturned decides on a packet that an agent returned.
 func (d *Dispatcher) HandleReturned(now time.Time, info ReturnInfo, p gdflow.Packet, raw []byte) []Action {
 	d.init()
@@ -88,30 +113,35 @@
 
 // HandleAccepted records that the agent's upstream accepted the flow.
 func (d *Dispatcher) HandleAccepted(now time.Time, from gdflow.Address, k gdflow.Key) []Action {
-	return d.holderFound(now, from, k, opening)
+	d.init()
+	d.noteAnswer(now, from)
+	if f, ok := d.flows.Get(now, k); ok && d.view != nil && f.state != resolved {
+		d.holderFound(now, from, k, f)
+	}
+	return d.actions
 }
 
-// HandleHeld records that the agent's upstream holds the flow.
+// HandleHeld records that the agent reports that its upstream holds the flow. It may be of an older build, which
+// takes the silence of its upstream for holding.
 func (d *Dispatcher) HandleHeld(now time.Time, from gdflow.Address, k gdflow.Key) []Action {
-	return d.holderFound(now, from, k, resolved)
-}
-
-// holderFound resolves the flow, unless it is resolved already and the upstream has
-// only accepted a retransmitted packet.
-func (d *Dispatcher) holderFound(now time.Time, from gdflow.Address, k gdflow.Key, minState state) []Action {
 	d.init()
 	d.noteAnswer(now, from)
-	f, ok := d.flows.Get(now, k)
-	if !ok || d.view == nil || f.state == resolved && (minState == opening || f.upstream.address.IP() == from.IP()) {
-		return nil
+	if f, ok := d.flows.Get(now, k); ok && d.view != nil && f.state != resolved && !f.doubts(from) {
+		f.noteLookupData()
+		d.holderFound(now, from, k, f)
+		f.doubt = f.doubt.orNew()
 	}
+	return d.actions
+}
+
+// holderFound resolves the flow.
+func (d *Dispatcher) holderFound(now time.Time, from gdflow.Address, k gdflow.Key, f *flow) {
 	if f.state == opening {
 		if t := f.lookup.attemptAt(from); t != nil {
 			d.noteRoundTrip(now, k, t)
 		}
 	}
 	d.resolve(now, k, f, d.holderOn(f, from))
-	return d.actions
 }
 
 // NextTick returns when Tick is due, or the zero time if there is nothing to do.
--- a/internal/core/gddispatch/lookup.go
+++ b/internal/core/gddispatch/lookup.go
@@ -176,6 +176,10 @@
 
 // markNotFound ends a lookup without a result.
 func (d *Dispatcher) markNotFound(now time.Time, k gdflow.Key, f *flow) {
+	if at := f.lookup.believed; at != (holder{}) {
+		d.believeAgain(now, k, f, at)
+		return
+	}
 	attempts, missing := len(f.lookup.attempts), d.missing(now, f.lookup)
 	d.endLookup(f)
 	f.state, f.retryAfter = notFound, now.Add(min(notFoundDelay<<f.failedLookups, maxNotFoundDelay))
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -72,23 +72,31 @@
 		return nil
 	}
 	for i, k := range keys {
-		f, ok := d.flows.Get(now, k)
-		if !ok || f.state != lookingUp {
-			continue
-		}
-		t := f.lookup.attemptAt(from)
-		r, ok := d.view.Route(k.Service())
-		switch {
-		case !ok || t == nil || t.answered:
-		case t.queried:
-			d.handleHolding(now, r, k, f, t, holdings[i])
-		case holdings[i] == gdguard.Unsure:
-			d.awaitDecision(now, r, k, f.lookup, t)
+		r, routed := d.view.Route(k.Service())
+		if f, known := d.flows.Get(now, k); routed && known {
+			d.handleReport(now, r, from, k, f, holdings[i])
 		}
 	}
 	return d.actions
 }
 
+// handleReport handles what an agent reports about one flow, asked by a query or by a packet.
+func (d *Dispatcher) handleReport(now time.Time, r *gddiscovery.Route, from gdflow.Address, k gdflow.Key, f *flow, holding gdguard.Holding) {
+	var t *attempt
+	if f.state == lookingUp {
+		t = f.lookup.attemptAt(from)
+	}
+	unanswered := t != nil && !t.answered
+	switch {
+	case unanswered && t.queried:
+		d.handleHolding(now, r, k, f, t, holding)
+	case holding == gdguard.Present:
+		d.settleHolder(now, from, k, f)
+	case unanswered && holding == gdguard.Unsure:
+		d.awaitDecision(now, r, k, f.lookup, t)
+	}
+}
+
 // awaitDecision gives an agent more time that has delivered the packet of the lookup: a packet of its
 // upstream may still show whether that one holds the flow. It also gets the next packet of the flow, since an
 // upstream need not acknowledge each one.
@@ -114,6 +122,7 @@
 			l.pending = slices.Insert(l.pending, 0, l.packet)
 		}
 		d.resolve(now, k, f, t.holder)
+		f.doubt = nil
 		return
 	case holding == gdguard.Absent:
 		t.answered, t.unsure = true, d.mayForget() || d.view.SharedHost(t.address)
--- a/internal/core/gddispatch/reach.go
+++ b/internal/core/gddispatch/reach.go
@@ -66,11 +66,15 @@
 	if p.Size == 0 {
 		return false
 	}
-	end := p.Seq + uint32(p.Size)
-	if f.hasData && int32(end-f.callerEnd) <= 0 {
+	if f.retransmits(p) {
 		d.probeHost(now, f.upstream.address)
 		return true
 	}
-	f.callerEnd, f.hasData = end, true
+	f.callerEnd, f.hasData = p.Seq+uint32(p.Size), true
 	return true
 }
+
+// retransmits reports whether the packet has only data that the caller has sent before.
+func (f *flow) retransmits(p gdflow.Packet) bool {
+	return p.Size > 0 && f.hasData && int32(p.Seq+uint32(p.Size)-f.callerEnd) <= 0
+}
--- a/internal/core/gddispatch/silent_test.go
+++ b/internal/core/gddispatch/silent_test.go
@@ -15,11 +15,20 @@
 	for _, tc := range []struct {
 		silent int
 		pause  time.Duration // between two requests of different flows
-	}{{1, 10 * time.Millisecond}, {1, 0}, {2, 10 * time.Millisecond}, {3, 50 * time.Millisecond}} {
-		t.Run(fmt.Sprintf("%d silent, %s apart", tc.silent, tc.pause), func(t *testing.T) {
+		older  bool          // the agents are of an older build
+	}{
+		{1, 10 * time.Millisecond, false},
+		{1, 0, false},
+		{2, 10 * time.Millisecond, false},
+		{3, 50 * time.Millisecond, false},
+		{1, 10 * time.Millisecond, true},
+		{2, 10 * time.Millisecond, true},
+		{3, 50 * time.Millisecond, true},
+	} {
+		t.Run(fmt.Sprintf("%d silent, %s apart, older agents %t", tc.silent, tc.pause, tc.older), func(t *testing.T) {
 			f := newFleet(t, 1, upstreams, 3)
 			for i := range upstreams {
-				f.addAgent(i, false)
+				f.addAgent(i, false).older = tc.older
 			}
 			for i := range tc.silent {
 				f.agents[upstreamAt(i)].unresponsive = true
@@ -28,22 +37,35 @@
 				f.after(time.Duration(i)*20*time.Millisecond, func() { f.open(0, callerKey(i)) })
 			}
 			f.run(3 * time.Second)
-			held := 0
-			for _, ag := range f.agents {
-				held += len(ag.held)
-			}
-			require.GreaterOrEqual(t, held, flows*9/10, "flows that were opened at the others")
+			require.GreaterOrEqual(t, f.heldFlows(), flows*9/10, "flows that were opened at the others")
 			f.addEntry(1)
 			for i := range flows {
-				f.after(time.Duration(i)*tc.pause, func() {
-					if f.ackOf(callerKey(i)) > 1 {
-						f.request(1, callerKey(i))
-					}
-				})
+				sent := []time.Duration{0}
+				if tc.older { // the caller sends it again
+					sent = append(sent, 200, 600, 1400)
+				}
+				for _, again := range sent {
+					f.after(time.Duration(i)*tc.pause+again*time.Millisecond, func() {
+						if k := callerKey(i); f.ackOf(k) > 1 && !f.requested(k) {
+							f.request(1, k)
+						}
+					})
+				}
 			}
 			f.run(time.Duration(flows)*tc.pause + 2*time.Second)
 			require.Empty(t, f.resets)
-			require.GreaterOrEqual(t, f.served(), held, "requests on open flows")
+			for i := range flows {
+				require.True(t, f.ackOf(callerKey(i)) == 1 || f.requested(callerKey(i)), "request on open flow %d", i)
+			}
 		})
 	}
 }
+
+// heldFlows returns how many flows the upstreams hold.
+func (f *fleet) heldFlows() int {
+	n := 0
+	for _, ag := range f.agents {
+		n += len(ag.held)
+	}
+	return n
+}
--- a/internal/core/gddispatch/types.go
+++ b/internal/core/gddispatch/types.go
@@ -175,6 +175,7 @@
 	hasData       bool   // callerEnd is set
 	refusals      int    // the transmissions of the opening packet that were refused here, with all before them
 	failedLookups uint8  // consecutive lookups that did not find the holder
+	doubt         *doubt // for resolved: the upstream may not hold the flow
 	state         state
 }
 
@@ -195,6 +196,7 @@
 	forced           bool                 // the least loaded upstream was asked to accept the flow although it is busy
 	unanswered       bool                 // an upstream that was offered the flow has not answered in time
 	spillOffers      int                  // how many upstreams of other services than the chosen one were offered the flow
+	believed         holder               // the doubtful holder of the flow, or the zero value
 	ofReset          bool                 // the packet is a reset, which is not answered by one
 	deferred         bool                 // all upstreams are overloaded; the offer is repeated later
 	maybeAccepted    bool                 // an upstream may have accepted an earlier transmission of the opening packet
--- a/internal/process/gdpacketagent/packets.go
+++ b/internal/process/gdpacketagent/packets.go
@@ -186,12 +186,14 @@
 		case gdguard.ReportAccepted, gdguard.ReportHeld:
 			t, ev := gdhop.Accepted, gdlog.FlowAccepted
 			if a.Verb == gdguard.ReportHeld {
+				s.replyHolding(a, gdguard.Present) // entry hosts of older builds know only the notice
 				t, ev = gdhop.Held, gdlog.FlowFound
 			}
 			s.out.Queue(gdhop.AppendFlowNotice(s.out.Buffer(), t, a.Key, agent.Guard.Load(), agent.Guard.ExpectedWait(now)), a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
 			agent.metrics.event(now, agent.Log, ev, "flow", a.Key, "entry", a.Entry, "load", agent.Guard.Load())
 		case gdguard.ReportUnsure:
-			s.replyUnsure(now, a)
+			s.replyHolding(a, gdguard.Unsure)
+			agent.metrics.event(now, agent.Log, gdlog.FlowUndecided, "flow", a.Key, "entry", a.Entry, "silent-for", agent.Guard.SilentFor(now).String())
 		}
 	}
 }
@@ -216,14 +218,11 @@
 	s.out.Queue(b, entry.WithPort(s.agent.HopAddress.Port()).AddrPort())
 }
 
-// replyUnsure tells an entry host that nothing shows yet whether the upstream holds a flow of which
-// a packet was delivered.
-func (s *sender) replyUnsure(now time.Time, a *gdguard.Action) {
-	agent := s.agent
-	agent.metrics.holdings[gdguard.Unsure].Inc(1)
-	b := gdhop.AppendHolding(gdhop.AppendQueryReply(s.out.Buffer(), agent.Guard.Revision()), a.Key, gdguard.Unsure)
-	s.out.Queue(b, a.Entry.WithPort(agent.HopAddress.Port()).AddrPort())
-	agent.metrics.event(now, agent.Log, gdlog.FlowUndecided, "flow", a.Key, "entry", a.Entry, "silent-for", agent.Guard.SilentFor(now).String())
+// replyHolding reports to an entry host about a flow of which it has sent a packet.
+func (s *sender) replyHolding(a *gdguard.Action, h gdguard.Holding) {
+	s.agent.metrics.holdings[h].Inc(1)
+	b := gdhop.AppendHolding(gdhop.AppendQueryReply(s.out.Buffer(), s.agent.Guard.Revision()), a.Key, h)
+	s.out.Queue(b, a.Entry.WithPort(s.agent.HopAddress.Port()).AddrPort())
 }
 
 func (s *sender) flush() {
