--- a/internal/core/gddispatch/newcomer_test.go
+++ b/internal/core/gddispatch/newcomer_test.go
@@ -31,29 +31,58 @@
 // there through an entry host that knows it. Packets move to a host that does not know it yet, and whose
 // upstreams all answer that they don't hold the flow.
 func TestLateHostResetsNoOpenFlow(t *testing.T) {
-	const flows, upstreams, newcomer = 20, 3, 3
-	registration := func(up gddiscovery.Upstream) gddiscovery.Update {
-		return gddiscovery.Update{Revision: 101, Changes: []gddiscovery.Change{{
-			Subject: gddiscovery.Subject{Kind: gddiscovery.Registration, Name: up.ID}, Revision: 101, Upstream: &up,
-		}}}
+	const flows, upstreams, newcomer = 20, 4, 3
+	before := func(moves bool) gddiscovery.Update {
+		u := update(upstreams, flows, func(i int, u *gddiscovery.Upstream) {
+			u.Draining = i != newcomer
+			if i == newcomer {
+				u.Service = "gallery"
+			}
+		})
+		u.Changes[0].Config.Services = []gddiscovery.Service{{Name: "booking"}, {Name: "gallery"}}
+		if !moves {
+			u.Changes = u.Changes[:upstreams] // without the newcomer
+		}
+		return u
+	}
+	change := func(moves bool) gddiscovery.Update {
+		u := update(upstreams, flows, nil)
+		c := u.Changes[upstreams]
+		if moves {
+			c = u.Changes[0]
+			c.Config.Version, c.Config.Routes[0].Shares, c.Config.Services = 2, onlyGallery, before(true).Changes[0].Config.Services
+		}
+		c.Revision = 101
+		return gddiscovery.Update{Revision: 101, Changes: []gddiscovery.Change{c}, EachChange: true}
 	}
-	change := registration(gddiscovery.Upstream{ID: upstreamAt(newcomer).String(), Service: "booking", Domain: "a", Address: upstreamAt(newcomer), Slots: flows})
 	for _, tc := range []struct {
+		moves  bool          // the route moves to another service
 		reads  bool          // the host reaches the source
 		beacon time.Duration // after the packets
-	}{{true, 0}, {true, 150 * time.Millisecond}, {false, 150 * time.Millisecond}, {false, 900 * time.Millisecond}, {true, 3 * time.Second}} {
-		t.Run(fmt.Sprintf("reads %t, beacon after %s", tc.reads, tc.beacon), func(t *testing.T) {
-			f := newFleet(t, 0, upstreams+1, flows)
+	}{
+		{false, true, 0},
+		{false, true, 150 * time.Millisecond},
+		{false, false, 150 * time.Millisecond},
+		{false, false, 900 * time.Millisecond},
+		{false, true, 3 * time.Second},
+		{true, true, 3 * time.Second},
+		{true, false, 900 * time.Millisecond},
+	} {
+		t.Run(fmt.Sprintf("route moves %t, reads %t, beacon after %s", tc.moves, tc.reads, tc.beacon), func(t *testing.T) {
+			f := newFleet(t, 0, upstreams, flows)
 			var known gddiscovery.State
-			require.True(t, known.Load(f.now, update(upstreams, flows, func(_ int, u *gddiscovery.Upstream) { u.Draining = true })))
 			h := &lateHost{fleet: f}
-			require.True(t, h.state.Load(f.now, update(upstreams, flows, func(_ int, u *gddiscovery.Upstream) { u.Draining = true })))
+			require.True(t, known.Load(f.now, before(tc.moves)))
+			require.True(t, h.state.Load(f.now, before(tc.moves)))
+			f.run(historyTime)
 			f.view = h.state.View()
 			h.entry = f.addEntry(1)
-			require.True(t, known.Apply(f.now, change))
+			require.True(t, known.Apply(f.now, change(tc.moves)))
 			f.view = known.View()
 			f.addEntry(0)
-			f.run(time.Second)
+			if tc.moves {
+				f.agents[upstreamAt(newcomer)].guard.Service = "gallery"
+			}
 			for i := range flows {
 				f.open(0, callerKey(i))
 			}
@@ -66,20 +95,12 @@
 					return nil
 				}
 				h.verifications++
-				h.apply(change)
+				h.apply(change(tc.moves))
 				return h.core.VerifyView(f.now, requested)
 			}
-			f.after(tc.beacon, func() { h.apply(change) })
+			f.after(tc.beacon, func() { h.apply(change(tc.moves)) })
 			for i := range flows {
-				k := callerKey(i)
-				f.request(1, k)
-				for _, again := range []time.Duration{200, 600, 1400} { // the caller sends it again
-					f.after(again*time.Millisecond, func() {
-						if !f.requested(k) {
-							f.request(1, k)
-						}
-					})
-				}
+				f.requestUntilReceived(1, callerKey(i))
 			}
 			f.run(2 * time.Second)
 			require.Empty(t, f.resets)
@@ -91,6 +112,18 @@
 	}
 }
 
+// requestUntilReceived sends a request on an open flow, and again as callers do while it has not reached its upstream.
+func (f *fleet) requestUntilReceived(i int, k gdflow.Key) {
+	f.request(i, k)
+	for _, again := range []time.Duration{200, 600, 1400} {
+		f.after(again*time.Millisecond, func() {
+			if !f.requested(k) {
+				f.request(i, k)
+			}
+		})
+	}
+}
+
 // requested reports whether a request on the flow has reached its upstream.
 func (f *fleet) requested(k gdflow.Key) bool {
 	for _, ag := range f.agents {
--- a/internal/core/gddispatch/silent_test.go
+++ b/internal/core/gddispatch/silent_test.go
@@ -40,17 +40,15 @@
 			require.GreaterOrEqual(t, f.heldFlows(), flows*9/10, "flows that were opened at the others")
 			f.addEntry(1)
 			for i := range flows {
-				sent := []time.Duration{0}
-				if tc.older { // the caller sends it again
-					sent = append(sent, 200, 600, 1400)
-				}
-				for _, again := range sent {
-					f.after(time.Duration(i)*tc.pause+again*time.Millisecond, func() {
-						if k := callerKey(i); f.ackOf(k) > 1 && !f.requested(k) {
-							f.request(1, k)
-						}
-					})
-				}
+				f.after(time.Duration(i)*tc.pause, func() {
+					switch k := callerKey(i); {
+					case f.ackOf(k) == 1: // it was not opened
+					case tc.older:
+						f.requestUntilReceived(1, k)
+					default:
+						f.request(1, k)
+					}
+				})
 			}
 			f.run(time.Duration(flows)*tc.pause + 2*time.Second)
 			require.Empty(t, f.resets)
