--- a/internal/rig/gdsoak/mutants.go
+++ b/internal/rig/gdsoak/mutants.go
@@ -54,7 +54,8 @@
 		{flowStays, "", []string{"replace", "terminate-entry"}, []edit{
 			{lookup, "len(f.lookup.attempts) < limit; {", "len(f.lookup.attempts) < min(limit, 1); {"},
 			{proof, "return d.broadcasts.take(now, broadcastsPerSecond, broadcastBurst, 1)", "return false"},
-			{proof, "len(l.attempts) == 0 || !d.viewListsAll(now) || !d.triedAll(now, r, l)", "len(l.attempts) == 0"},
+			{proof, "len(l.attempts) == 0 || !d.triedAll(now, r, l)", "len(l.attempts) == 0"},
+			{proof, "return d.verifiedSince(now, l.started) && !d.viewBehind(l)", "return !d.viewBehind(l)"},
 		}},
 		{flowStays, "split", []string{"split", "terminate-entry"}, []edit{
 			{holder, "if !yield(r) {", "if !yield(r) || true {"},
