Test what a restarted agent reports, with sockets

TestRestartedAgentReportsByEvidence: unsure while the upstream sends nothing, then the reply to a query and the older notice. The fixture can start an agent that has not run since its upstream's start.

--- a/internal/process/gdpacketagent/agent_test.go
+++ b/internal/process/gdpacketagent/agent_test.go
@@ -47,18 +47,28 @@
 func addr(c *net.UDPConn) netip.AddrPort { return c.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 func start(t *testing.T) *fixture {
+	t.Helper()
+	return startWith(t, gdguard.Guard{Service: "booking", ObservedFromStart: true})
+}
+
+func startWith(t *testing.T, g gdguard.Guard) *fixture {
 	t.Helper()
 	const agentIP, entryIP, callerIP = "127.0.0.11", "127.0.0.12", "127.0.0.13"
 	f := &fixture{
 		t: t, upstream: listen(t, agentIP, 0), entry: listen(t, entryIP, 0), caller: listen(t, callerIP, 0),
 		metrics: gdmetric.New("godwitdrift_agent", nil), ended: make(chan error, 1),
 	}
+	if !g.ObservedFromStart { // the agent checks first whether the upstream's process is there
+		l, err := net.Listen("tcp4", addr(f.upstream).String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+	}
 	free := listen(t, agentIP, 0)
 	outbound := addr(free)
 	require.NoError(t, free.Close())
 	f.key = gdflow.NewKey(gdflow.AddressFrom([4]byte{127, 0, 0, 13}, 40001), gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443))
 	f.agent = &gdpacketagent.Agent{
-		Guard:           gdguard.Guard{Service: "booking", ObservedFromStart: true},
+		Guard:           g,
 		HopAddress:      netip.AddrPortFrom(netip.MustParseAddr(agentIP), addr(f.entry).Port()),
 		UpstreamAddress: addr(f.upstream), OutboundAddress: outbound, CallerPort: addr(f.caller).Port(),
 		Codec: platform.Codec{}, Scope: f.metrics.Scope(), Grace: time.Second,
@@ -133,6 +143,31 @@
 	require.Equal(f.t, accept, got)
 }
 
+// TestRestartedAgentReportsByEvidence: an agent that does not know a flow says so while its upstream sends nothing,
+// and reports the flow as held when it does, also in the form that entry hosts of older builds know.
+func TestRestartedAgentReportsByEvidence(t *testing.T) {
+	f := startWith(t, gdguard.Guard{Service: "booking"})
+	f.header.Confirm = true
+	request := f.packet(true, platformsim.Ack, 11, 1001, "request")
+	f.forward("booking", gdguard.UpstreamStatus{}, request, false)
+	got, _ := f.read(f.upstream)
+	require.Equal(t, request, got)
+	reports := func(want gdguard.Holding) {
+		t.Helper()
+		m := f.message()
+		require.Equal(t, gdhop.QueryReply, m.Type)
+		require.Equal(t, []gdflow.Key{f.key}, m.Keys)
+		require.Equal(t, []gdguard.Holding{want}, m.Holdings)
+	}
+	reports(gdguard.Unsure)
+	f.upstreamSends(f.packet(false, platformsim.Ack, 1001, 18, "answer"))
+	reports(gdguard.Present)
+	m := f.message()
+	require.Equal(t, gdhop.Held, m.Type)
+	require.Equal(t, f.key, m.Key)
+	f.finish()
+}
+
 // TestPacketsPassInBothDirections: packets pass in both directions byte for byte, and
 // the answer's latency is in the metrics.
 func TestPacketsPassInBothDirections(t *testing.T) {
