Bound the comparisons of views over all entry hosts

Cause: each host made up to 40 calls a second to the store while flows waited. In a deployment of 900 entry hosts, the size to design for, the loss of a failure domain would bring 36,000 calls a second, and refusals for the readers.

Change: from 20 entry hosts on, the interval grows with their number, so that all make 1,000 calls a second at most.

Figures: reckoned from the constants, not measured at that size.

--- a/internal/process/gdentry/verify.go
+++ b/internal/process/gdentry/verify.go
@@ -12,8 +12,10 @@
 
 const (
 	// verifyInterval is the delay between two verifications of the view, each of which is a call to
-	// the source.
-	verifyInterval = 20 * time.Millisecond
+	// the source. With many entry hosts it is verifyIntervalPerHost for each, so that all together
+	// make at most a thousand calls a second.
+	verifyInterval        = 20 * time.Millisecond
+	verifyIntervalPerHost = time.Millisecond
 	// verifyTimeout is the timeout of one. The source answers within milliseconds.
 	verifyTimeout = 500 * time.Millisecond
 	// verifyRetryDelay is the delay after one that has failed. The readers' beacons verify the
@@ -41,7 +43,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		delay := verifyInterval
+		delay := e.verifyDelay()
 		if err != nil {
 			e.Log.Failure(gdlog.ViewNotVerified, err, "revision", e.revision())
 			delay = verifyRetryDelay
@@ -50,6 +52,13 @@
 	}
 }
 
+// verifyDelay returns the delay after a verification.
+func (e *EntryHost) verifyDelay() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return max(verifyInterval, time.Duration(e.election.KnownHosts())*verifyIntervalPerHost)
+}
+
 // verifyView requests the changes since the known revision, without waiting for any, and passes the time
 // of the request to the dispatcher: the view has all that the source had then.
 func (e *EntryHost) verifyView(ctx context.Context) error {
