Don't take the first part of a beacon's changes for a confirmation

Cause: changes that don't fit into one datagram go into several. Each said how old its sender's whole state is, so that a host that got the first ones only took a view without the later changes for as recent. Since such a view can prove a flow gone; before, it made the host's age wrong. Nobody saw it; it came up when the premises of the proof were listed.

Change: all datagrams but the last are marked (field 12), and confirm nothing.

Test: TestManyChangesGoIntoSeveralBeacons looks at the age after each datagram, and fails without the check in State.merge.

--- a/internal/core/gddiscovery/change.go
+++ b/internal/core/gddiscovery/change.go
@@ -87,6 +87,9 @@
 	// EachChange reports that each change after the receiver's revision is there, and not
 	// only the latest of each subject. It is not sent to other hosts.
 	EachChange bool
+	// Partial reports that the sender has later changes that were made before the state was as old as Age
+	// says, so that the update confirms nothing.
+	Partial bool
 	// Full reports that the changes are the full state, so that subjects without a
 	// change were removed.
 	Full bool
--- a/internal/core/gddiscovery/state.go
+++ b/internal/core/gddiscovery/state.go
@@ -144,7 +144,7 @@
 			s.beginEra(now, s.view == nil)
 		}
 		s.revision = u.Revision
-		if at := now.Add(-u.Age); at.After(s.confirmed) {
+		if at := now.Add(-u.Age); at.After(s.confirmed) && !u.Partial {
 			s.confirmed = at
 		}
 	}
--- a/internal/wire/gdfeed/feed.go
+++ b/internal/wire/gdfeed/feed.go
@@ -61,6 +61,7 @@
 	Changes      []wireChange `cbor:"8,keyasint,omitempty"`
 	Unconfirmed  uint64       `cbor:"10,keyasint,omitempty"`
 	SettlingMS   uint32       `cbor:"11,keyasint,omitempty"`
+	Partial      bool         `cbor:"12,keyasint,omitempty"`
 }
 
 type wireMember struct {
@@ -190,8 +191,8 @@
 // and returns their number. If none fit, it encodes the beacon alone.
 func encodePrefix(w wireBeacon, base, revision uint64, changes []wireChange) (int, []byte, error) {
 	for n := len(changes); n > 0; n /= 2 {
-		w.BaseRevision, w.Changes, w.Revision = base, changes[:n], changes[n-1].Revision
-		if n == len(changes) {
+		w.BaseRevision, w.Changes, w.Revision, w.Partial = base, changes[:n], changes[n-1].Revision, n < len(changes)
+		if !w.Partial {
 			w.Revision = revision
 		}
 		data, err := encodeBeacon(w)
@@ -199,7 +200,7 @@
 			return n, data, err
 		}
 	}
-	w.BaseRevision, w.Changes, w.Revision = 0, nil, revision
+	w.BaseRevision, w.Changes, w.Revision, w.Partial = 0, nil, revision, false
 	if len(changes) == 0 {
 		w.BaseRevision = base
 	}
@@ -231,7 +232,9 @@
 			Unconfirmed: w.Unconfirmed, SettlingLeft: fromMS(w.SettlingMS),
 		},
 		BaseRevision: gddiscovery.Revision(w.BaseRevision),
-		Update:       gddiscovery.Update{Changes: changes, Revision: gddiscovery.Revision(w.Revision), Age: fromMS(w.AgeMS)},
+		Update: gddiscovery.Update{
+			Changes: changes, Revision: gddiscovery.Revision(w.Revision), Age: fromMS(w.AgeMS), Partial: w.Partial,
+		},
 	}
 	for _, m := range w.Members {
 		out.Members = append(out.Members, gdreaders.Member{Address: m.Address.address(), Rank: m.Rank})
--- a/internal/wire/gdfeed/feed_test.go
+++ b/internal/wire/gdfeed/feed_test.go
@@ -86,13 +86,18 @@
 	var state gddiscovery.State
 	now := time.Unix(1000, 0)
 	require.True(t, state.Load(now, gddiscovery.Update{Changes: []gddiscovery.Change{config(1)}, Revision: 90}))
-	for _, d := range data {
+	const since = 10 * time.Second
+	now = now.Add(since)
+	for i, d := range data {
+		require.Equal(t, since, state.Age(now), "some of the changes confirm nothing")
 		require.LessOrEqual(t, len(d), gdfeed.MaxBeaconSize)
 		got, err := gdfeed.DecodeBeacon(d)
 		require.NoError(t, err)
 		require.LessOrEqual(t, got.BaseRevision, state.Revision(), "no gap")
+		require.Equal(t, i < len(data)-1, got.Update.Partial)
 		state.Apply(now, got.Update)
 	}
+	require.Less(t, state.Age(now), since)
 	require.Equal(t, gddiscovery.Revision(500), state.Revision())
 	require.Len(t, state.View().Upstreams(), 120)
 }
