--- a/internal/core/gddispatch/doubt.go
+++ b/internal/core/gddispatch/doubt.go
@@ -12,7 +12,7 @@
 // agent claims each flow that it is asked about while its upstream is silent. If the caller then sends its data
 // again, the flow is looked up at the other upstreams.
 type doubt struct {
-	claimants  []holder  // the upstreams that were believed to hold the flow, the latest last
+	claimants  []holder  // the upstreams whose claims are in doubt, the latest last
 	nextLookup time.Time // no lookup before this time
 	lookups    uint8     // that have not found another upstream
 }
@@ -33,7 +33,7 @@
 	}
 }
 
-// doubts reports whether the flow is looked up because the agent's claim was in doubt.
+// doubts reports whether the host's agent has claimed the flow, and the caller has sent its data again since.
 func (f *flow) doubts(host gdflow.Address) bool {
 	return f.doubt != nil && slices.ContainsFunc(f.doubt.claimants, func(h holder) bool { return h.address.IP() == host.IP() })
 }
--- a/internal/process/gdentry/verify.go
+++ b/internal/process/gdentry/verify.go
@@ -23,7 +23,7 @@
 	verifyRetryDelay = time.Second
 )
 
-// requestVerification passes a request of the dispatcher to verifyViews. It is called with mu locked.
+// requestVerification passes a request of the dispatcher to verifyViews.
 func (e *EntryHost) requestVerification() {
 	select {
 	case e.verify <- struct{}{}:
