--- a/internal/core/gddispatch/dispatcher.go
+++ b/internal/core/gddispatch/dispatcher.go
@@ -148,7 +148,7 @@
 	}
 	d.early = nil
 	if !d.unroutedDue.IsZero() {
-		d.settleUnrouted(now)
+		d.decideUnrouted(now)
 	}
 	return d.actions
 }
--- a/internal/core/gddispatch/doubt.go
+++ b/internal/core/gddispatch/doubt.go
@@ -38,8 +38,8 @@
 	return f.doubt != nil && slices.ContainsFunc(f.doubt.claimants, func(h holder) bool { return h.address.IP() == host.IP() })
 }
 
-// settleHolder resolves the flow by a report that leaves no doubt.
-func (d *Dispatcher) settleHolder(now time.Time, from gdflow.Address, k gdflow.Key, f *flow) {
+// resolveWithoutDoubt resolves the flow by a report that leaves no doubt.
+func (d *Dispatcher) resolveWithoutDoubt(now time.Time, from gdflow.Address, k gdflow.Key, f *flow) {
 	f.doubt = nil
 	if f.state != resolved || f.upstream.address.IP() != from.IP() {
 		d.holderFound(now, from, k, f)
--- a/internal/core/gddispatch/handle.go
+++ b/internal/core/gddispatch/handle.go
@@ -176,7 +176,7 @@
 		d.ping(now)
 	}
 	if !d.unroutedDue.IsZero() && !d.unroutedDue.After(now) {
-		d.settleUnrouted(now)
+		d.decideUnrouted(now)
 	}
 	return d.actions
 }
--- a/internal/core/gddispatch/query.go
+++ b/internal/core/gddispatch/query.go
@@ -91,7 +91,7 @@
 	case unanswered && t.queried:
 		d.handleHolding(now, r, k, f, t, holding)
 	case holding == gdguard.Present:
-		d.settleHolder(now, from, k, f)
+		d.resolveWithoutDoubt(now, from, k, f)
 	case unanswered && holding == gdguard.Unsure:
 		d.awaitDecision(now, r, k, f.lookup, t)
 	}
--- a/internal/core/gddispatch/verify.go
+++ b/internal/core/gddispatch/verify.go
@@ -36,7 +36,7 @@
 		return d.actions
 	}
 	if !d.unroutedDue.IsZero() {
-		d.settleUnrouted(now)
+		d.decideUnrouted(now)
 	}
 	keys := d.awaiting
 	d.awaiting = nil
@@ -95,9 +95,9 @@
 	d.add(Action{Verb: Verify})
 }
 
-// settleUnrouted decides on the packets without a route that have arrived before the view was
+// decideUnrouted decides on the packets without a route that have arrived before the view was
 // verified. Those whose route is known by now are handled, unless the caller has sent them again.
-func (d *Dispatcher) settleUnrouted(now time.Time) {
+func (d *Dispatcher) decideUnrouted(now time.Time) {
 	held := d.unrouted
 	d.unrouted, d.unroutedDue = nil, time.Time{}
 	for _, e := range held {
--- a/internal/operate/gdlog/events.go
+++ b/internal/operate/gdlog/events.go
@@ -90,11 +90,11 @@
 var AnswerUnreadable = declare(208, Error, "answer of the platform's store can't be read, the full state is loaded",
 	"Nothing if it is rare. The error says whether the answer was too long, cut, late or invalid; if it repeats, check the size of the configuration and the host's link.")
 
-// ViewVerified and ViewNotVerified report that the view was compared with the platform's store, or could not
-// be. Events 209 and 210.
+// ViewVerified and ViewNotVerified report whether the platform's store has said that the view has all that the
+// store has. Events 209 and 210.
 var (
-	ViewVerified    = declare(209, Info, "view compared with the platform's store", nothing)
-	ViewNotVerified = declare(210, Info, "view not compared with the platform's store, flows of which no upstream is known are not reset",
+	ViewVerified    = declare(209, Info, "view verified with the platform's store", nothing)
+	ViewNotVerified = declare(210, Info, "view not verified with the platform's store, flows that no known upstream holds are not reset",
 		"Nothing if it is rare. Otherwise see \"Outage of the platform\".")
 )
 
