Test the limit of verifications, and share the hosts of two tests

TestVerificationsAreLimited: packets without a route for half a second lead to a call each 20 ms at most, and to one at least. No test saw the limit before. TestOddRegistrationsStopNobody had copied the set-up of TestStoreIsRestoredFromACopy; both use storeHosts, with the same checks.

--- a/internal/process/gdentry/odd_test.go
+++ b/internal/process/gdentry/odd_test.go
@@ -1,25 +1,15 @@
 package gdentry_test
 
 import (
-	"context"
 	"fmt"
-	"net/http"
-	"net/http/httptest"
-	"net/netip"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
-	"github.com/uber-go/tally/v4"
-	"golang.org/x/sync/errgroup"
 
-	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
-	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/process/gdentry"
-	"godwitdrift.example/godwitdrift/platform"
-	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
 
 // registration returns the entry of an upstream, with the JSON of some fields replaced.
@@ -71,68 +61,38 @@
 		{"other types", []string{"", "null", "[]", "7", "\x00\xff", field("service", "7"), field("zone", "null"), field("state", "{}"), field("concurrency", "2.5")}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			store := platformsim.NewStore(time.Minute)
-			srv := httptest.NewServer(store.Handler("entry"))
-			defer srv.Close()
-			network := claimNetwork(t)
-			callers, hop, feed := freePort(t), freePort(t), freePort(t)
-			at := func(i int, port uint16) netip.AddrPort { return netip.AddrPortFrom(network.Addr(1, byte(1+i)), port) }
-			configure := func(version uint64) {
-				store.PutConfig(time.Now(), gddiscovery.Config{
-					Version: version, Services: []gddiscovery.Service{{Name: "booking"}},
-					Routes: []gddiscovery.Route{{
-						Name: "r", Address: gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443), Shares: []gddiscovery.Share{{Service: "booking", Weight: 1}},
-					}},
-				})
-			}
-			ctx, stop := context.WithCancel(t.Context())
-			var g errgroup.Group
-			defer func() {
-				stop()
-				require.NoError(t, g.Wait())
-			}()
-			var all []*gdentry.EntryHost
-			start := func() {
-				i := len(all)
-				e := &gdentry.EntryHost{
-					CallerAddress: at(i, callers), HopAddress: at(i, hop), FeedAddress: at(i, feed), Rank: uint32(i),
-					Seeds: []netip.Addr{at(0, feed).Addr(), at(1, feed).Addr()}, Codec: platform.Codec{}, Scope: tally.NoopScope,
-					Source: &platform.Store{Address: srv.Listener.Addr().String(), HTTP: http.DefaultClient, Eras: &gddiscovery.EraTracker{}},
-				}
-				all = append(all, e)
-				g.Go(func() error { return e.Run(ctx) })
-			}
+			s := newStoreHosts(t)
 			have := func(version uint64, upstreams int) func() bool {
 				return func() bool {
-					for _, e := range all {
-						if s := e.State(time.Now()); s.Version != version || s.Upstreams != upstreams {
+					for _, e := range s.hosts {
+						if st := e.State(time.Now()); st.Version != version || st.Upstreams != upstreams {
 							return false
 						}
 					}
 					return true
 				}
 			}
-			configure(4)
-			store.Put(time.Now(), "servers/good-1", []byte(registration(1, nil)))
+			s.configure(4)
+			s.store.Put(time.Now(), "servers/good-1", []byte(registration(1, nil)))
 			for range hosts {
-				start()
+				s.start()
 			}
 			require.Eventually(t, have(4, 1), eventTimeout, time.Millisecond)
 			for i, entry := range tc.entries {
-				revision := store.Put(time.Now(), fmt.Sprintf("servers/odd-%d", i), []byte(entry))
+				revision := s.store.Put(time.Now(), fmt.Sprintf("servers/odd-%d", i), []byte(entry))
 				require.Eventually(t, func() bool {
-					return slices.ContainsFunc(all, func(e *gdentry.EntryHost) bool {
+					return slices.ContainsFunc(s.hosts, func(e *gdentry.EntryHost) bool {
 						return e.State(time.Now()).Revision.Number() >= revision
 					})
 				}, eventTimeout, time.Millisecond, "a reader follows")
 			}
-			configure(5)
-			store.Put(time.Now(), "servers/good-2", []byte(registration(2, nil)))
+			s.configure(5)
+			s.store.Put(time.Now(), "servers/good-2", []byte(registration(2, nil)))
 			require.Eventually(t, have(5, 2), eventTimeout, time.Millisecond, "hosts that were running")
 			if len(tc.entries)*len(tc.entries[0]) > maxPage {
 				return // the simulator has no limit for the bytes of a page
 			}
-			start()
+			s.start()
 			require.Eventually(t, have(5, 2), eventTimeout, time.Millisecond, "a host that starts later")
 		})
 	}
--- a/internal/process/gdentry/verify_test.go
+++ b/internal/process/gdentry/verify_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"godwitdrift.example/godwitdrift/internal/core/gdflow"
 	"godwitdrift.example/godwitdrift/internal/process/gdentry"
 	"godwitdrift.example/godwitdrift/platform"
+	"godwitdrift.example/godwitdrift/platform/platformsim"
 )
 
 // lateWatchSource answers a watch that waits for changes only when it has ended, and with none.
@@ -74,3 +76,50 @@
 		})
 	}
 }
+
+// countingSource counts the watches that don't wait.
+type countingSource struct {
+	lateWatchSource
+	verifications *atomic.Int32
+}
+
+func (s countingSource) Watch(ctx context.Context, after gddiscovery.Revision, wait time.Duration) (gddiscovery.Update, error) {
+	if wait < 10*time.Millisecond {
+		s.verifications.Add(1)
+	}
+	return s.lateWatchSource.Watch(ctx, after, wait)
+}
+
+// TestVerificationsAreLimited: packets without a route that come all the time don't lead to a call to the
+// source each.
+func TestVerificationsAreLimited(t *testing.T) {
+	const interval, duration = 20 * time.Millisecond, 500 * time.Millisecond
+	network := claimNetwork(t)
+	caller := listen(t, network.Addr(1, 3), 0)
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(network.Addr(1, 1), port) }
+	s := countingSource{lateWatchSource{&source{added: make(chan struct{}, 1)}}, &atomic.Int32{}}
+	s.changes = append(s.changes, config(1, gdflow.AddressFrom([4]byte{198, 18, 0, 9}, 443)))
+	e := &gdentry.EntryHost{
+		CallerAddress: at(portOf(caller)), HopAddress: at(freePort(t)), FeedAddress: at(freePort(t)),
+		Codec: platform.Codec{}, Source: s, Scope: tally.NoopScope,
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	require.Eventually(t, e.Ready, eventTimeout, time.Millisecond)
+	began, before := time.Now(), s.verifications.Load()
+	for port := uint16(1024); time.Since(began) < duration; port++ {
+		p := platformsim.Packet{
+			From: gdflow.AddressFrom(network.Addr(1, 3).As4(), port), To: gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443), Flags: ack, Data: []byte("x"),
+		}
+		_, err := caller.WriteToUDPAddrPort(p.Append(nil), e.CallerAddress)
+		require.NoError(t, err)
+		time.Sleep(time.Millisecond)
+	}
+	took := time.Since(began)
+	n := s.verifications.Load() - before
+	require.Positive(t, n)
+	require.LessOrEqual(t, n, int32(took/interval)+2)
+	stop()
+	require.NoError(t, <-ended)
+}
