--- a/review/standin-3/caller.go
+++ b/review/standin-3/caller.go
@@ -31,6 +31,14 @@
 	stopped bool
 	sent    int
 	results map[string]int
+	resets  []reset
+}
+
+// reset is a reset of the system's own on a flow that was open.
+type reset struct {
+	at  time.Time
+	key gdflow.Key
+	id  string
 }
 
 type callerFlow struct {
@@ -40,10 +48,13 @@
 	seq      uint32
 	sentAt   time.Time
 	deadline time.Time
+	limit    time.Duration
 	entry    *process
 	end      *gdstream.Endpoint
 	buf      []byte
-	closed   bool
+	closed   bool          // the request has ended, or none was sent yet
+	ended    bool          // the flow can't be used any more
+	think    time.Duration // for a flow that is held: the pause between requests
 }
 
 func newCallers(w *world) (*callers, error) {
@@ -79,16 +90,24 @@
 			return
 		}
 		c.load(perSecond, to, deadline)
-		c.request(now, to, deadline)
+		c.request(now, to, deadline, 0)
 	})
 }
 
-func (c *callers) request(now time.Time, to gdflow.Address, deadline time.Duration) {
+// hold keeps flows open on which one request follows another, after a pause.
+func (c *callers) hold(n int, to gdflow.Address, deadline, think time.Duration) {
+	for range n {
+		c.w.after(rand.N(think), func(now time.Time) { c.request(now, to, deadline, think) })
+	}
+}
+
+// request sends a request on a new flow. The flow is held if there is a pause.
+func (c *callers) request(now time.Time, to gdflow.Address, deadline, think time.Duration) {
 	c.port++
 	c.sent++
 	f := &callerFlow{
 		c: c, key: gdflow.NewKey(address(netip.AddrPortFrom(c.ip, c.port)), to), id: fmt.Sprintf("request-%d", c.sent),
-		seq: rand.Uint32(), sentAt: now, deadline: now.Add(deadline),
+		seq: rand.Uint32(), sentAt: now, deadline: now.Add(deadline), limit: deadline, think: think,
 	}
 	f.entry = c.entries[f.key.Hash()%uint64(len(c.entries))]
 	c.flows[f.key] = f
@@ -105,7 +124,12 @@
 			f.finish("flow not opened")
 		}
 	})
-	c.w.after(deadline, func(time.Time) { f.finish("no answer before the deadline") })
+	id := f.id
+	c.w.after(deadline, func(time.Time) {
+		if f.id == id {
+			f.finish("no answer before the deadline")
+		}
+	})
 }
 
 func (c *callers) sentAt(k gdflow.Key) time.Time {
@@ -133,27 +157,49 @@
 	}
 	f := c.flows[gdflow.NewKey(p.To, p.From)]
 	switch {
-	case f == nil || f.closed && f.end == nil:
+	case f == nil || f.ended || f.closed && f.end == nil:
 	case p.Has(platformsim.Reset):
-		f.finish(map[bool]string{true: "reset by the system", false: "reset by the target"}[p.Unsigned])
+		f.reset(now, p)
 	case p.Has(platformsim.Open | platformsim.Ack):
 		if f.end == nil {
 			f.end = gdstream.New(f.key.Caller(), f.key.Service(), f.seq+1, p.Seq+1)
-			head := f.id + "\n"
-			f.end.Write([]byte(head + strings.Repeat(".", requestSize-len(head))))
-			f.poll(now)
+			f.write(now)
 		}
 	case f.end != nil:
 		f.buf = append(f.buf, f.end.Receive(now, p)...)
 		if len(f.buf) >= answerSize {
 			line, _, _ := bytes.Cut(f.buf, []byte{'\n'})
 			f.finish("answered: " + strings.TrimPrefix(string(line), f.id+" "))
+			f.buf = f.buf[answerSize:]
+			if f.think == 0 {
+				f.end.Finish()
+			}
+		}
+		if f.end.PeerFinished() {
 			f.end.Finish()
 		}
 		f.poll(now)
 	}
 }
 
+// reset ends the flow, if the reset is near enough to what the requester expects.
+func (f *callerFlow) reset(now time.Time, p platformsim.Packet) {
+	const window = 76800
+	if f.end != nil && p.Seq-f.end.ExpectedSeq()+window > 2*window {
+		return
+	}
+	if f.end != nil && p.Unsigned {
+		f.c.resets = append(f.c.resets, reset{at: now, key: f.key, id: f.id})
+	}
+	f.ended = true
+	who := "the target"
+	if p.Unsigned {
+		who = "the system"
+	}
+	f.c.w.record("flow %s is reset by %s", f.key, who)
+	f.finish("reset by " + who)
+}
+
 // finish records the result of the request. The flow is still served until both ends have
 // closed it.
 func (f *callerFlow) finish(result string) {
@@ -163,6 +209,44 @@
 	f.closed = true
 	f.c.results[result]++
 	f.c.w.record("%s: %s", f.id, result)
+	if f.think > 0 {
+		f.c.w.after(f.pause(), f.next)
+	}
+}
+
+// pause returns a pause between half of the flow's and one and a half times that.
+func (f *callerFlow) pause() time.Duration {
+	return f.think/2 + rand.N(f.think)
+}
+
+// next sends the next request on a flow that is held, or opens another one.
+func (f *callerFlow) next(now time.Time) {
+	c := f.c
+	if c.stopped {
+		return
+	}
+	if f.ended || f.end == nil || f.end.PeerFinished() {
+		c.request(now, f.key.Service(), f.limit, f.think)
+		return
+	}
+	c.sent++
+	f.id, f.closed, f.buf = fmt.Sprintf("request-%d", c.sent), false, nil
+	f.sentAt, f.deadline = now, now.Add(f.limit)
+	c.w.record("%s sent on flow %s through %s", f.id, f.key, f.entry.name)
+	f.write(now)
+	id := f.id
+	c.w.after(f.limit, func(time.Time) {
+		if f.id == id {
+			f.finish("no answer before the deadline")
+		}
+	})
+}
+
+// write sends the request on the open flow.
+func (f *callerFlow) write(now time.Time) {
+	head := f.id + "\n"
+	f.end.Write([]byte(head + strings.Repeat(".", requestSize-len(head))))
+	f.poll(now)
 }
 
 func (f *callerFlow) poll(now time.Time) {
--- a/review/standin-3/cold.go
+++ b/review/standin-3/cold.go
@@ -24,7 +24,7 @@
 		workTime        = 20 * time.Millisecond
 		coldWork        = workTime * 8 / 5 // cold_x of the sites is 1.6
 	)
-	to := w.booking(warmupPerSecond)
+	to := w.booking(warmupPerSecond, 150*time.Millisecond, time.Second)
 	for i, zone := range []string{"a", "b", "c"} {
 		if _, err := w.addTarget(byte(i+1), "booking", zone, workTime, coldWork); err != nil {
 			return verdict{}, err
--- a/review/standin-3/foreign.go
+++ b/review/standin-3/foreign.go
@@ -11,14 +11,14 @@
 )
 
 // booking is the configuration with one route that may not be repeated.
-func (w *world) booking(perSecond float64) gdflow.Address {
+func (w *world) booking(perSecond float64, objective, timeout time.Duration) gdflow.Address {
 	to := gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
 	w.config = gddiscovery.Config{
 		Version: 4, IdleTimeout: 15 * time.Second,
 		Services: []gddiscovery.Service{{Name: "booking", MaxFlows: 2000, ColdFor: coldTime, ColdFlowsPerSecond: perSecond}},
 		Routes: []gddiscovery.Route{{
 			Name: "repair-request", Address: to, Shares: []gddiscovery.Share{{Service: "booking", Weight: 1}}, Priority: 1,
-			LatencyObjective: 150 * time.Millisecond, Timeout: time.Second,
+			LatencyObjective: objective, Timeout: timeout,
 		}},
 	}
 	w.do(w.configure)
@@ -34,7 +34,7 @@
 		rate             = 36
 		workTime         = 140 * time.Millisecond
 	)
-	to := w.booking(10)
+	to := w.booking(10, 150*time.Millisecond, time.Second)
 	for i, zone := range []string{"a", "b", "c"} {
 		if _, err := w.addTarget(byte(i+1), "booking", zone, workTime, workTime); err != nil {
 			return verdict{}, err
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(w *world, trouble bool) (verdict, error){
 	"foreign-entry": foreignEntry,
 	"cold-restart":  coldRestart,
+	"leaving":       leaving,
 }
 
 func main() {
--- a/review/standin-3/target.go
+++ b/review/standin-3/target.go
@@ -20,6 +20,8 @@
 	coldTime   = 2 * time.Second // warmup_s of the sites
 	answerSize = 600
 	maxPacket  = 2048
+	// Each end acknowledges every second packet.
+	packetsPerAck = 2
 )
 
 // target is a stand-in for a target, beside its agent. It registers in the store at each start.
@@ -57,6 +59,7 @@
 	closed bool
 	end    *gdstream.Endpoint
 	buf    []byte
+	got    int // packets since the last acknowledgement
 }
 
 type work struct {
@@ -211,8 +214,9 @@
 		f.closed = true
 		return
 	}
+	f.got++
 	f.buf = append(f.buf, f.end.Receive(now, p)...)
-	if line, _, ok := bytes.Cut(f.buf, []byte{'\n'}); ok && len(f.buf) >= requestSize {
+	for line, _, ok := bytes.Cut(f.buf, []byte{'\n'}); ok && len(f.buf) >= requestSize; line, _, ok = bytes.Cut(f.buf, []byte{'\n'}) {
 		f.buf = f.buf[requestSize:]
 		t.schedule(now, work{f: f, id: string(line)})
 	}
@@ -269,7 +273,12 @@
 	if f.closed || t.conn == nil {
 		return
 	}
-	t.sendPackets(f.end.Poll(now))
+	for _, p := range f.end.Poll(now) {
+		if len(p.Data) > 0 || p.Has(platformsim.Finish) || f.got >= packetsPerAck {
+			t.sendPackets([]platformsim.Packet{p})
+			f.got = 0
+		}
+	}
 	if f.end.Closed() || f.end.TimedOut() {
 		f.closed = true
 		return
