--- a/review/standin-3/caller.go
+++ b/review/standin-3/caller.go
@@ -32,6 +32,8 @@
 	sent    int
 	results map[string]int
 	resets  []reset
+	perFlow int // the requests after which a flow that is held is closed, or 0
+	size    int // of a request, in bytes
 }
 
 // reset is a reset of the system's own on a flow that was open.
@@ -39,6 +41,8 @@
 	at  time.Time
 	key gdflow.Key
 	id  string
+	// holder is the running target at which the flow was open, or empty.
+	holder string
 }
 
 type callerFlow struct {
@@ -49,7 +53,8 @@
 	sentAt   time.Time
 	deadline time.Time
 	limit    time.Duration
-	entry    *process
+	sent     int  // requests on this flow
+	once     bool // no other flow follows this one
 	end      *gdstream.Endpoint
 	buf      []byte
 	closed   bool          // the request has ended, or none was sent yet
@@ -58,7 +63,7 @@
 }
 
 func newCallers(w *world) (*callers, error) {
-	c := &callers{w: w, ip: w.network.Addr(callerNet, 1), flows: make(map[gdflow.Key]*callerFlow), port: firstPort, results: make(map[string]int)}
+	c := &callers{w: w, ip: w.network.Addr(callerNet, 1), flows: make(map[gdflow.Key]*callerFlow), port: firstPort, results: make(map[string]int), size: requestSize}
 	var err error
 	c.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(c.ip, callerPort)))
 	if err != nil {
@@ -102,16 +107,15 @@
 }
 
 // request sends a request on a new flow. The flow is held if there is a pause.
-func (c *callers) request(now time.Time, to gdflow.Address, deadline, think time.Duration) {
+func (c *callers) request(now time.Time, to gdflow.Address, deadline, think time.Duration) *callerFlow {
 	c.port++
 	c.sent++
 	f := &callerFlow{
 		c: c, key: gdflow.NewKey(address(netip.AddrPortFrom(c.ip, c.port)), to), id: fmt.Sprintf("request-%d", c.sent),
 		seq: rand.Uint32(), sentAt: now, deadline: now.Add(deadline), limit: deadline, think: think,
 	}
-	f.entry = c.entries[f.key.Hash()%uint64(len(c.entries))]
 	c.flows[f.key] = f
-	c.w.record("%s sent on flow %s through %s", f.id, f.key, f.entry.name)
+	c.w.record("%s sent on flow %s through %s", f.id, f.key, c.pick(f.key).name)
 	for i, d := range []time.Duration{0, 200 * time.Millisecond, 600 * time.Millisecond} {
 		if i == 0 {
 			f.sendOpen(0)
@@ -127,9 +131,10 @@
 	id := f.id
 	c.w.after(deadline, func(time.Time) {
 		if f.id == id {
-			f.finish("no answer before the deadline")
+			f.giveUp()
 		}
 	})
+	return f
 }
 
 func (c *callers) sentAt(k gdflow.Key) time.Time {
@@ -146,7 +151,7 @@
 }
 
 func (f *callerFlow) send(p platformsim.Packet) {
-	_, _ = f.c.conn.WriteToUDPAddrPort(p.Append(nil), netip.AddrPortFrom(f.entry.ip, callerPort)) // may be lost
+	_, _ = f.c.conn.WriteToUDPAddrPort(p.Append(nil), netip.AddrPortFrom(f.c.pick(f.key).ip, callerPort)) // may be lost
 }
 
 func (c *callers) receive(now time.Time, raw []byte) {
@@ -189,7 +194,7 @@
 		return
 	}
 	if f.end != nil && p.Unsigned {
-		f.c.resets = append(f.c.resets, reset{at: now, key: f.key, id: f.id})
+		f.c.resets = append(f.c.resets, reset{at: now, key: f.key, id: f.id, holder: f.c.w.holderOf(f.key)})
 	}
 	f.ended = true
 	who := "the target"
@@ -214,6 +219,14 @@
 	}
 }
 
+// giveUp ends the request at its deadline, and the flow with it.
+func (f *callerFlow) giveUp() {
+	if !f.closed {
+		f.ended = true
+		f.finish("no answer before the deadline")
+	}
+}
+
 // pause returns a pause between half of the flow's and one and a half times that.
 func (f *callerFlow) pause() time.Duration {
 	return f.think/2 + rand.N(f.think)
@@ -225,6 +238,14 @@
 	if c.stopped {
 		return
 	}
+	if f.sent++; c.perFlow > 0 && f.sent >= c.perFlow && f.end != nil && !f.ended {
+		f.end.Finish()
+		f.poll(now)
+		f.ended = true // what still comes on it is not looked at
+		if f.once {
+			return
+		}
+	}
 	if f.ended || f.end == nil || f.end.PeerFinished() {
 		c.request(now, f.key.Service(), f.limit, f.think)
 		return
@@ -232,12 +253,12 @@
 	c.sent++
 	f.id, f.closed, f.buf = fmt.Sprintf("request-%d", c.sent), false, nil
 	f.sentAt, f.deadline = now, now.Add(f.limit)
-	c.w.record("%s sent on flow %s through %s", f.id, f.key, f.entry.name)
+	c.w.record("%s sent on flow %s through %s", f.id, f.key, c.pick(f.key).name)
 	f.write(now)
 	id := f.id
 	c.w.after(f.limit, func(time.Time) {
 		if f.id == id {
-			f.finish("no answer before the deadline")
+			f.giveUp()
 		}
 	})
 }
@@ -245,7 +266,7 @@
 // write sends the request on the open flow.
 func (f *callerFlow) write(now time.Time) {
 	head := f.id + "\n"
-	f.end.Write([]byte(head + strings.Repeat(".", requestSize-len(head))))
+	f.end.Write([]byte(head + strings.Repeat(".", f.c.size-len(head))))
 	f.poll(now)
 }
 
@@ -263,3 +284,13 @@
 		}
 	})
 }
+
+// holderOf returns the name of the running target at which the flow is open, or nothing.
+func (w *world) holderOf(k gdflow.Key) string {
+	for _, t := range w.targets {
+		if f := t.flows[k]; t.conn != nil && f != nil && f.open && !f.closed {
+			return t.name
+		}
+	}
+	return ""
+}
--- a/review/standin-3/leaving.go
+++ b/review/standin-3/leaving.go
@@ -43,7 +43,7 @@
 		w.sleepUntil(at + runsOn)
 		w.do(func(now time.Time) {
 			for _, r := range w.callers.resets {
-				if f := t.flows[r.key]; f != nil && f.open {
+				if r.holder == t.name {
 					broken++
 				}
 			}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -28,6 +28,7 @@
 	"foreign-entry": foreignEntry,
 	"cold-restart":  coldRestart,
 	"leaving":       leaving,
+	"reuse":         reuse,
 }
 
 func main() {
--- a/review/standin-3/target.go
+++ b/review/standin-3/target.go
@@ -43,7 +43,9 @@
 	sequence  int
 	work      time.Duration
 	coldWork  time.Duration // per request while it is cold
-	accepted  []accepted    // the opening packets that it took
+	checkInAt time.Time     // it does not write its entry before
+	agent     *process
+	accepted  []accepted // the opening packets that it took
 }
 
 // accepted is an opening packet that a target took.
@@ -78,7 +80,7 @@
 		return nil, err
 	}
 	w.targets = append(w.targets, t)
-	_, err = w.startProcess("agent", zone, n, t)
+	t.agent, err = w.startProcess("agent", zone, n, t)
 	return t, err
 }
 
@@ -137,6 +139,9 @@
 
 // register writes the entry of the running process.
 func (t *target) register(now time.Time) {
+	if now.Before(t.checkInAt) {
+		return
+	}
 	t.sequence++
 	t.w.store.PutUpstream(now, gddiscovery.Upstream{
 		ID: t.id(), Service: t.service, Domain: t.zone, Address: address(netip.AddrPortFrom(t.ip, appPort)), Slots: slots,
@@ -216,8 +221,8 @@
 	}
 	f.got++
 	f.buf = append(f.buf, f.end.Receive(now, p)...)
-	for line, _, ok := bytes.Cut(f.buf, []byte{'\n'}); ok && len(f.buf) >= requestSize; line, _, ok = bytes.Cut(f.buf, []byte{'\n'}) {
-		f.buf = f.buf[requestSize:]
+	for line, _, ok := bytes.Cut(f.buf, []byte{'\n'}); ok && len(f.buf) >= t.w.callers.size; line, _, ok = bytes.Cut(f.buf, []byte{'\n'}) {
+		f.buf = f.buf[t.w.callers.size:]
 		t.schedule(now, work{f: f, id: string(line)})
 	}
 	if f.end.PeerFinished() {
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -11,7 +11,6 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"syscall"
 	"time"
 
 	"godwitdrift.example/godwitdrift/internal/core/gddiscovery"
@@ -76,6 +75,8 @@
 	role string
 	cmd  *exec.Cmd
 	done chan struct{}
+	// misses counts the readiness checks in a row that it has missed.
+	misses int
 }
 
 func newWorld(record, binary string) (*world, error) {
@@ -163,7 +164,7 @@
 	if t != nil {
 		kind = sideNet
 	}
-	p := &process{name: fmt.Sprintf("%s-%s-%d", role, zone, n), ip: w.network.Addr(kind, n), role: role, done: make(chan struct{})}
+	p := &process{name: fmt.Sprintf("%s-%s-%d", role, zone, n), ip: w.network.Addr(kind, n), role: role}
 	s := platformsim.Settings{
 		Name: p.name, Domain: zone, IP: p.ip, CallerPort: callerPort, ReadyPort: readyPort,
 		InternalPorts: [2]uint16{firstInternalPort, lastInternalPort}, GracePeriod: gracePeriod, StoreAddress: w.server.Addr(),
@@ -177,16 +178,10 @@
 	if err := os.WriteFile(conf, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	p.cmd = exec.Command(w.binary, role)
-	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "GODWITDRIFT_SETTINGS=" + conf}
-	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
+	env := []string{"PATH=" + os.Getenv("PATH"), "HOME=" + w.dir, "GODWITDRIFT_SETTINGS=" + conf}
+	if err := p.start(exec.Command(w.binary, role), env); err != nil {
 		return nil, err
 	}
-	go func() {
-		_ = p.cmd.Wait()
-		close(p.done)
-	}()
 	w.procs = append(w.procs, p)
 	return p, nil
 }
