--- a/review/standin-3/caller.go
+++ b/review/standin-3/caller.go
@@ -171,20 +171,25 @@
 			f.write(now)
 		}
 	case f.end != nil:
-		f.buf = append(f.buf, f.end.Receive(now, p)...)
-		if len(f.buf) >= answerSize {
-			line, _, _ := bytes.Cut(f.buf, []byte{'\n'})
-			f.finish("answered: " + strings.TrimPrefix(string(line), f.id+" "))
-			f.buf = f.buf[answerSize:]
-			if f.think == 0 {
-				f.end.Finish()
-			}
-		}
-		if f.end.PeerFinished() {
+		f.answered(now, p)
+	}
+}
+
+// answered handles a packet of the target on the open flow.
+func (f *callerFlow) answered(now time.Time, p platformsim.Packet) {
+	f.buf = append(f.buf, f.end.Receive(now, p)...)
+	if len(f.buf) >= answerSize {
+		line, _, _ := bytes.Cut(f.buf, []byte{'\n'})
+		f.finish("answered: " + strings.TrimPrefix(string(line), f.id+" "))
+		f.buf = f.buf[answerSize:]
+		if f.think == 0 {
 			f.end.Finish()
 		}
-		f.poll(now)
 	}
+	if f.end.PeerFinished() {
+		f.end.Finish()
+	}
+	f.poll(now)
 }
 
 // reset ends the flow, if the reset is near enough to what the requester expects.
--- a/review/standin-3/target.go
+++ b/review/standin-3/target.go
@@ -278,12 +278,7 @@
 	if f.closed || t.conn == nil {
 		return
 	}
-	for _, p := range f.end.Poll(now) {
-		if len(p.Data) > 0 || p.Has(platformsim.Finish) || f.got >= packetsPerAck {
-			t.sendPackets([]platformsim.Packet{p})
-			f.got = 0
-		}
-	}
+	t.sendDue(now, f)
 	if f.end.Closed() || f.end.TimedOut() {
 		f.closed = true
 		return
@@ -298,6 +293,17 @@
 	}
 }
 
+// sendDue sends what the flow's endpoint has to send. A mere acknowledgement waits for the second
+// packet.
+func (t *target) sendDue(now time.Time, f *targetFlow) {
+	for _, p := range f.end.Poll(now) {
+		if len(p.Data) > 0 || p.Has(platformsim.Finish) || f.got >= packetsPerAck {
+			t.sendPackets([]platformsim.Packet{p})
+			f.got = 0
+		}
+	}
+}
+
 func (t *target) sendPackets(packets []platformsim.Packet) {
 	for _, p := range packets {
 		t.send(p.Append(nil))
