--- a/review/standin-3/foreign.go
+++ b/review/standin-3/foreign.go
@@ -12,7 +12,7 @@
 
 // booking is the configuration with one route that may not be repeated.
 func (w *world) booking(perSecond float64, objective, timeout time.Duration) gdflow.Address {
-	to := gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443)
+	to := w.routeAddress(443)
 	w.config = gddiscovery.Config{
 		Version: 4, IdleTimeout: 15 * time.Second,
 		Services: []gddiscovery.Service{{Name: "booking", MaxFlows: 2000, ColdFor: coldTime, ColdFlowsPerSecond: perSecond}},
--- a/review/standin-3/reuse.go
+++ b/review/standin-3/reuse.go
@@ -75,7 +75,7 @@
 // startTwoServices starts targets of two services and the entry processes. It returns the address
 // of the first service's route.
 func (w *world) startTwoServices() (gdflow.Address, error) {
-	feed, photo := gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 443), gdflow.AddressFrom([4]byte{198, 18, 0, 1}, 8443)
+	feed, photo := w.routeAddress(443), w.routeAddress(8443)
 	w.config = gddiscovery.Config{
 		Version: 4, IdleTimeout: 15 * time.Second,
 		Services: []gddiscovery.Service{{Name: "booking", MaxFlows: 2000, ColdFor: coldTime}, {Name: "gallery", MaxFlows: 2000, ColdFor: coldTime}},
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -36,6 +36,7 @@
 	sideNet
 	callerNet
 	storeNet
+	routeNet // of the routes, in packets only: nothing is sent there
 )
 
 // The bounds of the sites, in time.
@@ -223,6 +224,11 @@
 	return res.StatusCode == http.StatusOK
 }
 
+// routeAddress returns the address of a route.
+func (w *world) routeAddress(port uint16) gdflow.Address {
+	return address(netip.AddrPortFrom(w.network.Addr(routeNet, 1), port))
+}
+
 func address(a netip.AddrPort) gdflow.Address {
 	out, _ := gdflow.AddressFromAddrPort(a) // all addresses are IPv4
 	return out
